--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target sets up .venv by itself, so a fresh clone needs one command.
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo format lint check clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(RUN) -W ignore::DeprecationWarning tools/run_tests.py
+
+demo: $(STAMP)
+	$(RUN) -W ignore::DeprecationWarning tools/demo.py
+
+format: $(STAMP)
+	$(VENV)/bin/black --quiet .
+	$(VENV)/bin/ruff check --quiet --fix .
+
+lint: $(STAMP)
+	$(VENV)/bin/black --quiet --check --diff .
+	$(VENV)/bin/ruff check .
+	$(RUN) tools/check_imports.py
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/rosedyke/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: the HTTP application, problem documents and the client library."""
--- /dev/null
+++ b/rosedyke/command/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool ``rosedyke``."""
--- /dev/null
+++ b/rosedyke/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' intent: file format, checks, storage and distribution."""
--- /dev/null
+++ b/rosedyke/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Where and when tasks run: slots, speeds, queues, admission and ejection."""
--- /dev/null
+++ b/rosedyke/job/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: claims, registrars, answers and what may be said about whether a task ran."""
--- /dev/null
+++ b/rosedyke/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What an instance reports about itself: numbered log events and statsd metrics."""
--- /dev/null
+++ b/rosedyke/observe/event.py
@@ -0,0 +1,58 @@
+"""Numbered log events, so that an operator can look up what a line means.
+
+Each package lists its events in a module ``events`` of its own, in its own range of numbers;
+docs/EVENTS.md is checked against them.
+"""
+
+import logging
+
+import attrs
+
+catalogue: dict[int, "Event"] = {}
+
+
+@attrs.frozen
+class Event:
+    """One kind of log line.
+
+    Attributes
+    ----------
+    number : int
+        Unique and never reused.
+    name : str
+        Lower case with underscores.
+    level : int
+        One of ``logging``'s levels.
+    meaning : str
+        What happened and what an operator should do, for the catalogue in the docs.
+    """
+
+    number: int
+    name: str
+    level: int
+    meaning: str
+
+
+def define(number: int, name: str, level: int, meaning: str) -> Event:
+    """Add an event to the catalogue and return it."""
+    if number in catalogue:
+        raise ValueError(f"event {number} is defined twice")
+    catalogue[number] = Event(number, name, level, meaning)
+    return catalogue[number]
+
+
+_logger = logging.getLogger("rosedyke")
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event with its fields; ``logging`` decides whether and where."""
+    if _logger.isEnabledFor(event.level):
+        text = " ".join(f"{key}={value}" for key, value in fields.items())
+        _logger.log(
+            event.level,
+            "E%d %s %s",
+            event.number,
+            event.name,
+            text,
+            extra={"event": event.number, "event_name": event.name, "fields": fields},
+        )
--- /dev/null
+++ b/rosedyke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for tests, benchmarks and the demo."""
--- /dev/null
+++ b/rosedyke/standins/virtual.py
@@ -0,0 +1,309 @@
+"""A virtual clock and network, so that tests run the product's own code in an order they choose.
+
+Tasks are greenlets.  Nothing runs in parallel and no real time passes: when every task waits,
+the clock jumps to the next timer.  The same seed gives the same run.
+"""
+
+import heapq
+import itertools
+import random as random_module
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import greenlet
+
+from rosedyke.wire import codec, peer
+
+
+class VirtualSignal:
+    """A one-shot event on the virtual clock."""
+
+    def __init__(self, runtime: "VirtualRuntime"):
+        self.runtime = runtime
+        self.value: Any = None
+        self.done = False
+        self.waiters: list[greenlet.greenlet] = []
+
+    def set(self, value: Any = None) -> None:
+        """Wake every waiter; a second call does nothing."""
+        if self.done:
+            return
+        self.done = True
+        self.value = value
+        for waiter in self.waiters:
+            self.runtime.ready(waiter)
+        self.waiters.clear()
+
+    def is_set(self) -> bool:
+        """Return whether ``set`` was called."""
+        return self.done
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Block until set, or for ``timeout_s`` virtual seconds."""
+        if self.done:
+            return True
+        current = greenlet.getcurrent()
+        self.waiters.append(current)
+        if timeout_s is not None:
+            self.runtime.at(timeout_s, current)
+        self.runtime.switch_out()
+        if current in self.waiters:
+            self.waiters.remove(current)
+        return self.done
+
+
+class VirtualTask:
+    """A task on the virtual clock."""
+
+    def __init__(self, runtime: "VirtualRuntime"):
+        self.runtime = runtime
+        self.ended = VirtualSignal(runtime)
+        self.greenlet: greenlet.greenlet | None = None
+
+    def cancel(self) -> None:
+        """Raise ``GreenletExit`` in the task at its present blocking call."""
+        if not self.ended.is_set():
+            self.runtime.cancelled.add(self.greenlet)
+            self.runtime.ready(self.greenlet)
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Block until the task has ended."""
+        return self.ended.wait(timeout_s)
+
+
+class VirtualRuntime:
+    """Implements ``runtime.Runtime`` without threads, sockets or real time.
+
+    Parameters
+    ----------
+    seed : int
+        Of the random numbers, and of the order of ready tasks when ``shuffle`` is set.
+    shuffle : bool
+        Run ready tasks in a random order instead of first in, first out.
+    """
+
+    def __init__(self, seed: int = 0, shuffle: bool = False):
+        self.generator = random_module.Random(seed)
+        self.shuffle = shuffle
+        self.time = 0.0
+        self.order = itertools.count()
+        self.timers: list[tuple[float, int, greenlet.greenlet, int]] = []
+        self.queue: list[greenlet.greenlet] = []
+        self.epochs: dict[greenlet.greenlet, int] = {}
+        self.cancelled: set[greenlet.greenlet] = set()
+        self.errors: list[BaseException] = []
+        self.hub: greenlet.greenlet | None = None
+
+    def now(self) -> float:
+        """Return virtual seconds."""
+        return self.time
+
+    def random(self) -> float:
+        """Return a seeded number in [0, 1)."""
+        return self.generator.random()
+
+    def signal(self) -> VirtualSignal:
+        """Return a new signal."""
+        return VirtualSignal(self)
+
+    def sleep(self, seconds: float) -> None:
+        """Block the calling task for virtual seconds."""
+        self.at(seconds, greenlet.getcurrent())
+        self.switch_out()
+
+    def spawn(self, function: Callable[..., Any], *arguments: Any) -> VirtualTask:
+        """Run a function as a task; its error is kept in ``errors`` and raised by ``run``."""
+        task = VirtualTask(self)
+
+        def body():
+            try:
+                function(*arguments)
+            except greenlet.GreenletExit:
+                pass
+            except Exception as error:
+                self.errors.append(error)
+            finally:
+                self.epochs.pop(task.greenlet, None)
+                task.ended.set()
+
+        task.greenlet = greenlet.greenlet(body)
+        self.ready(task.greenlet)
+        return task
+
+    def at(self, seconds: float, waiter: greenlet.greenlet) -> None:
+        """Wake a task after virtual seconds unless something else wakes it before."""
+        entry = (self.time + max(0.0, seconds), next(self.order), waiter)
+        heapq.heappush(self.timers, (*entry, self.epochs.get(waiter, 0)))
+
+    def ready(self, waiter: greenlet.greenlet) -> None:
+        """Let a task run at the present time."""
+        # A task that was woken twice must not run twice: the second wake would end a later wait.
+        self.epochs[waiter] = self.epochs.get(waiter, 0) + 1
+        if waiter not in self.queue:
+            self.queue.append(waiter)
+
+    def switch_out(self) -> None:
+        """Give control back to ``run`` until woken."""
+        current = greenlet.getcurrent()
+        self.hub.switch()
+        if current in self.cancelled:
+            self.cancelled.discard(current)
+            raise greenlet.GreenletExit
+
+    def step(self) -> bool:
+        """Run one ready task, or jump to the next timer; false when nothing is left."""
+        self.hub = greenlet.getcurrent()
+        if not self.queue:
+            if not self.timers:
+                return False
+            due, _, waiter, epoch = heapq.heappop(self.timers)
+            if waiter.dead or self.epochs.get(waiter, 0) != epoch:
+                return True
+            self.time = max(self.time, due)
+            self.ready(waiter)
+        index = self.generator.randrange(len(self.queue)) if self.shuffle else 0
+        chosen = self.queue.pop(index)
+        if chosen in self.cancelled and not chosen:  # never started
+            self.cancelled.discard(chosen)
+            chosen.throw(greenlet.GreenletExit)
+        else:
+            chosen.switch()
+        return True
+
+    def run(self, until_s: float) -> None:
+        """Run until the virtual time ``until_s``; raise the first error of any task."""
+        while self.queue or (self.timers and self.timers[0][0] <= until_s):
+            self.step()
+            if self.errors:
+                raise self.errors[0]
+        self.time = max(self.time, until_s)
+
+    def call(self, function: Callable[..., Any], *arguments: Any, limit_s: float = 120.0) -> Any:
+        """Run a function as a task until it returns, and return or raise what it did."""
+        outcome = []
+
+        def body():
+            try:
+                outcome.append((function(*arguments), None))
+            except Exception as error:
+                outcome.append((None, error))
+
+        self.spawn(body)
+        end = self.time + limit_s
+        while not outcome and self.time <= end and self.step():
+            if self.errors:
+                raise self.errors[0]
+        if not outcome:
+            raise TimeoutError(f"{function} still waits at {self.time} s")
+        value, error = outcome[0]
+        if error is not None:
+            raise error
+        return value
+
+
+@attrs.define
+class VirtualNetwork:
+    """Connects ``VirtualPeers`` with delays and faults that a test sets.
+
+    Attributes
+    ----------
+    runtime : VirtualRuntime
+        The clock.
+    delay_s : callable
+        ``delay_s(source, target, message)`` in seconds; None drops the message.
+    cut : set of (str, str)
+        Pairs of instance names between which nothing passes, in that direction.
+    log : list
+        ``(time, source name, target name, message)`` of all that was sent.
+    """
+
+    runtime: VirtualRuntime
+    delay_s: Callable[[peer.Peer, peer.Peer, Any], float | None] = lambda s, t, m: 0.0005
+    cut: set[tuple[str, str]] = attrs.Factory(set)
+    log: list[tuple[float, str, str, Any]] = attrs.Factory(list)
+    nodes: dict[str, "VirtualPeers"] = attrs.Factory(dict)
+
+    def partition(self, left, right) -> None:
+        """Cut both directions between two groups of names."""
+        for a in left:
+            for b in right:
+                self.cut |= {(a, b), (b, a)}
+
+    def heal(self) -> None:
+        """Remove every cut."""
+        self.cut.clear()
+
+    def deliver(self, source: peer.Peer, target: peer.Peer, message: Any, action) -> None:
+        """Run ``action`` at the target after the delay unless the message is lost."""
+        self.log.append((self.runtime.now(), source.name, target.name, message))
+        delay = self.delay_s(source, target, message)
+        if delay is None or (source.name, target.name) in self.cut:
+            return
+
+        def arrive():
+            self.runtime.sleep(delay)
+            if (source.name, target.name) not in self.cut:
+                action()
+
+        self.runtime.spawn(arrive)
+
+
+class VirtualPeers:
+    """Implements ``peer.Peers`` on a virtual network; messages pass through the codec."""
+
+    def __init__(self, network: VirtualNetwork, own: peer.Peer):
+        self.network = network
+        self.own = own
+        self.handlers: dict[type, peer.Handler] = {}
+        self.is_down = False
+        network.nodes[own.name] = self
+
+    def handle(self, message_type: type, handler: peer.Handler) -> None:
+        """Register the handler of a message type."""
+        self.handlers[message_type] = handler
+
+    def crash(self) -> None:
+        """Stop sending and receiving for ever."""
+        self.is_down = True
+
+    def send(self, target: peer.Peer, message: Any) -> None:
+        """Send a message that needs no reply."""
+        self._post(target, message, lambda reply: None)
+
+    def request(self, target: peer.Peer, message: Any, timeout_s: float) -> Any:
+        """Send a message and block for its reply."""
+        if target == self.own:
+            return self.handlers[type(message)](self.own, message)
+        arrived = self.network.runtime.signal()
+        self._post(target, message, arrived.set)
+        if not arrived.wait(timeout_s):
+            raise peer.PeerTimeout(f"{target.name}: {type(message).__name__}")
+        if isinstance(arrived.value, peer.PeerError):
+            raise arrived.value
+        return arrived.value
+
+    def _post(self, target, message, on_reply):
+        if self.is_down:
+            return
+        source = self.own
+        copy = codec.decode(codec.name_of(message), codec.encode(message))
+
+        def receive():
+            node = self.network.nodes.get(target.name)
+            if node is None or node.is_down:
+                return
+            if node.own.incarnation != target.incarnation:
+                reply = peer.PeerGone(target.name)
+            else:
+                reply = node.handlers[type(copy)](source, copy)
+            if reply is not None:
+                self.network.deliver(
+                    node.own, source, reply, lambda: self._replied(on_reply, reply)
+                )
+
+        self.network.deliver(source, target, message, receive)
+
+    def _replied(self, on_reply, reply):
+        if not self.is_down:
+            on_reply(reply)
--- /dev/null
+++ b/rosedyke/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry instances and how they travel."""
--- /dev/null
+++ b/rosedyke/wire/codec.py
@@ -0,0 +1,88 @@
+"""The one place where messages between instances turn into bytes and back.
+
+Messages are frozen attrs classes in msgpack.  A message carries its registered name, so that a
+peer of another version can say which message it doesn't know instead of misreading it.
+"""
+
+from typing import Any
+
+import attrs
+import msgspec
+
+from rosedyke import fault
+
+PROTOCOL_VERSION = 1
+
+
+class CodecError(fault.RosedykeError):
+    """Bytes that are not a message of this version."""
+
+    code = "message_malformed"
+
+
+class UnknownMessage(CodecError):
+    """The message's name is not registered here."""
+
+    code = "message_unknown"
+
+
+_types_by_name: dict[str, type] = {}
+_names_by_type: dict[type, str] = {}
+_decoders: dict[str, msgspec.msgpack.Decoder] = {}
+_encoder = msgspec.msgpack.Encoder()
+
+
+def message(name):
+    """Register the decorated attrs class under a stable wire name.
+
+    Parameters
+    ----------
+    name : str
+        ``package.message``, for example ``job.claim``; never reused for another shape.
+    """
+
+    def register(message_type):
+        if not attrs.has(message_type):
+            raise TypeError(f"{message_type.__name__} is not an attrs class")
+        if name in _types_by_name:
+            raise ValueError(f"message name {name} is registered twice")
+        _types_by_name[name] = message_type
+        _names_by_type[message_type] = name
+        return message_type
+
+    return register
+
+
+def name_of(value: Any) -> str:
+    """Return the wire name of a message or raise UnknownMessage."""
+    try:
+        return _names_by_type[type(value)]
+    except KeyError:
+        raise UnknownMessage(type(value).__name__) from None
+
+
+def encode(value: Any) -> bytes:
+    """Return the body of a registered message."""
+    return _encoder.encode(value)
+
+
+def decode(name: str, body: bytes) -> Any:
+    """Return the message of that name.
+
+    Raises
+    ------
+    UnknownMessage
+        No message of that name is registered.
+    CodecError
+        The body doesn't have the shape of the message.
+    """
+    decoder = _decoders.get(name)
+    if decoder is None:
+        message_type = _types_by_name.get(name)
+        if message_type is None:
+            raise UnknownMessage(name)
+        decoder = _decoders[name] = msgspec.msgpack.Decoder(message_type)
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, ValueError, TypeError) as error:
+        raise CodecError(f"{name}: {error}") from error
--- /dev/null
+++ b/rosedyke/wire/peer.py
@@ -0,0 +1,104 @@
+"""Another entry instance, and what can be asked of it.
+
+Aggregates see only the ``Peers`` interface; the transport behind it can be pyzmq or a fake.
+"""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+
+from rosedyke import fault
+
+
+class PeerError(fault.RosedykeError):
+    """A message to a peer could not be delivered or was not answered."""
+
+    code = "peer_error"
+
+
+class PeerTimeout(PeerError):
+    """No reply in time.  The peer may or may not have acted on the message."""
+
+    code = "peer_timeout"
+
+
+class PeerQueueFull(PeerError):
+    """The bounded queue to the peer is full; the message was not sent."""
+
+    code = "peer_queue_full"
+
+
+class PeerRefused(PeerError):
+    """The peer answered that it can't handle the message, for example for its version."""
+
+    code = "peer_refused"
+
+
+class PeerGone(PeerError):
+    """The peer's incarnation is not the one addressed; the message was not acted on."""
+
+    code = "peer_gone"
+
+
+@attrs.frozen
+class Peer:
+    """One incarnation of one entry instance.
+
+    Attributes
+    ----------
+    name : str
+        The instance's name, unique in its region.
+    incarnation : int
+        Grows with each start or re-join of the instance, so that a message to an earlier
+        life is never taken for one to this life.
+    data_centre : str
+        Where the instance runs.
+    address : str
+        ``ip:port`` of the instance's ROUTER socket.
+    """
+
+    name: str
+    incarnation: int
+    data_centre: str
+    address: str
+
+
+Handler = Callable[[Peer, Any], Any]
+
+
+class Peers(Protocol):
+    """Sends typed messages to peers and dispatches those that arrive.
+
+    Every message is an attrs class registered with ``codec.message``.
+    """
+
+    @property
+    def own(self) -> Peer:
+        """The own instance's present incarnation."""
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Call ``handler(sender, message)`` in a task of its own for each such message.
+
+        What the handler returns is the reply; None sends none.
+        """
+
+    def send(self, peer: Peer, message: Any) -> None:
+        """Queue a message that needs no reply.
+
+        Raises
+        ------
+        PeerQueueFull
+            The peer's queue is at its bound.
+        """
+
+    def request(self, peer: Peer, message: Any, timeout_s: float) -> Any:
+        """Send a message and block for its reply.
+
+        A request to ``own`` calls the handler directly, with no message on the network.
+
+        Raises
+        ------
+        PeerError
+            One of the subclasses above says what is known.
+        """
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,47 @@
+"""Run every ``*_test.py`` beside its module with unittest, and tell known faults from new ones.
+
+A test named in KNOWN-RED.txt stays as written and is run like the others.  Its failure is printed
+and passed over; its unexpected success fails the run, so that the list can't go stale.
+"""
+
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+KNOWN_RED_LIMIT = 3
+
+
+def known_red():
+    """Return the ids of the tests that KNOWN-RED.txt lists, one a line before the first space."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = [line.strip() for line in KNOWN_RED.read_text().splitlines()]
+    return [line.split()[0].rstrip(":") for line in lines if line and not line.startswith("#")]
+
+
+def main():
+    """Run all tests and return the exit code."""
+    sys.path.insert(0, str(ROOT))
+    expected = known_red()
+    suite = unittest.defaultTestLoader.discover(
+        str(ROOT / "rosedyke"), pattern="*_test.py", top_level_dir=str(ROOT)
+    )
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = {test.id() for test, _ in result.failures + result.errors}
+    new = failed - set(expected)
+    stale = [name for name in expected if name not in failed]
+    for name in sorted(failed & set(expected)):
+        print(f"known red, passed over: {name}")
+    for name in stale:
+        print(f"listed in KNOWN-RED.txt but not failing: {name}")
+    if len(expected) > KNOWN_RED_LIMIT:
+        print(f"KNOWN-RED.txt lists {len(expected)} tests; {KNOWN_RED_LIMIT} at most")
+    print(f"{result.testsRun - len(failed)} passed, {len(failed)} failed")
+    bad = new or stale or len(expected) > KNOWN_RED_LIMIT or not result.testsRun
+    return 1 if bad or result.unexpectedSuccesses else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
