Return finished virtual tasks to the loop

A greenlet's parent is the task that spawned it, so a finished task woke its spawner in the middle of an unrelated wait: a request timed out although its reply was on the way.

--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -164,6 +164,9 @@
             self.ready(waiter)
         index = self.generator.randrange(len(self.queue)) if self.shuffle else 0
         chosen = self.queue.pop(index)
+        # A greenlet returns to its parent, by default the task that spawned it; it must be this
+        # loop, or the spawner would be woken in the middle of an unrelated wait.
+        chosen.parent = self.hub
         if chosen in self.cancelled and not chosen:  # never started
             self.cancelled.discard(chosen)
             chosen.throw(greenlet.GreenletExit)
