--- /dev/null
+++ b/rosedyke/daemon/green.py
@@ -0,0 +1,89 @@
+"""The runtime on eventlet: green threads, monotonic time and one-shot signals."""
+
+import logging
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import eventlet.event
+import greenlet
+
+_logger = logging.getLogger("rosedyke")
+
+
+class GreenSignal:
+    """A one-shot event for green threads."""
+
+    def __init__(self):
+        self.value: Any = None
+        self.event = eventlet.event.Event()
+
+    def set(self, value: Any = None) -> None:
+        """Wake every waiter; a second call does nothing."""
+        if not self.event.ready():
+            self.value = value
+            self.event.send(True)
+
+    def is_set(self) -> bool:
+        """Return whether ``set`` was called."""
+        return self.event.ready()
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Block until set, or for ``timeout_s`` seconds."""
+        if self.event.ready():
+            return True
+        return bool(self.event.wait(timeout=timeout_s))
+
+
+class GreenTask:
+    """A green thread."""
+
+    def __init__(self, function: Callable[..., Any], arguments: tuple):
+        self.ended = GreenSignal()
+        self.thread = eventlet.spawn_n(self._run, function, arguments)
+
+    def _run(self, function, arguments):
+        try:
+            function(*arguments)
+        except greenlet.GreenletExit:
+            pass
+        except Exception:
+            _logger.exception("a task of %s failed", getattr(function, "__qualname__", function))
+        finally:
+            self.ended.set()
+
+    def cancel(self) -> None:
+        """Stop the task at its next blocking call."""
+        if not self.ended.is_set():
+            eventlet.kill(self.thread)
+            self.ended.set()
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Block until the task has ended."""
+        return self.ended.wait(timeout_s)
+
+
+class GreenRuntime:
+    """Implements ``runtime.Runtime`` on eventlet."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def sleep(self, seconds: float) -> None:
+        """Let other green threads run for ``seconds``."""
+        eventlet.sleep(seconds)
+
+    def spawn(self, function: Callable[..., Any], *arguments: Any) -> GreenTask:
+        """Run a function in a green thread; an escaping exception is logged."""
+        return GreenTask(function, arguments)
+
+    def signal(self) -> GreenSignal:
+        """Return a new signal."""
+        return GreenSignal()
+
+    def random(self) -> float:
+        """Return a random number in [0, 1)."""
+        return random.random()
--- /dev/null
+++ b/rosedyke/daemon/green_test.py
@@ -0,0 +1,26 @@
+import unittest
+
+from rosedyke.daemon import green
+
+
+class Signal(unittest.TestCase):
+    def test_wait_ends_when_set_by_another_task(self):
+        runtime = green.GreenRuntime()
+        signal = runtime.signal()
+        runtime.spawn(signal.set, 7)
+        self.assertTrue(signal.wait(60))
+        self.assertEqual(signal.value, 7)
+
+    def test_wait_returns_false_after_its_timeout(self):
+        self.assertFalse(green.GreenRuntime().signal().wait(0.01))
+
+
+class Task(unittest.TestCase):
+    def test_cancelled_task_ends(self):
+        runtime = green.GreenRuntime()
+        reached = []
+        task = runtime.spawn(lambda: (runtime.sleep(60), reached.append(1)))
+        runtime.sleep(0)
+        task.cancel()
+        self.assertTrue(task.wait(60))
+        self.assertEqual(reached, [])
