--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -227,6 +227,15 @@
     log: list[tuple[float, str, str, Any]] = attrs.Factory(list)
     nodes: dict[str, "VirtualPeers"] = attrs.Factory(dict)
 
+    def find(self, target: peer.Peer) -> "VirtualPeers | None":
+        """Return the node that a message to ``target`` arrives at."""
+        if not peer.is_anyone(target):
+            return self.nodes.get(target.name)
+        for node in self.nodes.values():
+            if node.own.address == target.address:
+                return node
+        return None
+
     def partition(self, left, right) -> None:
         """Cut both directions between two groups of names."""
         for a in left:
@@ -270,6 +279,14 @@
         """Stop sending and receiving for ever."""
         self.is_down = True
 
+    def new_incarnation(self) -> peer.Peer:
+        """Begin a new life at the same address."""
+        self.own = attrs.evolve(self.own, incarnation=self.own.incarnation + 1)
+        return self.own
+
+    def forget(self, target: peer.Peer) -> None:
+        """Do nothing: there are no connections."""
+
     def send(self, target: peer.Peer, message: Any) -> None:
         """Send a message that needs no reply."""
         self._post(target, message, lambda reply: None)
@@ -290,13 +307,15 @@
         if self.is_down:
             return
         source = self.own
+        node = self.network.find(target)
+        if node is None:
+            return
         copy = codec.decode(codec.name_of(message), codec.encode(message))
 
         def receive():
-            node = self.network.nodes.get(target.name)
-            if node is None or node.is_down:
+            if node.is_down:
                 return
-            if node.own.incarnation != target.incarnation:
+            if not peer.is_anyone(target) and node.own.incarnation != target.incarnation:
                 reply = peer.PeerGone(target.name)
             else:
                 reply = node.handlers[type(copy)](source, copy)
@@ -305,7 +324,7 @@
                     node.own, source, reply, lambda: self._replied(on_reply, reply)
                 )
 
-        self.network.deliver(source, target, message, receive)
+        self.network.deliver(source, node.own, message, receive)
 
     def _replied(self, on_reply, reply):
         if not self.is_down:
--- a/rosedyke/wire/peer.py
+++ b/rosedyke/wire/peer.py
@@ -67,6 +67,16 @@
 Handler = Callable[[Peer, Any], Any]
 
 
+def at_address(address: str) -> Peer:
+    """Return a peer that stands for whichever instance has the address, in any incarnation."""
+    return Peer("", 0, "", address)
+
+
+def is_anyone(target: Peer) -> bool:
+    """Return whether ``target`` is only an address, as made by ``at_address``."""
+    return not target.name
+
+
 class Peers(Protocol):
     """Sends typed messages to peers and dispatches those that arrive.
 
@@ -102,3 +112,9 @@
         PeerError
             One of the subclasses above says what is known.
         """
+
+    def new_incarnation(self) -> Peer:
+        """Begin a new life: messages to the present one get ``PeerGone`` from now on."""
+
+    def forget(self, peer: Peer) -> None:
+        """Release what is held for a peer that is gone."""
--- /dev/null
+++ b/rosedyke/wire/settings.py
@@ -0,0 +1,57 @@
+"""Settings of the transport between entry instances."""
+
+import ipaddress
+
+import attrs
+
+MIB = 1024 * 1024
+
+
+@attrs.frozen
+class TransportSettings:
+    """How an instance is reached by its peers and what it accepts from them.
+
+    Attributes
+    ----------
+    name : str
+        The instance's name, unique in its region.
+    data_centre : str
+        Where the instance runs.
+    address : str
+        ``ip:port`` to bind; port 0 lets the kernel choose one.
+    key : str
+        Secret that all instances share; empty turns encryption and authentication off, which
+        only an address on loopback allows.
+    queue_bound : int
+        Messages that may wait for one peer before a sender gets an error.
+    max_message_bytes : int
+        Longer messages are neither sent nor accepted.
+    max_handlers : int
+        Handlers that run at one time; while all are busy nothing more is read from peers.
+    idle_s : float
+        A connection unused for this many seconds is closed.
+    silence_s : float
+        A connection is replaced when requests on it went unanswered for this many seconds.
+    unacknowledged_s : float
+        TCP gives a connection up when sent bytes stay unacknowledged for this many seconds.
+    protocol_version : int
+        The version that this instance speaks; None is the version of the codec.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    key: str = attrs.field(default="", repr=False)
+    queue_bound: int = 1000
+    max_message_bytes: int = 16 * MIB
+    max_handlers: int = 4096
+    idle_s: float = 60.0
+    silence_s: float = 0.5
+    unacknowledged_s: float = 3.0
+    protocol_version: int | None = None
+
+    @property
+    def is_loopback(self) -> bool:
+        """Whether only processes of the same machine can reach the address."""
+        host = self.address.rpartition(":")[0].strip("[]")
+        return ipaddress.ip_address(host).is_loopback
