Add a SWIM membership with acknowledged joins

Probes, suspicion and gossip run inside a data centre; a few relays of each exchange with the others. A join is acknowledged twice by everyone, as joining and as serving, so that a confirmed member is in every view that new claims follow.

--- /dev/null
+++ b/rosedyke/membership/join.py
@@ -0,0 +1,175 @@
+"""Joining: a member serves only when every live member of its data centre has acknowledged it.
+
+The same announcements carry each later change of the own state, so ``is_confirmed`` says that
+everyone's view holds the present one.
+"""
+
+import contextlib
+
+from rosedyke.membership import core, events, member, messages, record, synchronise
+from rosedyke.observe import event
+from rosedyke.wire import peer
+
+UNCONFIRMED_TICK_S = 0.02
+CONFIRMED_TICK_S = 0.1
+SEED_RETRY_S = 0.2
+
+
+class Joiner:
+    """Announces the own state to the members of the own data centre until all have it."""
+
+    def __init__(self, shared: core.Core, synchroniser: synchronise.Synchroniser):
+        self.core = shared
+        self.synchroniser = synchroniser
+        # By name: the incarnation that acknowledged, and the counter of the own record it has.
+        self.acknowledged: dict[str, tuple[int, int]] = {}
+        self.asked: set[str] = set()
+        self.missed: dict[str, int] = {}
+        self.has_searched = False
+        self.was_confirmed = False
+        shared.restart_hooks.append(self._restart)
+
+    def run(self) -> None:
+        """Search for members, then keep the announcements complete."""
+        runtime = self.core.runtime
+        while self.core.is_running:
+            if not self.has_searched:
+                self._search()
+            for target in self._missing():
+                self._ask(target)
+            self._advance()
+            is_confirmed = self.is_confirmed()
+            runtime.sleep(CONFIRMED_TICK_S if is_confirmed else UNCONFIRMED_TICK_S)
+
+    def is_confirmed(self) -> bool:
+        """Return whether every member has acknowledged the present state."""
+        if self.core.own.state is member.State.JOINING or self.core.own.is_dead:
+            return False
+        return not self._missing()
+
+    def on_announce(self, sender: peer.Peer, announce: messages.Announce):
+        """Take a member's state into the view, then acknowledge it."""
+        rejection = self.core.rejection(announce.record.peer)
+        if rejection is not None:
+            return rejection
+        self.core.put(announce.record)
+        if announce.known_incarnation == self.core.own.peer.incarnation:
+            about = announce.record.peer
+            self._note(about.name, about.incarnation, announce.known_counter)
+        return messages.Acknowledged(self.core.table.of(self.core.data_centre))
+
+    def on_forward(self, sender: peer.Peer, forward: messages.Forward):
+        """Announce a member to another that it can't reach itself."""
+        timeout = self.core.options.acknowledge_timeout_s
+        try:
+            return self.core.peers.request(forward.target, forward.announce, timeout)
+        except peer.PeerError:
+            return messages.Nack()
+
+    def announce_departure(self, timeout_s: float) -> None:
+        """Tell all members that this incarnation ends, and wait a bounded time for them."""
+        targets = self.core.others()
+        last_words = self.core.own.raised(member.State.DEAD)
+        self.core.own = last_words
+        waiting = {target.name for target in targets}
+        ended = self.core.runtime.signal()
+
+        def tell(target):
+            # Whoever misses this finds out by its probes.
+            with contextlib.suppress(peer.PeerError):
+                self.core.peers.request(target.peer, messages.Announce(last_words), timeout_s)
+            waiting.discard(target.name)
+            if not waiting:
+                ended.set()
+
+        for target in targets:
+            self.core.runtime.spawn(tell, target)
+        if targets:
+            ended.wait(timeout_s)
+
+    def _restart(self):
+        self.acknowledged.clear()
+        self.missed.clear()
+        self.asked.clear()
+        self.was_confirmed = False
+        self.has_searched = bool(self.core.others())
+
+    def _search(self):
+        """Ask the seeds for members until one answers or the time to wait is over."""
+        runtime = self.core.runtime
+        deadline = runtime.now() + self.core.options.join_alone_s
+        while self.core.is_running:
+            seeds = self.synchroniser.seed_addresses()
+            if not seeds or self.synchroniser.sync_with_any(seeds):
+                break
+            if runtime.now() >= deadline:
+                event.log(events.JOINING_ALONE, seeds=len(seeds))
+                break
+            runtime.sleep(SEED_RETRY_S)
+        self.has_searched = True
+
+    def _missing(self) -> list[record.Record]:
+        """Return the members that have not acknowledged the present state."""
+        own = self.core.own
+        is_joining = own.state is member.State.JOINING
+        missing = []
+        for other in self.core.others():
+            # Of two that join at once each waits for the other, so that the later one
+            # acknowledged knows the earlier.  Whoever serves needn't wait for a newcomer: it
+            # asks everyone before it serves.
+            if other.state is member.State.JOINING and not is_joining:
+                continue
+            incarnation, counter = self.acknowledged.get(other.name, (0, -1))
+            if incarnation != other.peer.incarnation or counter < self.core.state_counter:
+                missing.append(other)
+        return missing
+
+    def _advance(self):
+        if self.core.own.state is member.State.JOINING and not self._missing():
+            self.core.change_own(member.State.LIVE)
+        if self.is_confirmed() and not self.was_confirmed:
+            self.was_confirmed = True
+            event.log(events.JOINED, name=self.core.own.name, members=len(self.core.others()) + 1)
+
+    def _ask(self, target):
+        if target.name not in self.asked:
+            self.asked.add(target.name)
+            self.core.runtime.spawn(self._announce_to, target)
+
+    def _announce_to(self, target):
+        own = self.core.own
+        announce = messages.Announce(own, target.peer.incarnation, target.counter)
+        try:
+            reply = self._request(target, announce)
+        except peer.PeerGone:
+            self.core.put(target.dead())
+        except peer.PeerError:
+            self.missed[target.name] = self.missed.get(target.name, 0) + 1
+        else:
+            if self.core.own.peer == own.peer:
+                self.missed.pop(target.name, None)
+                self.core.put_all(reply.records)
+                self._note(target.name, target.peer.incarnation, own.counter)
+        finally:
+            if self.core.own.peer == own.peer:
+                self.asked.discard(target.name)
+
+    def _request(self, target, announce):
+        timeout = self.core.options.acknowledge_timeout_s
+        helpers = [r for r in self.core.others() if r.name != target.name]
+        if not self.missed.get(target.name) or not helpers:
+            return self.core.request(target.peer, announce, timeout)
+        # If only the path between the two is cut, the target is alive for everyone else and
+        # never declared dead: without a detour this join would wait for ever.
+        helper = self.core.pick(helpers)
+        forward = messages.Forward(target.peer, announce)
+        reply = self.core.request(helper.peer, forward, 2 * timeout)
+        if not isinstance(reply, messages.Acknowledged):
+            self.missed[target.name] = 0  # directly the next time
+            raise peer.PeerTimeout(target.name)
+        return reply
+
+    def _note(self, name, incarnation, counter):
+        known_incarnation, known_counter = self.acknowledged.get(name, (0, -1))
+        if (incarnation, counter) > (known_incarnation, known_counter):
+            self.acknowledged[name] = (incarnation, counter)
--- a/rosedyke/membership/rendezvous.py
+++ b/rosedyke/membership/rendezvous.py
@@ -11,4 +11,8 @@
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
     """Return ``names`` ordered by their weight for ``key``, the responsible one first."""
-    return sorted(names, key=lambda name: (xxhash.xxh3_64_intdigest(f"{name}\0{key}"), name))
+    return sorted(names, key=lambda name: (_weight(name, key), name))
+
+
+def _weight(name, key):
+    return xxhash.xxh3_64_intdigest(f"{name}\0{key}".encode())
--- /dev/null
+++ b/rosedyke/membership/swim.py
@@ -0,0 +1,157 @@
+"""The membership protocol as the rest of the process sees it.
+
+SWIM (Das, Gupta, Motivala, 2002): a constant number of probes for each member, indirect probes,
+suspicion before death, updates that ride on probes.  Added here: joins that every live member
+acknowledges, relays between data centres, and an own instance that finds its own pauses.
+"""
+
+from collections.abc import Callable, Iterable
+
+from rosedyke import runtime as runtime_module
+from rosedyke.membership import (
+    core,
+    join,
+    member,
+    messages,
+    pause,
+    probe,
+    record,
+    relay,
+    settings,
+    suspicion,
+    synchronise,
+)
+from rosedyke.wire import peer
+
+DEPARTURE_TIMEOUT_S = 0.5
+WAIT_STEP_S = 0.02
+
+
+class SwimMembership:
+    """Implements ``ports.Membership``.
+
+    Parameters
+    ----------
+    options : MembershipSettings
+        Periods and bounds.
+    runtime : runtime.Runtime
+        Tasks and time.
+    peers : peer.Peers
+        The transport; started before ``start`` is called.
+    """
+
+    def __init__(
+        self,
+        options: settings.MembershipSettings,
+        runtime: runtime_module.Runtime,
+        peers: peer.Peers,
+    ):
+        self.core = core.Core(options, runtime, peers)
+        self.pause = pause.PauseWatch(self.core)
+        self.prober = probe.Prober(self.core)
+        self.suspicions = suspicion.Suspicions(self.core, self.prober)
+        self.synchroniser = synchronise.Synchroniser(self.core)
+        self.joiner = join.Joiner(self.core, self.synchroniser)
+        self.relay = relay.Relay(self.core)
+        self.tasks: list[runtime_module.Task] = []
+
+    def start(self) -> None:
+        """Register the handlers and begin to join; returns at once."""
+        handle = self.core.peers.handle
+        handle(messages.Ping, self.prober.on_ping)
+        handle(messages.PingRequest, self.prober.on_ping_request)
+        handle(messages.Announce, self.joiner.on_announce)
+        handle(messages.Forward, self.joiner.on_forward)
+        handle(messages.Sync, self.synchroniser.on_sync)
+        handle(messages.Push, self.synchroniser.on_push)
+        handle(messages.Exchange, self.relay.on_exchange)
+        handle(messages.Rejected, self.core.on_rejected)
+        self.core.begin()
+        self.pause.begin()
+        for run in (
+            self.pause.run,
+            self.joiner.run,
+            self.prober.run,
+            self.synchroniser.run,
+            self.synchroniser.run_reconnect,
+            self.relay.run,
+        ):
+            self.tasks.append(self.core.runtime.spawn(run))
+
+    def leave(self, timeout_s: float = 2.0) -> bool:
+        """Take no new work: enter LEAVING and return whether every member has acknowledged it."""
+        if self.own.state is not member.State.LEAVING:
+            self.core.change_own(member.State.LEAVING)
+        return self.wait_until_confirmed(timeout_s)
+
+    def stop(self) -> None:
+        """End this incarnation and tell the members, so that they needn't find out."""
+        if not self.core.is_running:
+            return
+        self.joiner.announce_departure(DEPARTURE_TIMEOUT_S)
+        self.core.is_running = False
+        for task in self.tasks:
+            task.cancel()
+
+    def rejoin(self) -> None:
+        """Begin a new incarnation."""
+        self.core.rejoin("requested")
+
+    def check_pause(self) -> bool:
+        """Re-join if the own loop stood still for too long; return whether it did.
+
+        To be called before anything that must not happen after the peers gave this instance up.
+        """
+        return self.pause.check()
+
+    @property
+    def view(self) -> member.View:
+        """The newest view."""
+        return self.core.view
+
+    @property
+    def own(self) -> member.Member:
+        """The own instance in its present incarnation."""
+        return self.core.own.as_member()
+
+    @property
+    def on_pause(self) -> list[core.PauseCallback]:
+        """Callbacks ``(old peer, new peer)``, called when this instance begins a new life."""
+        return self.core.on_pause
+
+    def subscribe(self, callback: Callable[[member.View, member.View], None]) -> None:
+        """Call ``callback(old, new)`` after each change of the view."""
+        self.core.subscribers.append(callback)
+
+    def advertise(self, topic: str, value: bytes) -> None:
+        """Let the probes carry a small value to every member of the region."""
+        self.core.advertise(topic, value)
+
+    def advertised(self, name: str, topic: str) -> bytes | None:
+        """Return the newest value heard from the member of that name."""
+        return self.core.adverts.value(name, topic)
+
+    def is_confirmed(self) -> bool:
+        """Return whether every member of the own data centre has acknowledged this one."""
+        return self.joiner.is_confirmed()
+
+    def wait_until_confirmed(self, timeout_s: float) -> bool:
+        """Block until confirmed and return true, or return false after the timeout."""
+        deadline = self.core.runtime.now() + timeout_s
+        while not self.is_confirmed():
+            if self.core.runtime.now() >= deadline:
+                return False
+            self.core.runtime.sleep(WAIT_STEP_S)
+        return True
+
+    def unreachable_data_centres(self) -> frozenset[str]:
+        """Return the data centres that no relay of the own one reaches."""
+        return self.relay.unreachable()
+
+    def relays(self, data_centre: str) -> list[record.Record]:
+        """Return the relays of a data centre as this instance sees them."""
+        return self.relay.relays(data_centre)
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Take further addresses to join by, for example the platform's list of instances."""
+        self.synchroniser.add_seeds(addresses)
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -279,9 +279,9 @@
         """Stop sending and receiving for ever."""
         self.is_down = True
 
-    def new_incarnation(self) -> peer.Peer:
+    def new_incarnation(self, after: int = 0) -> peer.Peer:
         """Begin a new life at the same address."""
-        self.own = attrs.evolve(self.own, incarnation=self.own.incarnation + 1)
+        self.own = attrs.evolve(self.own, incarnation=max(self.own.incarnation, after) + 1)
         return self.own
 
     def forget(self, target: peer.Peer) -> None:
--- a/rosedyke/wire/envelope.py
+++ b/rosedyke/wire/envelope.py
@@ -27,6 +27,7 @@
     GONE = 4  # the request was for another incarnation and was not acted on
     REFUSED = 5  # the request can't be handled here and was not acted on
     FAILED = 6  # the handler raised an error; it may have acted
+    OUTDATED = 8  # a newer incarnation of the sender is known; not acted on
     OTHER_VERSION = 7  # the prefix alone, in the version of the answering peer
 
 
--- a/rosedyke/wire/peer.py
+++ b/rosedyke/wire/peer.py
@@ -35,6 +35,24 @@
     code = "peer_refused"
 
 
+class PeerOutdated(PeerRefused):
+    """The peer knows a newer incarnation of this instance; the message was not acted on.
+
+    Happens when the clock of a replaced machine is behind: its incarnation is too low.
+
+    Attributes
+    ----------
+    newest : int
+        The incarnation that the peer knows.
+    """
+
+    code = "peer_outdated"
+
+    def __init__(self, detail: str, newest: int):
+        super().__init__(detail)
+        self.newest = newest
+
+
 class PeerGone(PeerError):
     """The peer's incarnation is not the one addressed; the message was not acted on."""
 
@@ -113,8 +131,8 @@
             One of the subclasses above says what is known.
         """
 
-    def new_incarnation(self) -> Peer:
-        """Begin a new life: messages to the present one get ``PeerGone`` from now on."""
+    def new_incarnation(self, after: int = 0) -> Peer:
+        """Begin a new life, higher than ``after``; messages to the old one get ``PeerGone``."""
 
     def forget(self, peer: Peer) -> None:
         """Release what is held for a peer that is gone."""
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -36,6 +36,7 @@
         envelope.Kind.GONE,
         envelope.Kind.REFUSED,
         envelope.Kind.FAILED,
+        envelope.Kind.OUTDATED,
     }
 )
 
@@ -157,9 +158,9 @@
             self.context.term()
             self.context = None
 
-    def new_incarnation(self) -> peer.Peer:
+    def new_incarnation(self, after: int = 0) -> peer.Peer:
         """Begin a new life: messages to the present one are refused from now on."""
-        incarnation = new_incarnation_after(self.own.incarnation)
+        incarnation = new_incarnation_after(max(self.own.incarnation, after))
         self.own = attrs.evolve(self.own, incarnation=incarnation)
         return self.own
 
@@ -309,10 +310,19 @@
         header, body = envelope.decode_rest(frame, prefix)
         if prefix.kind not in (envelope.Kind.ONE_WAY, envelope.Kind.REQUEST):
             raise codec.CodecError("a reply without a request")
+        incoming = Incoming(route, prefix, header, self.own)
         if not self.window.accept(header.source_name, header.source_incarnation, prefix.number):
             metric.count(metrics.DROPPED_REPEATED)
+            self._tell_if_outdated(incoming)
             return
-        self._dispatch(Incoming(route, prefix, header, self.own), body)
+        self._dispatch(incoming, body)
+
+    def _tell_if_outdated(self, incoming):
+        # A restarted instance whose clock is behind would otherwise be ignored by everyone
+        # without ever learning why.
+        newest = self.window.newest(incoming.header.source_name)
+        if newest > incoming.header.source_incarnation:
+            self._answer(incoming, envelope.Kind.OUTDATED, "", str(newest).encode())
 
     def _refuse_version(self, route, prefix):
         metric.count(metrics.REFUSED_VERSIONS)
@@ -424,6 +434,8 @@
         detail = f"{header.source_name}: {body.decode(errors='replace')}"
         if prefix.kind == envelope.Kind.GONE:
             return peer.PeerGone(detail)
+        if prefix.kind == envelope.Kind.OUTDATED:
+            return peer.PeerOutdated(detail, int(body))
         if prefix.kind == envelope.Kind.REFUSED:
             return peer.PeerRefused(detail)
         return peer.PeerError(detail)
--- a/rosedyke/wire/window.py
+++ b/rosedyke/wire/window.py
@@ -57,3 +57,8 @@
             return False
         received.bits |= 1 << -ahead
         return True
+
+    def newest(self, name: str) -> int:
+        """Return the newest incarnation heard from, 0 for none."""
+        received = self.senders.get(name)
+        return 0 if received is None else received.incarnation
