Claim jobs at registrars, run them once, and answer resubmissions with the first run

A first attempt claims at the two registrars of its data centre, a resubmission at those of every data centre of the region. Rival holders are told apart by the first registrar. 'Not run' is said only when the attempt is closed where a delayed copy would have to claim. Answers are kept within bounds of time and bytes.

The pair's order, not a majority, decides between rivals: with two or three instances in a data centre a majority would stop first attempts whenever one instance is down.

--- /dev/null
+++ b/rosedyke/job/handover.py
@@ -0,0 +1,215 @@
+"""Moving claims and answers to the instances that answer for them next."""
+
+from rosedyke.job import authority, claim, events, instance, kept, messages, metrics
+from rosedyke.observe import event, metric
+from rosedyke.wire import peer
+
+
+def register(node: instance.Instance) -> bool:
+    """Move claims to the registrars of the present members, then acknowledge these members.
+
+    Ends early, returning false, when the members change again: that change has its own call.
+    """
+    members = node.authority.members
+    for target, moved in plan(node, members).items():
+        for start in range(0, len(moved), node.settings.transfer_batch):
+            batch = tuple(moved[start : start + node.settings.transfer_batch])
+            if not deliver(node, members, target, messages.TransferRequest(batch)):
+                return False
+            metric.count(metrics.TRANSFERRED, len(batch))
+    return acknowledge(node, members)
+
+
+def acknowledge(node: instance.Instance, members: authority.Members) -> bool:
+    """Tell every member that the own claims have moved."""
+    if node.authority.members is not members:
+        return False
+    note = node.authority.registered(node.now())
+    tasks = [
+        node.runtime.spawn(deliver, node, members, target, note)
+        for target in members.present.values()
+        if target != node.own
+    ]
+    take_acknowledgement(node, node.own, note)
+    for task in tasks:
+        task.wait()
+    return node.authority.members is members
+
+
+def take_acknowledgement(
+    node: instance.Instance, sender: peer.Peer, note: messages.Registered
+) -> messages.Done:
+    """Record a member's acknowledgement."""
+    if node.authority.acknowledge(sender, note, node.now()):
+        event.log(events.SETTLED, members=len(node.authority.members.present))
+    return messages.Done()
+
+
+def deliver(
+    node: instance.Instance, members: authority.Members, target: peer.Peer, message: object
+) -> bool:
+    """Send until it is answered; false once the members have changed."""
+    while node.authority.members is members:
+        try:
+            node.peers.request(target, message, node.settings.transfer_timeout_s)
+            return True
+        except peer.PeerError:
+            node.runtime.sleep(node.settings.retry_delay_s * (1 + node.runtime.random()))
+    return False
+
+
+def plan(
+    node: instance.Instance, members: authority.Members
+) -> dict[peer.Peer, list[messages.TransferredClaim]]:
+    """Return which claims have to be told to which instance.
+
+    Living holders of the own data centre bring their claims themselves.  Registrars bring the
+    others: of dead holders, of other data centres, and closed attempts.  Both compare with the
+    last settled members, at which the claims are known to be where they belong.
+    """
+    moves: dict[peer.Peer, list[messages.TransferredClaim]] = {}
+    now = node.now()
+    settled = node.authority.unsettled[0]
+    for job_id, record in list(node.registrar.claims.items()):
+        if record.expires <= now or not is_bringer(node, members, record):
+            continue
+        targets = set(members.registrars(job_id))
+        if settled is not None and job_id not in node.half_held:
+            targets -= set(settled.registrars(job_id))
+        for target in targets - {node.own}:
+            moves.setdefault(target, []).append(transferred(job_id, record, now))
+    return moves
+
+
+def is_bringer(node: instance.Instance, members: authority.Members, record: claim.Claim) -> bool:
+    """Return whether this instance has to tell new registrars of a claim."""
+    holder = record.holder
+    if holder is None or holder == node.own:
+        return True
+    return members.present.get(holder.name) != holder
+
+
+def transferred(job_id: str, record: claim.Claim, now: float) -> messages.TransferredClaim:
+    """Return a claim as it travels."""
+    return messages.TransferredClaim(
+        job_id,
+        record.holder,
+        record.round,
+        record.attempt,
+        record.closed_through,
+        record.digest,
+        record.expires - now,
+    )
+
+
+def take_transfer(
+    node: instance.Instance, sender: peer.Peer, request: messages.TransferRequest
+) -> messages.Done:
+    """Remember claims that another instance brings."""
+    for moved in request.claims:
+        node.registrar.take_over(moved, node.now())
+    return messages.Done()
+
+
+def hand_over(node: instance.Instance, give_up: float) -> bool:
+    """Give away all claims and kept answers before this instance ends.
+
+    Returns
+    -------
+    bool
+        Whether everything was taken.
+    """
+    others = others_of(node)
+    if not others:
+        return not node.kept.entries and not node.registrar.claims
+    is_whole = hand_over_answers(node, others, give_up)
+    return hand_over_claims(node, others, give_up) and is_whole
+
+
+def others_of(node: instance.Instance) -> authority.Members:
+    """Return the members without the own instance."""
+    view = node.membership.view
+    members = authority.members_of(view, node.own.data_centre)
+    present = {name: one for name, one in members.present.items() if one != node.own}
+    serving = tuple(name for name in members.serving if name in present)
+    return authority.Members(present, serving, 0) if serving else None
+
+
+def hand_over_answers(node: instance.Instance, others: authority.Members, give_up: float) -> bool:
+    """Let each job's first registrar keep its answer and hold its claim."""
+    now = node.now()
+    batches: dict[peer.Peer, list[messages.HandedOverAnswer]] = {}
+    for job_id, entry in list(node.kept.entries.items()):
+        target = others.registrars(job_id)[0]
+        answer = messages.HandedOverAnswer(
+            entry.answer, entry.digest, entry.attempt, entry.expires - now
+        )
+        batches.setdefault(target, []).append(answer)
+    is_whole = True
+    for target, answers in batches.items():
+        for one in answers:
+            message = messages.HandoverRequest((one,))
+            if not deliver_until(node, target, message, give_up):
+                is_whole = False
+                continue
+            move_holder(node, one.answer.job_id, target)
+    return is_whole
+
+
+def move_holder(node: instance.Instance, job_id: str, target: peer.Peer) -> None:
+    """Name the keeper of the answer in the own copy of the claim, which is handed over next."""
+    record = node.registrar.find(job_id)
+    if record is not None and record.holder == node.own:
+        record.holder = target
+
+
+def hand_over_claims(node: instance.Instance, others: authority.Members, give_up: float) -> bool:
+    """Give every claim to its registrars among the others."""
+    now = node.now()
+    moves: dict[peer.Peer, list[messages.TransferredClaim]] = {}
+    for job_id, record in node.registrar.claims.items():
+        for target in others.registrars(job_id):
+            moves.setdefault(target, []).append(transferred(job_id, record, now))
+    is_whole = True
+    for target, moved in moves.items():
+        for start in range(0, len(moved), node.settings.transfer_batch):
+            batch = tuple(moved[start : start + node.settings.transfer_batch])
+            message = messages.HandedOverClaims(batch)
+            is_whole = deliver_until(node, target, message, give_up) and is_whole
+    return is_whole
+
+
+def deliver_until(
+    node: instance.Instance, target: peer.Peer, message: object, give_up: float
+) -> bool:
+    """Send until it is answered or there is no time left."""
+    while node.now() < give_up:
+        try:
+            node.peers.request(target, message, node.settings.transfer_timeout_s)
+            return True
+        except peer.PeerError:
+            node.runtime.sleep(node.settings.retry_delay_s)
+    return False
+
+
+def take_handover(
+    node: instance.Instance, sender: peer.Peer, request: messages.HandoverRequest
+) -> messages.Done:
+    """Keep answers of an instance that ends."""
+    for one in request.answers:
+        expires = node.now() + one.life_s
+        node.kept.add(kept.Entry(one.answer, one.digest, one.attempt, expires))
+    return messages.Done()
+
+
+def take_handed_over_claims(
+    node: instance.Instance, sender: peer.Peer, request: messages.HandedOverClaims
+) -> messages.Done:
+    """Remember claims of an instance that ends, with the keepers of its answers as holders."""
+    for moved in request.claims:
+        record = node.registrar.find(moved.job_id)
+        if record is not None and record.holder == sender:
+            record.holder = moved.holder
+            record.round = moved.round
+        node.registrar.take_over(moved, node.now())
+    return messages.Done()
--- a/rosedyke/job/job.py
+++ b/rosedyke/job/job.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+from collections.abc import Callable
 
 from rosedyke import fault
 from rosedyke.job import answer, code, submission
@@ -33,6 +34,12 @@
     code = "job_closed"
 
 
+class Fenced(JobClosed):
+    """The instance stood still for so long that its peers may count it dead."""
+
+    code = "job_fenced"
+
+
 class TaskNotWaiting(JobError):
     """The task was sent before; sending it again could run it twice."""
 
@@ -48,16 +55,26 @@
         What to run.
     deadline : float
         Monotonic seconds at which the job ends whatever happened.
+    fence : callable or None
+        Called before each task is sent; raises Fenced when nothing may be sent any more.
     """
 
-    def __init__(self, request: submission.Submission, deadline: float):
+    def __init__(
+        self,
+        request: submission.Submission,
+        deadline: float,
+        fence: Callable[[], None] | None = None,
+    ):
         self.request = request
         self.deadline = deadline
+        self.fence = fence
         self.answer: answer.Answer | None = None
         self.states = [TaskState.WAITING] * len(request.tasks)
         self.results: list[bytes | None] = [None] * len(request.tasks)
         self.unfinished = len(request.tasks)
         self.on_close: list = []
+        # False while another instance may be running the job under an earlier attempt.
+        self.is_claimed = True
 
     @property
     def is_closed(self) -> bool:
@@ -71,9 +88,14 @@
         ------
         JobClosed
             The job was cancelled, failed or timed out meanwhile.
+        Fenced
+            The instance was stopped for a while and has not re-joined.
         TaskNotWaiting
             The task was sent before.
         """
+        if self.fence is not None:
+            # Checked here and not by a timer: after a stop, this task may run before any timer.
+            self.fence()
         if self.is_closed:
             raise JobClosed(self.request.job_id)
         if self.states[index] is not TaskState.WAITING:
@@ -139,13 +161,28 @@
             )
         )
 
+    def close_with(self, final: answer.Answer) -> None:
+        """Close a job of which nothing was sent with the answer of another run of it.
+
+        Raises
+        ------
+        JobError
+            The answer belongs to another job, or a task was sent here.
+        """
+        if final.job_id != self.request.job_id:
+            raise JobError(f"answer to {final.job_id} given to {self.request.job_id}")
+        if any(state is not TaskState.WAITING for state in self.states):
+            raise JobError(f"{self.request.job_id} ran here")
+        if not self.is_closed:
+            self._close(final)
+
     def ran(self) -> answer.Ran:
-        """Return what the states prove."""
+        """Return what the states prove; without a claim, nothing about earlier attempts."""
         if TaskState.FINISHED in self.states:
             return answer.Ran.YES
         if TaskState.SENT in self.states:
             return answer.Ran.UNKNOWN
-        return answer.Ran.NO
+        return answer.Ran.NO if self.is_claimed else answer.Ran.UNKNOWN
 
     def _close(self, final: answer.Answer) -> None:
         self.answer = final
--- /dev/null
+++ b/rosedyke/job/kept.py
@@ -0,0 +1,77 @@
+"""Final answers kept for resubmissions, within bounds of time and bytes."""
+
+import attrs
+
+from rosedyke.job import answer, code
+
+NO_ROOM = "The job completed, but its results are no longer kept."
+
+
+@attrs.define
+class Entry:
+    """An ended job: its answer while there is room for it, what it proves for longer."""
+
+    answer: answer.Answer
+    digest: bytes
+    attempt: int
+    expires: float
+
+
+def size_of(final: answer.Answer) -> int:
+    """Return the bytes that an answer's results and texts take."""
+    return sum(len(result) for result in final.results) + len(final.detail) + len(final.job_id)
+
+
+class KeptAnswers:
+    """Ended jobs by id, oldest first.
+
+    Parameters
+    ----------
+    life_s : float
+        How long each is kept.
+    max_bytes : int
+        Bound over the results of all; the oldest results go first.
+    """
+
+    def __init__(self, life_s: float, max_bytes: int):
+        self.life_s = life_s
+        self.max_bytes = max_bytes
+        self.entries: dict[str, Entry] = {}
+        self.with_results: dict[str, int] = {}
+        self.bytes = 0
+
+    def add(self, entry: Entry) -> None:
+        """Keep an answer and make room for it."""
+        job_id = entry.answer.job_id
+        self.remove(job_id)
+        self.entries[job_id] = entry
+        self.with_results[job_id] = size_of(entry.answer)
+        self.bytes += self.with_results[job_id]
+        while self.bytes > self.max_bytes and self.with_results:
+            self._drop_results(next(iter(self.with_results)))
+
+    def find(self, job_id: str) -> Entry | None:
+        """Return the entry of an ended job."""
+        return self.entries.get(job_id)
+
+    def remove(self, job_id: str) -> None:
+        """Forget a job."""
+        if self.entries.pop(job_id, None) is not None:
+            self.bytes -= self.with_results.pop(job_id, 0)
+
+    def expire(self, now: float) -> None:
+        """Forget what has outlived its time."""
+        while self.entries:
+            job_id = next(iter(self.entries))
+            if self.entries[job_id].expires > now:
+                return
+            self.remove(job_id)
+
+    def _drop_results(self, job_id: str) -> None:
+        entry = self.entries[job_id]
+        self.bytes -= self.with_results.pop(job_id)
+        if entry.answer.is_complete:
+            # Complete without its results would be a partial answer.
+            entry.answer = answer.Answer(
+                job_id, code.Code.HISTORY_LOST, answer.Ran.YES, detail=NO_ROOM
+            )
--- /dev/null
+++ b/rosedyke/job/registrar.py
@@ -0,0 +1,120 @@
+"""The claims that this instance remembers for others.
+
+An aggregate in memory: it decides on one claim at a time, without blocking, so its decisions
+have an order.  Whether it may speak for the past is ``authority``'s matter.
+"""
+
+import attrs
+
+from rosedyke.job import claim, events, messages
+from rosedyke.observe import event
+from rosedyke.wire import peer
+
+
+@attrs.frozen
+class Decision:
+    """An outcome and the holder that it rests on."""
+
+    outcome: claim.Outcome
+    holder: peer.Peer | None = None
+
+
+class Registrar:
+    """Claims by job id, oldest first.
+
+    Parameters
+    ----------
+    claim_life_s : float
+        How long a claim is kept from its last grant.
+    max_claims : int
+        Bound of the table.
+    """
+
+    def __init__(self, claim_life_s: float, max_claims: int):
+        self.claim_life_s = claim_life_s
+        self.max_claims = max_claims
+        self.claims: dict[str, claim.Claim] = {}
+
+    def find(self, job_id: str) -> claim.Claim | None:
+        """Return the claim of a job."""
+        return self.claims.get(job_id)
+
+    def conflict(
+        self, sender: peer.Peer, request: messages.ClaimRequest, now: float
+    ) -> Decision | None:
+        """Return why the request can't be granted by what is remembered; None if it can."""
+        record = self.claims.get(request.job_id)
+        if record is None:
+            self.expire(now)
+            is_full = len(self.claims) >= self.max_claims
+            return Decision(claim.Outcome.FULL) if is_full else None
+        if record.digest != request.digest:
+            return Decision(claim.Outcome.OTHER_BODY, record.holder)
+        if record.holder is not None and record.holder != sender:
+            return Decision(claim.Outcome.HELD, record.holder)
+        if claim.is_closed_for(record, request.attempt):
+            return Decision(claim.Outcome.CLOSED)
+        return None
+
+    def grant(self, sender: peer.Peer, request: messages.ClaimRequest, now: float) -> Decision:
+        """Record the claim or the closed attempts; only after ``conflict`` found none."""
+        record = self.claims.pop(request.job_id, None)
+        holder = None if request.closes else sender
+        known_round = record.round if record is not None and record.holder == sender else 0
+        closed = record.closed_through if record is not None else 0
+        self.claims[request.job_id] = claim.Claim(
+            holder=holder,
+            # A delayed copy of an earlier request must not make the claim look older than it
+            # is: a release of that earlier round would then end it.
+            round=max(known_round, request.round),
+            attempt=claim.closing_attempt(request.attempt),
+            closed_through=max(closed, request.closes),
+            digest=request.digest,
+            expires=now + self.claim_life_s,
+        )
+        return Decision(claim.Outcome.GRANTED)
+
+    def release(self, sender: peer.Peer, request: messages.ReleaseRequest, now: float) -> None:
+        """End the sender's claim of that round and close the attempts that it was told to."""
+        record = self.claims.get(request.job_id)
+        if record is None or record.holder != sender or record.round != request.round:
+            return
+        record.holder = None
+        record.closed_through = max(record.closed_through, request.closed_through)
+        if not record.closed_through:
+            del self.claims[request.job_id]
+
+    def take_over(self, moved: messages.TransferredClaim, now: float) -> None:
+        """Remember a claim that another instance held or kept for its holder."""
+        record = self.claims.get(moved.job_id)
+        if record is None:
+            self.claims[moved.job_id] = claim.Claim(
+                moved.holder,
+                moved.round,
+                moved.attempt,
+                moved.closed_through,
+                moved.digest,
+                now + moved.life_s,
+            )
+            return
+        record.closed_through = max(record.closed_through, moved.closed_through)
+        if record.holder is None and moved.holder is not None:
+            # A release may have overtaken the copy of its claim.  Too many claims are safe.
+            record.holder = moved.holder
+            record.round = moved.round
+            record.attempt = moved.attempt
+        elif moved.holder is not None and record.holder != moved.holder:
+            event.log(
+                events.CLAIM_CONFLICT,
+                job=moved.job_id,
+                holder=record.holder.name,
+                other=moved.holder.name,
+            )
+
+    def expire(self, now: float) -> None:
+        """Drop claims from the oldest on; an early one behind a later one waits for it."""
+        while self.claims:
+            job_id = next(iter(self.claims))
+            if self.claims[job_id].expires > now:
+                return
+            del self.claims[job_id]
--- /dev/null
+++ b/rosedyke/standins/explore_region.py
@@ -0,0 +1,270 @@
+"""A region of entry instances on a virtual network, to explore what claims promise.
+
+The job managers are the product's own.  The membership's views are set by the test, and the
+dispatcher counts how often each task was started.
+"""
+
+import collections
+
+import attrs
+
+from rosedyke.job import answer, code, job, manager, settings, submission
+from rosedyke.membership import member
+from rosedyke.standins import virtual
+from rosedyke.wire import peer
+
+LIVE = member.State.LIVE
+
+
+class Views:
+    """Implements the membership's port with views that a test sets."""
+
+    def __init__(self, own: peer.Peer, view: member.View):
+        self.own_peer = own
+        self.view = view
+        self.callbacks: list = []
+
+    @property
+    def own(self) -> member.Member:
+        """The own instance as the own view has it."""
+        seen = self.view.find(self.own_peer.name)
+        if seen is not None and seen.peer == self.own_peer:
+            return seen
+        return member.Member(self.own_peer, member.State.JOINING)
+
+    def subscribe(self, callback) -> None:
+        """Call back after each change."""
+        self.callbacks.append(callback)
+
+    def set(self, view: member.View) -> None:
+        """Change to another view."""
+        old, self.view = self.view, view
+        for callback in self.callbacks:
+            callback(old, view)
+
+    def advertise(self, topic, value) -> None:
+        """Do nothing."""
+
+    def advertised(self, name, topic):
+        """Return that nothing was heard."""
+
+    def is_confirmed(self) -> bool:
+        """Return true."""
+        return True
+
+
+@attrs.define
+class Run:
+    """One start of a task.
+
+    Attributes
+    ----------
+    instance : str
+        Who started it.
+    time : float
+        Virtual seconds.
+    """
+
+    instance: str
+    time: float
+
+
+@attrs.define
+class Starts:
+    """What the backend servers saw: every start of every task."""
+
+    by_task: dict = attrs.Factory(lambda: collections.defaultdict(list))
+
+    def add(self, job_id: str, index: int, instance: str, time: float) -> None:
+        """Record a start."""
+        self.by_task[(job_id, index)].append(Run(instance, time))
+
+    def most(self) -> int:
+        """Return the highest count of starts of one task."""
+        return max((len(runs) for runs in self.by_task.values()), default=0)
+
+    def of(self, job_id: str) -> int:
+        """Return how many of a job's tasks were started at least once."""
+        return sum(1 for key, runs in self.by_task.items() if key[0] == job_id and runs)
+
+
+class CountingDispatcher:
+    """Implements ``ports.Dispatcher``: each task takes ``task_s``, one after the other."""
+
+    def __init__(self, clock: virtual.VirtualRuntime, starts: Starts, name: str):
+        self.clock = clock
+        self.starts = starts
+        self.name = name
+        self.task_s = 0.05
+        self.refusal = None
+        self.is_crashed = False
+
+    def check(self, request: submission.Submission):
+        """Return the refusal that the test set."""
+        return self.refusal
+
+    def run(self, running: job.Job) -> None:
+        """Start each task, wait, and record a result that names job, task and instance."""
+        for index in range(len(running.request.tasks)):
+            try:
+                running.mark_sent(index)
+            except job.JobClosed:
+                return
+            if self.is_crashed:
+                return
+            self.starts.add(running.request.job_id, index, self.name, self.clock.now())
+            if self.task_s:
+                self.clock.sleep(self.task_s)
+            running.mark_finished(index, result_of(running.request.job_id, index))
+
+
+def result_of(job_id: str, index: int) -> bytes:
+    """Return the result that the counting dispatcher gives a task."""
+    return f'"{job_id}/{index}"'.encode()
+
+
+@attrs.define
+class Node:
+    """One entry instance."""
+
+    peer: peer.Peer
+    peers: virtual.VirtualPeers
+    views: Views
+    dispatcher: CountingDispatcher
+    jobs: manager.JobManager
+    is_up: bool = True
+
+
+class Region:
+    """Entry instances of several data centres on one virtual clock.
+
+    Parameters
+    ----------
+    counts : dict of str to int
+        Instances by data centre; they are named ``dc1a``, ``dc1b`` and so on.
+    clock : VirtualRuntime or None
+        Given by an exploration that chooses the order of steps.
+    """
+
+    def __init__(self, counts: dict[str, int], clock=None, limits=None, delay_s=0.0005):
+        self.clock = clock or virtual.VirtualRuntime()
+        self.network = virtual.VirtualNetwork(self.clock)
+        self.network.delay_s = lambda source, target, message: delay_s
+        self.limits = limits or settings.JobSettings(data_centres=tuple(sorted(counts)))
+        self.starts = Starts()
+        self.nodes: dict[str, Node] = {}
+        self.states: dict[str, member.Member] = {}
+        self.ports = 0
+        for centre, count in counts.items():
+            for letter in "abcdefghijklmnopqrstuvwxyz"[:count]:
+                own = self.new_peer(f"{centre}{letter}", centre, 1)
+                self.states[own.name] = member.Member(own, LIVE)
+        for one in list(self.states.values()):
+            self.build(one.peer)
+
+    def new_peer(self, name: str, centre: str, incarnation: int) -> peer.Peer:
+        """Return an instance's identity with an address of its own."""
+        self.ports += 1
+        return peer.Peer(name, incarnation, centre, f"127.0.0.1:{self.ports}")
+
+    def view(self) -> member.View:
+        """Return the view that all should have."""
+        return member.View(tuple(self.states[name] for name in sorted(self.states)))
+
+    def build(self, own: peer.Peer) -> Node:
+        """Start an instance with the present view."""
+        peers = virtual.VirtualPeers(self.network, own)
+        views = Views(own, self.view())
+        dispatcher = CountingDispatcher(self.clock, self.starts, own.name)
+        jobs = manager.JobManager(self.limits, self.clock, peers, views, dispatcher)
+        self.nodes[own.name] = Node(own, peers, views, dispatcher, jobs)
+        jobs.start()
+        return self.nodes[own.name]
+
+    def settle(self, seconds: float = 2.0) -> None:
+        """Let virtual time pass."""
+        self.clock.run(self.clock.now() + seconds)
+
+    def spread(self, *names: str) -> None:
+        """Give the present view to instances, to all by default."""
+        for name in names or list(self.nodes):
+            if self.nodes[name].is_up:
+                self.nodes[name].views.set(self.view())
+
+    def set_state(self, name: str, state: member.State) -> None:
+        """Change what the region will see of an instance; ``spread`` makes it known."""
+        self.states[name] = member.Member(self.states[name].peer, state)
+
+    def crash(self, name: str) -> None:
+        """End an instance without a word; the others still believe it alive."""
+        node = self.nodes[name]
+        node.is_up = False
+        node.peers.crash()
+        node.dispatcher.is_crashed = True
+
+    def declare_dead(self, name: str) -> None:
+        """Let every instance learn of a death."""
+        self.set_state(name, member.State.DEAD)
+        self.spread()
+
+    def join(self, name: str, centre: str, incarnation: int = 1) -> Node:
+        """Start another instance and let every instance learn of it."""
+        own = self.new_peer(name, centre, incarnation)
+        self.states[name] = member.Member(own, LIVE)
+        node = self.build(own)
+        self.spread()
+        return node
+
+    # Callers
+
+    def submit(self, name: str, request: submission.Submission) -> list[answer.Answer]:
+        """Submit in a task of its own; the answer appears in the returned list."""
+        answers: list[answer.Answer] = []
+        node = self.nodes[name]
+
+        def call():
+            final = node.jobs.submit(request)
+            if node.is_up:
+                answers.append(final)
+
+        self.clock.spawn(call)
+        return answers
+
+    def answer(self, name: str, request: submission.Submission) -> answer.Answer:
+        """Submit and let time pass until the answer is there."""
+        return self.clock.call(self.nodes[name].jobs.submit, request)
+
+    def holder_of(self, job_id: str) -> str | None:
+        """Return the instance that started a job's first task."""
+        runs = self.starts.by_task.get((job_id, 0))
+        return runs[0].instance if runs else None
+
+
+def request_of(
+    job_id: str = "job-1",
+    attempt: int | None = 1,
+    age_s: float = 0.0,
+    tasks: int = 2,
+    timeout_s: float = 10.0,
+    body: bytes = b"body",
+) -> submission.Submission:
+    """Return a submission of a few tasks."""
+    return submission.Submission(
+        service="scale",
+        job_id=job_id,
+        attempt=attempt,
+        age_s=age_s,
+        timeout_s=timeout_s,
+        tasks=tuple(submission.TaskCall("weigh") for _ in range(tasks)),
+        digest=body,
+    )
+
+
+def fault_of(final: answer.Answer, request: submission.Submission) -> str | None:
+    """Return what is wrong with an answer by itself."""
+    if final.job_id != request.job_id:
+        return f"answer to {final.job_id} given to {request.job_id}"
+    if final.code is not code.Code.COMPLETE:
+        return "results in a failure" if final.results else None
+    whole = tuple(result_of(request.job_id, index) for index in range(len(request.tasks)))
+    return None if final.results == whole else "complete without every result"
