--- a/rosedyke/job/attaching.py
+++ b/rosedyke/job/attaching.py
@@ -1,6 +1,7 @@
 """Answering a submission with the answer of the run that another attempt began."""
 
-from rosedyke.job import answer, code, instance, messages
+from rosedyke.job import answer, code, instance, messages, steps
+from rosedyke.observe import step
 from rosedyke.wire import peer
 
 SILENT_LIMIT = 3
@@ -17,6 +18,7 @@
             return lost(request.job_id, holder)
         left_s = held.job.deadline - node.now()
         wait_s = max(0.0, min(node.settings.attach_poll_s, left_s))
+        step.reach(steps.ATTACH_ASKING, node.own.name)
         question = messages.AttachRequest(request.job_id, request.digest, wait_s)
         try:
             reply = node.peers.request(target, question, wait_s + 3 * node.settings.silence_s)
@@ -73,6 +75,13 @@
     node: instance.Instance, sender: peer.Peer, question: messages.AttachRequest
 ) -> messages.AttachReply:
     """Say what this instance knows of a job, after waiting a while for its end."""
+    reply = state_here(node, question)
+    step.reach(steps.ATTACH_ANSWERING, node.own.name)
+    return reply
+
+
+def state_here(node: instance.Instance, question: messages.AttachRequest) -> messages.AttachReply:
+    """Return what is known of a job here; blocks while it runs, up to the stated time."""
     held = node.held.get(question.job_id)
     if held is not None and held.is_holding:
         if held.job.request.digest != question.digest:
--- a/rosedyke/job/claim.py
+++ b/rosedyke/job/claim.py
@@ -44,6 +44,8 @@
         Of the body that the id stands for.
     expires : float
         Monotonic seconds.
+    moves : int
+        How often a holder that left gave the job's answer to another; the latest move counts.
     """
 
     holder: peer.Peer | None
@@ -52,6 +54,7 @@
     closed_through: int
     digest: bytes
     expires: float
+    moves: int = 0
 
 
 def closing_attempt(attempt: int | None) -> int:
--- a/rosedyke/job/claiming.py
+++ b/rosedyke/job/claiming.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from rosedyke.job import authority, claim, instance, messages, metrics
-from rosedyke.observe import metric
+from rosedyke.job import authority, claim, instance, messages, metrics, steps
+from rosedyke.observe import metric, step
 from rosedyke.wire import peer
 
 GRANTED = claim.Outcome.GRANTED
@@ -136,6 +136,7 @@
     pair = node.registrars(request.job_id, node.own.data_centre)
     closes = claim.closing_attempt(request.attempt)
     message = node.claim_request(held, pair, closes)
+    step.reach(steps.CLOSE_ASKING, node.own.name)
     replies = node.ask(pair, message, node.settings.silence_s)
     verdict = decide(pair, replies)
     if verdict is not None:
@@ -149,6 +150,15 @@
     node: instance.Instance, sender: peer.Peer, request: messages.ClaimRequest
 ) -> messages.ClaimReply:
     """Decide on a claim as a registrar."""
+    reply = decide_as_registrar(node, sender, request)
+    step.reach(steps.CLAIM_DECIDED, node.own.name)
+    return reply
+
+
+def decide_as_registrar(
+    node: instance.Instance, sender: peer.Peer, request: messages.ClaimRequest
+) -> messages.ClaimReply:
+    """Grant a claim or say why not, without blocking, so that decisions have an order."""
     now = node.now()
     decision = node.registrar.conflict(sender, request, now)
     if decision is not None:
--- a/rosedyke/job/handover.py
+++ b/rosedyke/job/handover.py
@@ -1,7 +1,7 @@
 """Moving claims and answers to the instances that answer for them next."""
 
-from rosedyke.job import authority, claim, events, instance, kept, messages, metrics
-from rosedyke.observe import event, metric
+from rosedyke.job import authority, claim, events, instance, kept, messages, metrics, steps
+from rosedyke.observe import event, metric, step
 from rosedyke.wire import peer
 
 
@@ -11,6 +11,7 @@
     Ends early, returning false, when the members change again: that change has its own call.
     """
     members = node.authority.members
+    step.reach(steps.TRANSFER_SENDING, node.own.name)
     for target, moved in plan(node, members).items():
         for start in range(0, len(moved), node.settings.transfer_batch):
             batch = tuple(moved[start : start + node.settings.transfer_batch])
@@ -24,6 +25,7 @@
     """Tell every member that the own claims have moved."""
     if node.authority.members is not members:
         return False
+    step.reach(steps.TRANSFER_ACKNOWLEDGING, node.own.name)
     note = node.authority.registered(node.now())
     tasks = [
         node.runtime.spawn(deliver, node, members, target, note)
@@ -99,6 +101,7 @@
         record.closed_through,
         record.digest,
         record.expires - now,
+        record.moves,
     )
 
 
@@ -122,12 +125,16 @@
     others = others_of(node)
     if not others:
         return not node.kept.entries and not node.registrar.claims
+    step.reach(steps.DRAIN_ENDED, node.own.name)
     is_whole = hand_over_answers(node, others, give_up)
-    return hand_over_claims(node, others, give_up) and is_whole
+    step.reach(steps.DRAIN_ANSWERS_MOVED, node.own.name)
+    is_whole = hand_over_claims(node, others, give_up) and is_whole
+    step.reach(steps.DRAIN_CLAIMS_MOVED, node.own.name)
+    return is_whole
 
 
-def others_of(node: instance.Instance) -> authority.Members:
-    """Return the members without the own instance."""
+def others_of(node: instance.Instance) -> authority.Members | None:
+    """Return the members without the own instance; None if none can be a registrar."""
     view = node.membership.view
     members = authority.members_of(view, node.own.data_centre)
     present = {name: one for name, one in members.present.items() if one != node.own}
@@ -161,6 +168,7 @@
     record = node.registrar.find(job_id)
     if record is not None and record.holder == node.own:
         record.holder = target
+        record.moves += 1
 
 
 def hand_over_claims(node: instance.Instance, others: authority.Members, give_up: float) -> bool:
@@ -168,17 +176,33 @@
     now = node.now()
     moves: dict[peer.Peer, list[messages.TransferredClaim]] = {}
     for job_id, record in node.registrar.claims.items():
-        for target in others.registrars(job_id):
+        for target in successors(node, others, job_id, record):
             moves.setdefault(target, []).append(transferred(job_id, record, now))
     is_whole = True
     for target, moved in moves.items():
         for start in range(0, len(moved), node.settings.transfer_batch):
             batch = tuple(moved[start : start + node.settings.transfer_batch])
-            message = messages.HandedOverClaims(batch)
+            message = messages.TransferRequest(batch)
             is_whole = deliver_until(node, target, message, give_up) and is_whole
     return is_whole
 
 
+def successors(
+    node: instance.Instance, others: authority.Members, job_id: str, record: claim.Claim
+) -> set[peer.Peer]:
+    """Return who has to know a claim when this instance is gone.
+
+    A job that was claimed as a resubmission is known in every data centre; where its answer
+    was moved, they all have to learn of its new keeper.
+    """
+    targets = set(others.registrars(job_id))
+    if record.attempt != 1 and record.moves:
+        for centre in node.data_centres():
+            if centre != node.own.data_centre:
+                targets.update(node.registrars(job_id, centre))
+    return targets
+
+
 def deliver_until(
     node: instance.Instance, target: peer.Peer, message: object, give_up: float
 ) -> bool:
@@ -200,16 +224,3 @@
         expires = node.now() + one.life_s
         node.kept.add(kept.Entry(one.answer, one.digest, one.attempt, expires))
     return messages.Done()
-
-
-def take_handed_over_claims(
-    node: instance.Instance, sender: peer.Peer, request: messages.HandedOverClaims
-) -> messages.Done:
-    """Remember claims of an instance that ends, with the keepers of its answers as holders."""
-    for moved in request.claims:
-        record = node.registrar.find(moved.job_id)
-        if record is not None and record.holder == sender:
-            record.holder = moved.holder
-            record.round = moved.round
-        node.registrar.take_over(moved, node.now())
-    return messages.Done()
--- a/rosedyke/job/locating.py
+++ b/rosedyke/job/locating.py
@@ -1,7 +1,7 @@
 """Finding and cancelling a job from any instance, by way of its registrars."""
 
-from rosedyke.job import code, instance, messages, metrics, status
-from rosedyke.observe import metric
+from rosedyke.job import code, instance, messages, metrics, status, steps
+from rosedyke.observe import metric, step
 from rosedyke.wire import peer
 
 
@@ -25,6 +25,7 @@
     if holder is None:
         state = status.State.NOT_FOUND if is_certain else status.State.UNREACHABLE
         return status.Status(job_id, state)
+    step.reach(steps.CANCEL_LOCATED, node.own.name)
     return ask_holder(node, job_id, holder, messages.CancelRequest(job_id))
 
 
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -22,11 +22,12 @@
     resubmission,
     settings,
     status,
+    steps,
     submission,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 from rosedyke.wire import peer
 
 NO = answer.Ran.NO
@@ -91,7 +92,6 @@
             messages.TransferRequest: handover.take_transfer,
             messages.Registered: handover.take_acknowledgement,
             messages.HandoverRequest: handover.take_handover,
-            messages.HandedOverClaims: handover.take_handed_over_claims,
         }
         for message_type, handler in handlers.items():
             node.peers.handle(message_type, self._bind(handler))
@@ -242,9 +242,12 @@
         node = self.node
         held.round = node.next_round()
         record = node.registrar.find(held.job.request.job_id)
-        if record is None or record.holder is None:
+        # A record of another body stays, so that the claim is refused like everywhere else.
+        is_free = record is None or record.holder is None
+        if is_free and (record is None or record.digest == held.job.request.digest):
             node.remember(held)
         held.is_holding = True
+        step.reach(steps.CLAIM_KEPT, node.own.name)
         if held.job.request.is_first:
             return claiming.claim_first(node, held, give_up)
         return resubmission.claim_everywhere(node, held, give_up)
@@ -256,6 +259,7 @@
             return self._end_unstarted(held)
         held.is_started = True
         held.job.is_claimed = True
+        step.reach(steps.CLAIM_GRANTED, node.own.name)
         refusal = None if request.is_first else self._refusal(request)
         if refusal is not None:
             metric.count(metrics.REFUSED)
@@ -276,6 +280,7 @@
         # The answer is kept before anyone who waits for it can ask.
         if held.is_started:
             self._keep(held)
+            step.reach(steps.JOB_ENDED, self.node.own.name)
         held.ended.set()
 
     def _keep(self, held: instance.Held) -> None:
@@ -354,6 +359,7 @@
         job_id = held.job.request.job_id
         held.is_holding = False
         message = messages.ReleaseRequest(job_id, held.round, closed_through)
+        step.reach(steps.CLAIM_RELEASING, node.own.name)
         node.registrar.release(node.own, message, node.now())
         for place in held.places - {node.own}:
             node.runtime.spawn(self._release_at, place, message)
--- a/rosedyke/job/manager_test.py
+++ b/rosedyke/job/manager_test.py
@@ -37,8 +37,8 @@
         request = region.request_of()
         answers = [built.submit(name, request) for name in ("dc1a", "dc1b", "dc1c")]
         built.settle(5)
-        self.assertEqual([len(got) for got in answers], [1, 1, 1])
-        self.assertEqual({got[0].code for got in answers}, {code.Code.COMPLETE})
+        self.assertEqual([got.answer is not None for got in answers], [True] * 3)
+        self.assertEqual({got.answer.code for got in answers}, {code.Code.COMPLETE})
         self.assertEqual(built.starts.most(), 1)
 
 
@@ -49,7 +49,7 @@
         built.settle(0.02)
         second = built.answer("dc3b", region.request_of(attempt=2, age_s=0.02))
         built.settle(1)
-        self.assertEqual(second, first[0])
+        self.assertEqual(second, first.answer)
         self.assertEqual(built.starts.most(), 1)
 
     def test_gets_the_kept_answer_of_a_finished_run(self):
@@ -72,7 +72,7 @@
             built.submit("dc1b", region.request_of(attempt=None)),
         ]
         built.settle(5)
-        self.assertEqual([got[0].code for got in answers], [code.Code.COMPLETE] * 3)
+        self.assertEqual([got.answer.code for got in answers], [code.Code.COMPLETE] * 3)
         self.assertEqual(built.starts.most(), 1)
 
     def test_older_than_the_claims_life_is_unknown(self):
--- a/rosedyke/job/messages.py
+++ b/rosedyke/job/messages.py
@@ -143,6 +143,7 @@
     closed_through: int
     digest: bytes
     life_s: float
+    moves: int = 0
 
 
 @codec.message("job.transfer")
@@ -203,14 +204,3 @@
     """Final answers of an instance that ends."""
 
     answers: tuple[HandedOverAnswer, ...]
-
-
-@codec.message("job.handed_over_claims")
-@attrs.frozen
-class HandedOverClaims:
-    """All claims that an instance knew when it ended.
-
-    Those that the sender held name the instance that keeps their answers from now on.
-    """
-
-    claims: tuple[TransferredClaim, ...]
--- a/rosedyke/job/registrar.py
+++ b/rosedyke/job/registrar.py
@@ -71,6 +71,7 @@
             closed_through=max(closed, request.closes),
             digest=request.digest,
             expires=now + self.claim_life_s,
+            moves=record.moves if record is not None else 0,
         )
         return Decision(claim.Outcome.GRANTED)
 
@@ -95,14 +96,19 @@
                 moved.closed_through,
                 moved.digest,
                 now + moved.life_s,
+                moved.moves,
             )
             return
         record.closed_through = max(record.closed_through, moved.closed_through)
-        if record.holder is None and moved.holder is not None:
+        is_later = moved.moves > record.moves
+        if moved.holder is not None and (record.holder is None or is_later):
             # A release may have overtaken the copy of its claim.  Too many claims are safe.
             record.holder = moved.holder
             record.round = moved.round
             record.attempt = moved.attempt
+            record.moves = moved.moves
+        elif moved.moves < record.moves:
+            return
         elif moved.holder is not None and record.holder != moved.holder:
             event.log(
                 events.CLAIM_CONFLICT,
--- a/rosedyke/standins/explore_region.py
+++ b/rosedyke/standins/explore_region.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from rosedyke.job import answer, code, job, manager, settings, submission
+from rosedyke.job import answer as answers
+from rosedyke.job import claim, code, job, manager, settings, submission
 from rosedyke.membership import member
 from rosedyke.standins import virtual
 from rosedyke.wire import peer
@@ -63,10 +64,13 @@
         Who started it.
     time : float
         Virtual seconds.
+    request : Submission
+        The attempt under which it was started.
     """
 
     instance: str
     time: float
+    request: submission.Submission
 
 
 @attrs.define
@@ -75,9 +79,20 @@
 
     by_task: dict = attrs.Factory(lambda: collections.defaultdict(list))
 
-    def add(self, job_id: str, index: int, instance: str, time: float) -> None:
+    def add(self, index: int, run: Run) -> None:
         """Record a start."""
-        self.by_task[(job_id, index)].append(Run(instance, time))
+        self.by_task[(run.request.job_id, index)].append(run)
+
+    def under(self, request: submission.Submission) -> list[Run]:
+        """Return the starts of a body under an attempt or an earlier one."""
+        return [
+            run
+            for (job_id, _), runs in self.by_task.items()
+            for run in runs
+            if job_id == request.job_id
+            and run.request.digest == request.digest
+            and number_of(run.request) <= number_of(request)
+        ]
 
     def most(self) -> int:
         """Return the highest count of starts of one task."""
@@ -88,6 +103,11 @@
         return sum(1 for key, runs in self.by_task.items() if key[0] == job_id and runs)
 
 
+def number_of(request: submission.Submission) -> int:
+    """Return an attempt's number; one without a number is later than all."""
+    return claim.closing_attempt(request.attempt)
+
+
 class CountingDispatcher:
     """Implements ``ports.Dispatcher``: each task takes ``task_s``, one after the other."""
 
@@ -112,7 +132,7 @@
                 return
             if self.is_crashed:
                 return
-            self.starts.add(running.request.job_id, index, self.name, self.clock.now())
+            self.starts.add(index, Run(self.name, self.clock.now(), running.request))
             if self.task_s:
                 self.clock.sleep(self.task_s)
             running.mark_finished(index, result_of(running.request.job_id, index))
@@ -123,6 +143,17 @@
     return f'"{job_id}/{index}"'.encode()
 
 
+@attrs.define
+class Call:
+    """One submission by a caller, and its answer once there."""
+
+    instance: str
+    request: submission.Submission
+    started: float
+    answer: answers.Answer | None = None
+    ended: float | None = None
+
+
 @attrs.define
 class Node:
     """One entry instance."""
@@ -155,6 +186,7 @@
         self.nodes: dict[str, Node] = {}
         self.states: dict[str, member.Member] = {}
         self.ports = 0
+        self.calls: list[Call] = []
         for centre, count in counts.items():
             for letter in "abcdefghijklmnopqrstuvwxyz"[:count]:
                 own = self.new_peer(f"{centre}{letter}", centre, 1)
@@ -217,20 +249,50 @@
 
     # Callers
 
-    def submit(self, name: str, request: submission.Submission) -> list[answer.Answer]:
-        """Submit in a task of its own; the answer appears in the returned list."""
-        answers: list[answer.Answer] = []
+    def submit(self, name: str, request: submission.Submission) -> Call:
+        """Submit in a task of its own; the answer appears in the call that is returned."""
         node = self.nodes[name]
+        made = Call(name, request, self.clock.now())
+        self.calls.append(made)
 
-        def call():
+        def run():
             final = node.jobs.submit(request)
             if node.is_up:
-                answers.append(final)
-
-        self.clock.spawn(call)
-        return answers
-
-    def answer(self, name: str, request: submission.Submission) -> answer.Answer:
+                made.answer = final
+                made.ended = self.clock.now()
+
+        self.clock.spawn(run)
+        return made
+
+    def faults(self) -> list[str]:
+        """Return every promise that the run so far has broken."""
+        found = [
+            f"{key} started {len(runs)} times"
+            for key, runs in self.starts.by_task.items()
+            if len(runs) > 1
+        ]
+        for call in self.calls:
+            found.extend(self.faults_of(call))
+        return found
+
+    def faults_of(self, call: Call) -> list[str]:
+        """Return the promises that one call's outcome breaks."""
+        word = f"{call.request.job_id} attempt {call.request.attempt} at {call.instance}"
+        if call.answer is None:
+            is_late = self.clock.now() > call.started + call.request.timeout_s
+            is_owed = is_late and self.nodes[call.instance].is_up
+            return [f"{word}: no answer"] if is_owed else []
+        found = []
+        wrong = fault_of(call.answer, call.request)
+        if wrong:
+            found.append(f"{word}: {wrong}")
+        if call.answer.ran is answers.Ran.NO and self.starts.under(call.request):
+            found.append(f"{word}: told {call.answer.code.value}, not run, but it ran")
+        if call.ended > call.started + call.request.timeout_s + 1e-9:
+            found.append(f"{word}: answered late")
+        return found
+
+    def answer(self, name: str, request: submission.Submission) -> answers.Answer:
         """Submit and let time pass until the answer is there."""
         return self.clock.call(self.nodes[name].jobs.submit, request)
 
@@ -260,7 +322,7 @@
     )
 
 
-def fault_of(final: answer.Answer, request: submission.Submission) -> str | None:
+def fault_of(final: answers.Answer, request: submission.Submission) -> str | None:
     """Return what is wrong with an answer by itself."""
     if final.job_id != request.job_id:
         return f"answer to {final.job_id} given to {request.job_id}"
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -90,6 +90,7 @@
         self.order = itertools.count()
         self.timers: list[tuple[float, int, greenlet.greenlet, int]] = []
         self.queue: list[greenlet.greenlet] = []
+        self.queued: set[greenlet.greenlet] = set()
         self.epochs: dict[greenlet.greenlet, int] = {}
         self.cancelled: set[greenlet.greenlet] = set()
         self.errors: list[BaseException] = []
@@ -140,7 +141,8 @@
         """Let a task run at the present time."""
         # A task that was woken twice must not run twice: the second wake would end a later wait.
         self.epochs[waiter] = self.epochs.get(waiter, 0) + 1
-        if waiter not in self.queue:
+        if waiter not in self.queued:
+            self.queued.add(waiter)
             self.queue.append(waiter)
 
     def switch_out(self) -> None:
@@ -162,8 +164,8 @@
                 return True
             self.time = max(self.time, due)
             self.ready(waiter)
-        index = self.generator.randrange(len(self.queue)) if self.shuffle else 0
-        chosen = self.queue.pop(index)
+        chosen = self.queue.pop(self.choose(len(self.queue)))
+        self.queued.discard(chosen)
         # A greenlet returns to its parent, by default the task that spawned it; it must be this
         # loop, or the spawner would be woken in the middle of an unrelated wait.
         chosen.parent = self.hub
@@ -174,6 +176,10 @@
             chosen.switch()
         return True
 
+    def choose(self, count: int) -> int:
+        """Return which of the ready tasks runs next."""
+        return self.generator.randrange(count) if self.shuffle else 0
+
     def run(self, until_s: float) -> None:
         """Run until the virtual time ``until_s``; raise the first error of any task."""
         while self.queue or (self.timers and self.timers[0][0] <= until_s):
