Run jobs on backend servers through slots granted by the pool's owner

A job's holder asks the owner of a pool (the first instance in rendezvous order of the data centre) for slots, sends the tasks itself over HTTP and releases the slots with the measured run times, so payloads are never relayed. The owner learns speeds for each task type and server, leaves a slow server's slot free while faster servers would finish the waiting tasks sooner, and orders jobs by work left with aging.

Nothing but a connection that was never made, or a 503 with X-Not-Started, puts a task back to waiting. The gateway uses urllib3's connection below its pool, because the pool opens connections on its own and its errors don't tell whether bytes had left.

--- /dev/null
+++ b/rosedyke/dispatch/message.py
@@ -0,0 +1,159 @@
+"""Messages between the holder of a job and the owner of a pool of backend servers.
+
+Times are durations, because the instances' clocks need not agree.
+"""
+
+import attrs
+
+from rosedyke.configuration import intent
+from rosedyke.wire import codec
+
+
+@attrs.frozen
+class Ballot:
+    """Numbers the terms of a pool's owners, so that a holder obeys only the newest.
+
+    Compared by term first; two owners can't have the same ballot.
+    """
+
+    term: int
+    owner: str
+    incarnation: int
+
+    def key(self) -> tuple[int, str, int]:
+        """Return what ballots are compared by."""
+        return (self.term, self.owner, self.incarnation)
+
+
+@attrs.frozen
+class TaskGroup:
+    """Waiting tasks of one job that are alike.
+
+    Attributes
+    ----------
+    task : str
+        Name of the task type.
+    run_time_s : float
+        The declared run time.
+    size : Size
+        What one of them needs.
+    indices : tuple of int
+        Their positions in the job.
+    """
+
+    task: str
+    run_time_s: float
+    size: intent.Size
+    indices: tuple[int, ...]
+
+
+@attrs.frozen
+class SlotRequest:
+    """A holder wants slots for waiting tasks of one job.
+
+    Attributes
+    ----------
+    number : int
+        Unique at the holder and lodged with one owner only, so that a grant for a number that
+        the holder has given up is known to be late.  Asking twice changes nothing.
+    groups : tuple of TaskGroup
+        What waits.
+    deadline_left_s : float
+        Seconds to the job's deadline.
+    """
+
+    number: int
+    groups: tuple[TaskGroup, ...]
+    deadline_left_s: float
+
+
+@attrs.frozen
+class Release:
+    """A holder gives a slot back.
+
+    Attributes
+    ----------
+    request : int
+        The holder's number of the request that the slot was granted for.
+    index : int
+        The task's position in its job.
+    outcome : str
+        One of ``lease.Outcome``'s values.
+    run_s : float
+        Measured run time, 0 when there is none.
+    """
+
+    request: int
+    index: int
+    outcome: str
+    run_s: float = 0.0
+
+
+@attrs.frozen
+class Grant:
+    """A slot for one task.
+
+    Attributes
+    ----------
+    request : int
+        The holder's number of the request.
+    index : int
+        The task's position in its job; granted once at most for each number of a request.
+    server : str
+        Name of the backend server.
+    """
+
+    request: int
+    index: int
+    server: str
+
+
+@attrs.frozen
+class PoolReport:
+    """How busy a pool is; rides on replies.
+
+    Attributes
+    ----------
+    free : tuple of (float, int)
+        Free slots by the slowness of their server.
+    backlog_s : float
+        Expected seconds of work, queued and running, for each unit of speed.
+    rate : float
+        Seconds of reference work that the pool does in a second.
+    """
+
+    free: tuple[tuple[float, int], ...] = ()
+    backlog_s: float = 0.0
+    rate: float = 1.0
+
+
+@codec.message("dispatch.exchange")
+@attrs.frozen
+class Exchange:
+    """Everything that a holder has to tell a pool's owner at one moment."""
+
+    pool: str
+    requests: tuple[SlotRequest, ...] = ()
+    releases: tuple[Release, ...] = ()
+    withdrawn: tuple[int, ...] = ()
+
+
+@codec.message("dispatch.exchange_reply")
+@attrs.frozen
+class ExchangeReply:
+    """The owner's answer; ``ballot`` is None when it doesn't own the pool (yet)."""
+
+    ballot: Ballot | None
+    grants: tuple[Grant, ...] = ()
+    report: PoolReport = PoolReport()
+
+
+@codec.message("dispatch.grants")
+@attrs.frozen
+class Grants:
+    """Slots that came free later."""
+
+    pool: str
+    ballot: Ballot
+    grants: tuple[Grant, ...]
+    report: PoolReport = PoolReport()
--- /dev/null
+++ b/rosedyke/dispatch/metrics.py
@@ -0,0 +1,27 @@
+"""Metrics of dispatch."""
+
+from rosedyke.observe import metric
+
+TASKS_SENT = metric.define("dispatch.tasks_sent", "counter", "Tasks put on a backend server.")
+TASKS_NOT_STARTED = metric.define(
+    "dispatch.tasks_not_started",
+    "counter",
+    "Sent tasks that provably did not start; each is a wasted message.",
+)
+TASKS_LOST = metric.define(
+    "dispatch.tasks_lost", "counter", "Sent tasks that may have run, without an answer."
+)
+TASKS_FAILED = metric.define(
+    "dispatch.tasks_failed", "counter", "Tasks that ran and answered with an error."
+)
+GRANTS_LATE = metric.define(
+    "dispatch.grants_late",
+    "counter",
+    "Grants for a task that no longer waits here; the slot is returned unused.",
+)
+EXCHANGES = metric.define(
+    "dispatch.exchanges", "counter", "Messages from holders to owners of pools."
+)
+QUEUE_TASKS = metric.define(
+    "dispatch.queue_tasks", "gauge", "Tasks that wait in the pools owned here."
+)
--- /dev/null
+++ b/rosedyke/dispatch/settings.py
@@ -0,0 +1,55 @@
+"""Settings of dispatch, passed whole to its parts."""
+
+import attrs
+
+
+@attrs.frozen
+class DispatchSettings:
+    """How tasks are placed, queued and retried.
+
+    Attributes
+    ----------
+    shard_servers : int
+        Backend servers that one owner schedules; larger services are split by hash.
+    request_timeout_s : float
+        How long a holder waits for the owner's reply before it asks again.
+    aging : float
+        Seconds of a job's remaining time that one second of waiting outweighs in the queue.
+    tick_s : float
+        How often an owner looks again at tasks that wait for a busy faster server.
+    lease_margin_s : float
+        How long a slot stays reserved beyond the job's deadline if nobody releases it.
+    retry_share : float
+        Tasks that may be sent again, as a share of the tasks sent.
+    retry_burst : int
+        Tasks that may be sent again before the share counts.
+    retry_delay_s : float
+        Mean delay, with jitter, before a task that did not start is queued again.
+    eject_after : int
+        Failures in a row that eject a server.
+    eject_s, eject_limit_s : float
+        The first ejection's time, doubled with each further one up to the limit.
+    eject_share : float
+        Servers of a pool that may be ejected at one time; when more fail, the fault is more
+        likely in the tasks than in the servers.
+    refused_s, refused_limit_s : float
+        How long a server that did not start a task gets no other, doubled up to the limit.
+    pause_s : float
+        A stop of the own process for longer than this makes grants from before it worthless.
+    """
+
+    shard_servers: int = 64
+    request_timeout_s: float = 0.5
+    aging: float = 0.1
+    tick_s: float = 0.02
+    lease_margin_s: float = 0.5
+    retry_share: float = 0.1
+    retry_burst: int = 100
+    retry_delay_s: float = 0.01
+    eject_after: int = 3
+    eject_s: float = 1.0
+    eject_limit_s: float = 30.0
+    eject_share: float = 0.34
+    refused_s: float = 0.05
+    refused_limit_s: float = 2.0
+    pause_s: float = 1.0
--- /dev/null
+++ b/rosedyke/dispatch/shard.py
@@ -0,0 +1,58 @@
+"""Which pools a service has, and who owns each.
+
+Servers are split by a hash of their names, so that a change of one server moves no other between
+shards as long as the number of shards stays the same.
+"""
+
+import attrs
+import xxhash
+
+from rosedyke.configuration import intent
+from rosedyke.membership import member
+
+
+@attrs.frozen
+class Shard:
+    """One pool's part of a service.
+
+    Attributes
+    ----------
+    key : str
+        ``service/data centre/number``; decides the owner.
+    service : str
+        The service's name.
+    data_centre : str
+        Where its servers and its owner are.
+    servers : tuple of BackendServer
+        In name order.
+    """
+
+    key: str
+    service: str
+    data_centre: str
+    servers: tuple[intent.BackendServer, ...]
+
+
+def shards_of(service: intent.Service, shard_servers: int) -> tuple[Shard, ...]:
+    """Return a service's pools over all data centres, in order of their keys."""
+    by_data_centre: dict[str, list[intent.BackendServer]] = {}
+    for server in service.servers:
+        by_data_centre.setdefault(server.data_centre, []).append(server)
+    shards = []
+    for data_centre, servers in sorted(by_data_centre.items()):
+        count = -(-len(servers) // shard_servers)
+        split: dict[int, list[intent.BackendServer]] = {}
+        for server in sorted(servers, key=lambda server: server.name):
+            split.setdefault(xxhash.xxh3_64_intdigest(server.name.encode()) % count, []).append(
+                server
+            )
+        for number, part in sorted(split.items()):
+            key = f"{service.name}/{data_centre}/{number}"
+            shards.append(Shard(key, service.name, data_centre, tuple(part)))
+    return tuple(shards)
+
+
+def owner_of(key: str, data_centre: str, view: member.View) -> member.Member | None:
+    """Return the serving instance that owns a pool."""
+    ranked = view.ranked(key, data_centre)
+    return ranked[0] if ranked else None
--- /dev/null
+++ b/rosedyke/dispatch/speed.py
@@ -0,0 +1,93 @@
+"""Run times learned from what tasks took, for each task type and backend server.
+
+The logarithm of the ratio of measured to declared run time is the sum of a part for the task
+type, a part for the server and a part for the pair.  So one run of any task on a new server says
+something about every other task there, and a task type whose declared time is far off is
+corrected on all servers at once.
+"""
+
+import math
+
+import attrs
+
+# Weight of one new measurement once many were made; the first ones weigh 1/n.
+LEARNING_RATE = 0.1
+# A single measurement changes an estimate by no more than this factor's logarithm.
+MAX_LOG_ERROR = math.log(16)
+# Times below this are measurement noise.
+SHORTEST_S = 0.0005
+
+
+@attrs.define
+class Factor:
+    """One learned logarithm with the number of measurements behind it."""
+
+    value: float = 0.0
+    count: int = 0
+
+    def learn(self, error: float, share: float) -> None:
+        """Move by a share of ``error``, less with each measurement."""
+        self.count += 1
+        self.value += error * max(share / self.count, LEARNING_RATE * share)
+
+
+@attrs.define
+class SpeedTable:
+    """Learned factors of one service.
+
+    Attributes
+    ----------
+    tasks : dict of str to Factor
+        By task type.
+    servers : dict of str to Factor
+        By backend server; positive is slow.
+    pairs : dict of (str, str) to Factor
+        By task type and server.
+    """
+
+    tasks: dict[str, Factor] = attrs.Factory(dict)
+    servers: dict[str, Factor] = attrs.Factory(dict)
+    pairs: dict[tuple[str, str], Factor] = attrs.Factory(dict)
+
+    def learn(self, task: str, server: str, declared_s: float, measured_s: float) -> None:
+        """Take in one finished run."""
+        ratio = max(measured_s, SHORTEST_S) / max(declared_s, SHORTEST_S)
+        task_factor = self.tasks.setdefault(task, Factor())
+        server_factor = self.servers.setdefault(server, Factor())
+        pair_factor = self.pairs.setdefault((task, server), Factor())
+        known = task_factor.value + server_factor.value + pair_factor.value
+        error = math.log(ratio) - known
+        error = max(-MAX_LOG_ERROR, min(MAX_LOG_ERROR, error))
+        # The first run of a task type on a server already known says most about the task type.
+        if not task_factor.count:
+            task_factor.learn(error, 1.0)
+        elif not server_factor.count:
+            server_factor.learn(error, 1.0)
+        else:
+            task_factor.learn(error, 0.2)
+            server_factor.learn(error, 0.4)
+            pair_factor.learn(error, 0.4)
+
+    def expected_s(self, task: str, server: str, declared_s: float) -> float:
+        """Return the expected run time."""
+        factor = 0.0
+        known = self.tasks.get(task)
+        if known is not None:
+            factor = known.value
+        known = self.servers.get(server)
+        if known is not None:
+            factor += known.value
+        known = self.pairs.get((task, server))
+        if known is not None:
+            factor += known.value
+        return max(declared_s, SHORTEST_S) * math.exp(factor)
+
+    def reference_s(self, task: str, declared_s: float) -> float:
+        """Return the expected run time on a server of average speed."""
+        known = self.tasks.get(task)
+        return max(declared_s, SHORTEST_S) * math.exp(known.value if known else 0.0)
+
+    def slowness(self, server: str) -> float:
+        """Return how many times longer than average tasks take on a server."""
+        known = self.servers.get(server)
+        return math.exp(known.value) if known is not None else 1.0
--- /dev/null
+++ b/rosedyke/gateways/backend.py
@@ -0,0 +1,264 @@
+"""Sends tasks to backend servers over HTTP, and says exactly what is known when that fails.
+
+urllib3's connection is used directly, below its pool: the pool decides on its own when to open a
+connection, and its errors don't always tell whether bytes had left.  Here the connection is made
+and proved first; whatever fails after that may have run.
+"""
+
+import socket
+import urllib.parse
+
+import attrs
+import eventlet
+import eventlet.green.socket
+import urllib3.connection
+import urllib3.exceptions
+
+from rosedyke.configuration import intent
+from rosedyke.dispatch import ports
+from rosedyke.gateways import settings
+from rosedyke.runtime import Runtime
+
+NOT_STARTED_HEADER = "X-Not-Started"
+LEAVING_HEADER = "X-Leaving"
+RUNNING_HEADER = "X-Running"
+HEALTH_PATH = "/healthz"
+KEEPALIVE_PROBES = 3
+# One connection of each server is kept free for probes.
+PROBE_CONNECTIONS = 1
+MAX_DETAIL_BYTES = 200
+
+TRANSPORT_ERRORS = (OSError, urllib3.exceptions.HTTPError, urllib3.connection.HTTPException)
+
+
+class Expired(Exception):
+    """The time for one step with a server is over."""
+
+
+class GreenConnection(urllib3.connection.HTTPConnection):
+    """urllib3's connection on a green socket, also where the process is not monkey-patched."""
+
+    def _new_conn(self):
+        sock = eventlet.green.socket.create_connection((self.host, self.port))
+        for option in self.socket_options or ():
+            sock.setsockopt(*option)
+        return sock
+
+
+@attrs.define(eq=False)
+class Connection:
+    """An open connection.
+
+    Attributes
+    ----------
+    http : HTTPConnection
+        urllib3's.
+    used_at : float
+        When it last carried an answer.
+    """
+
+    http: urllib3.connection.HTTPConnection
+    used_at: float
+
+    def is_dropped(self) -> bool:
+        """Return whether the server has closed it or sent bytes that nobody asked for."""
+        raw = getattr(self.http.sock, "fd", self.http.sock)  # the socket below a green one
+        try:
+            raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+
+@attrs.frozen
+class Reply:
+    """A whole HTTP answer."""
+
+    status: int
+    headers: object
+    body: bytes
+
+    def says(self, header: str) -> bool:
+        """Return whether a yes-or-no header is set."""
+        return self.headers.get(header, "").lower() == "true"
+
+
+class HttpBackendGateway:
+    """Implements ``dispatch.ports.BackendGateway``.
+
+    Connections in use are bounded by the slots that were granted, so only the idle ones need a
+    bound here: each instance keeps an equal part of what a server's limit leaves beside its
+    slots.  So the limit holds over all instances without any message.
+
+    Parameters
+    ----------
+    options : BackendSettings
+        Timeouts and bounds.
+    runtime : Runtime
+        Time.
+    """
+
+    def __init__(self, options: settings.BackendSettings, runtime: Runtime):
+        self.options = options
+        self.runtime = runtime
+        self.instances = 1
+        self.idle: dict[str, list[Connection]] = {}
+
+    def share_with(self, instances: int) -> None:
+        """Set how many instances of the region may connect to the same servers."""
+        self.instances = max(1, instances)
+
+    def run_task(
+        self, server: intent.BackendServer, call: ports.BackendCall, timeout_s: float
+    ) -> ports.TaskReply:
+        """Send a task and block for its result."""
+        ends_at = self.runtime.now() + timeout_s
+        connection = self._proved(server, timeout_s)
+        headers = task_headers(call, ends_at - self.runtime.now())
+        path = f"/v1/tasks/{urllib.parse.quote(call.task, safe='')}"
+        try:
+            with eventlet.Timeout(max(0.001, ends_at - self.runtime.now()), Expired):
+                reply = self._ask(connection, "POST", path, call.payload, headers)
+        except Expired:
+            connection.http.close()
+            raise ports.MayHaveRun(f"no answer within {timeout_s:.3f} s") from None
+        except TRANSPORT_ERRORS as error:
+            connection.http.close()
+            raise ports.MayHaveRun(f"connection broke: {describe(error)}") from error
+        except BaseException:
+            connection.http.close()
+            raise
+        self._keep(server, connection)
+        return read_reply(reply)
+
+    def probe(self, server: intent.BackendServer, timeout_s: float) -> ports.ProbeReply:
+        """Ask a server about itself on a connection of its own."""
+        connection = None
+        try:
+            with eventlet.Timeout(timeout_s, Expired):
+                connection = self._connect(server)
+                reply = self._ask(connection, "GET", HEALTH_PATH, None, {})
+        except (Expired, *TRANSPORT_ERRORS) as error:
+            raise ports.NotStarted(f"no answer to a probe: {describe(error)}") from None
+        finally:
+            if connection is not None:
+                connection.http.close()
+        running = reply.headers.get(RUNNING_HEADER, "")
+        return ports.ProbeReply(
+            int(running) if running.isdigit() else None, reply.says(LEAVING_HEADER)
+        )
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.http.close()
+        self.idle.clear()
+
+    def _proved(self, server, timeout_s) -> Connection:
+        """Return a connection that is known to work, or raise NotStarted."""
+        idle = self.idle.get(server.name, [])
+        while idle:
+            connection = idle.pop()
+            if self._is_good(connection, timeout_s):
+                return connection
+            connection.http.close()
+        try:
+            with eventlet.Timeout(min(timeout_s, self.options.connect_timeout_s), Expired):
+                return self._connect(server)
+        except (Expired, *TRANSPORT_ERRORS) as error:
+            raise ports.NotStarted(f"no connection: {describe(error)}") from None
+
+    def _is_good(self, connection, timeout_s) -> bool:
+        idle_s = self.runtime.now() - connection.used_at
+        if idle_s > self.options.idle_limit_s or connection.is_dropped():
+            return False
+        if idle_s <= self.options.proof_after_s:
+            return True
+        # A middle box may have forgotten the connection: what is sent on it vanishes and no
+        # answer ever comes, so a task would be lost without having run.  A cheap request that
+        # is answered on this very connection shows that both directions still pass.
+        try:
+            with eventlet.Timeout(min(timeout_s, self.options.proof_timeout_s), Expired):
+                reply = self._ask(connection, "GET", HEALTH_PATH, None, {})
+                return reply.status < 500 and connection.http.sock is not None
+        except (Expired, *TRANSPORT_ERRORS):
+            return False
+
+    def _connect(self, server) -> Connection:
+        host, port = server.address.rsplit(":", 1)
+        http = GreenConnection(
+            host, int(port), socket_options=socket_options(self.options.silent_limit_s)
+        )
+        try:
+            http.connect()
+        except BaseException:
+            http.close()
+            raise
+        return Connection(http, self.runtime.now())
+
+    def _ask(self, connection, method, path, body, headers) -> Reply:
+        http = connection.http
+        http.request(method, path, body, headers, preload_content=False, decode_content=False)
+        response = http.getresponse()
+        limit = self.options.max_result_bytes
+        data = response.read(limit + 1)
+        if len(data) > limit:
+            raise urllib3.exceptions.HTTPError("answer larger than allowed")
+        if response.length_remaining:
+            raise urllib3.exceptions.HTTPError("answer was cut off")
+        connection.used_at = self.runtime.now()
+        return Reply(response.status, response.headers, data)
+
+    def _keep(self, server, connection):
+        """Keep a connection for the next task if the share of this instance allows it."""
+        spare = server.connections - server.slots - PROBE_CONNECTIONS
+        idle = self.idle.setdefault(server.name, [])
+        if connection.http.sock is None or len(idle) >= spare // self.instances:
+            connection.http.close()
+            return
+        idle.append(connection)
+
+
+def socket_options(silent_limit_s: float) -> list[tuple[int, int, int]]:
+    """Return options that break a silent connection in bounded time."""
+    interval_s = max(1, int(silent_limit_s / (KEEPALIVE_PROBES + 1)))
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, interval_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(silent_limit_s * 1000)),
+    ]
+
+
+def task_headers(call: ports.BackendCall, left_s: float) -> dict[str, str]:
+    """Return the headers that tell a server which task this is."""
+    job_id = urllib.parse.quote(call.job_id, safe="")
+    return {
+        "Content-Type": "application/json",
+        "Accept-Encoding": "identity",
+        "X-Job-Id": job_id,
+        "X-Task-Index": str(call.index),
+        "Idempotency-Key": f"{job_id}/{call.index}",
+        "X-Deadline-Ms": str(max(1, int(left_s * 1000))),
+    }
+
+
+def read_reply(reply: Reply) -> ports.TaskReply:
+    """Return a task's result or raise what the answer says."""
+    is_leaving = reply.says(LEAVING_HEADER)
+    if reply.status == 200:
+        return ports.TaskReply(reply.body, is_leaving)
+    detail = reply.body[:MAX_DETAIL_BYTES].decode("utf-8", "replace")
+    if reply.status == 503 and reply.says(NOT_STARTED_HEADER):
+        raise ports.NotStarted(detail or "refused", is_leaving, is_reached=True)
+    raise ports.TaskFailed(f"status {reply.status}: {detail}")
+
+
+def describe(error: BaseException) -> str:
+    """Return an error's name and text in one line."""
+    return f"{type(error).__name__} {error}".strip()
--- /dev/null
+++ b/rosedyke/standins/backend_fake.py
@@ -0,0 +1,86 @@
+"""Backend servers on the virtual clock, for tests and models of the policy without sockets."""
+
+import collections
+from collections.abc import Callable
+
+import attrs
+
+from rosedyke.configuration import intent
+from rosedyke.dispatch import ports
+
+
+@attrs.define(eq=False)
+class FakeServer:
+    """One server.
+
+    Attributes
+    ----------
+    speed : float
+        Divides run times.
+    fault : Exception or None
+        Raised for each task, before it starts.
+    running, most_running : int
+        Tasks now and at most.
+    """
+
+    speed: float = 1.0
+    fault: Exception | None = None
+    running: int = 0
+    most_running: int = 0
+
+
+class FakeGateway:
+    """Implements ``dispatch.ports.BackendGateway``.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        The virtual clock.
+    run_time_s : callable
+        ``run_time_s(server, call)`` in seconds at speed 1.
+    """
+
+    def __init__(self, runtime, run_time_s: Callable = lambda server, call: 0.1):
+        self.runtime = runtime
+        self.run_time_s = run_time_s
+        self.servers: dict[str, FakeServer] = collections.defaultdict(FakeServer)
+        self.starts: collections.Counter[tuple[str, int]] = collections.Counter()
+        self.started: list[tuple[float, str, str, int]] = []
+        self.excess = 0
+        self.refused = 0
+
+    def share_with(self, instances: int) -> None:
+        """Nothing is pooled here."""
+
+    def run_task(
+        self, server: intent.BackendServer, call: ports.BackendCall, timeout_s: float
+    ) -> ports.TaskReply:
+        """Run a task in virtual time."""
+        state = self.servers[server.name]
+        if state.fault is not None:
+            self.refused += 1
+            raise state.fault
+        if state.running >= server.slots:
+            self.excess += 1
+            raise ports.NotStarted("every slot is taken", is_reached=True)
+        self.starts[call.job_id, call.index] += 1
+        self.started.append((self.runtime.now(), server.name, call.job_id, call.index))
+        state.running += 1
+        state.most_running = max(state.most_running, state.running)
+        run_s = self.run_time_s(server, call) / state.speed
+        if run_s > timeout_s:
+            self.runtime.spawn(self._end_later, state, run_s)
+            self.runtime.sleep(timeout_s)
+            raise ports.MayHaveRun("no answer in time")
+        self.runtime.sleep(run_s)
+        state.running -= 1
+        return ports.TaskReply(b'"done"')
+
+    def probe(self, server: intent.BackendServer, timeout_s: float) -> ports.ProbeReply:
+        """Return how many tasks run."""
+        self.runtime.sleep(0.001)
+        return ports.ProbeReply(self.servers[server.name].running)
+
+    def _end_later(self, state, run_s):
+        self.runtime.sleep(run_s)
+        state.running -= 1
--- /dev/null
+++ b/rosedyke/standins/fleet.py
@@ -0,0 +1,176 @@
+"""Several instances' dispatchers in one virtual world, for tests and models of the policy."""
+
+import attrs
+
+from rosedyke.configuration import intent
+from rosedyke.dispatch import dispatcher, settings
+from rosedyke.job import job, submission
+from rosedyke.membership import member
+from rosedyke.standins import backend_fake, virtual
+from rosedyke.wire import peer
+
+
+class FakeMembership:
+    """Implements ``membership.ports.Membership`` with a view that the test sets."""
+
+    def __init__(self, own: member.Member, view: member.View):
+        self.own = own
+        self.view = view
+        self.callbacks = []
+        self.values = {}
+        self.others = {}
+
+    def subscribe(self, callback):
+        """Keep a callback."""
+        self.callbacks.append(callback)
+
+    def change(self, view: member.View):
+        """Take a new view and tell it."""
+        old, self.view = self.view, view
+        for callback in list(self.callbacks):
+            callback(old, view)
+
+    def advertise(self, topic, value):
+        """Keep a value for the others."""
+        self.values[topic] = value
+
+    def advertised(self, name, topic):
+        """Return another's value, at once."""
+        other = self.others.get(name)
+        return None if other is None else other.values.get(topic)
+
+    def is_confirmed(self):
+        """Return true: joins are not played here."""
+        return True
+
+
+class FakeCurrent:
+    """Implements ``configuration.ports.Current`` with a fixed configuration."""
+
+    def __init__(self, configuration: intent.Configuration):
+        self.configuration = configuration
+        self.leaving: set[str] = set()
+        self.callbacks = []
+
+    def subscribe(self, callback):
+        """Keep a callback."""
+        self.callbacks.append(callback)
+
+    def is_leaving(self, server_name):
+        """Return whether the test says so."""
+        return server_name in self.leaving
+
+
+@attrs.define(eq=False)
+class Node:
+    """One instance."""
+
+    peers: virtual.VirtualPeers
+    membership: FakeMembership
+    dispatcher: dispatcher.FleetDispatcher
+
+
+class Fleet:
+    """Instances and backend servers of one region.
+
+    Parameters
+    ----------
+    service : Service
+        The only service.
+    instances : dict of str to str
+        Data centre by instance name.
+    run_time_s : callable
+        See ``FakeGateway``.
+    options : DispatchSettings
+        For every instance.
+    seed : int
+        Of the virtual runtime.
+    team : Team or None
+        The service's team; one without a quota when None.
+    """
+
+    def __init__(
+        self,
+        service: intent.Service,
+        instances: dict[str, str],
+        run_time_s=lambda server, call: 0.1,
+        options=settings.DispatchSettings(),  # noqa: B008 (frozen)
+        seed=0,
+        shuffle=False,
+        team=None,
+    ):
+        self.runtime = virtual.VirtualRuntime(seed, shuffle)
+        self.network = virtual.VirtualNetwork(self.runtime)
+        self.gateway = backend_fake.FakeGateway(self.runtime, run_time_s)
+        team = team or intent.Team(service.team, services=(service,))
+        self.current = FakeCurrent(intent.Configuration(1, (team,)))
+        self.options = options
+        self.nodes: dict[str, Node] = {}
+        self.states: dict[str, member.State] = {}
+        for name, data_centre in instances.items():
+            self.add(name, data_centre)
+
+    def add(self, name: str, data_centre: str, incarnation: int = 1) -> Node:
+        """Let an instance join; every view shows it at once."""
+        own = peer.Peer(name, incarnation, data_centre, f"virtual:{name}")
+        peers = virtual.VirtualPeers(self.network, own)
+        membership = FakeMembership(member.Member(own, member.State.LIVE), member.View())
+        part = dispatcher.FleetDispatcher(
+            self.options, self.runtime, peers, membership, self.current, self.gateway
+        )
+        self.nodes[name] = Node(peers, membership, part)
+        self.states[name] = member.State.LIVE
+        self.show()
+        part.start()
+        return self.nodes[name]
+
+    def show(self) -> None:
+        """Give every instance a view of the present states."""
+        view = member.View(
+            tuple(
+                member.Member(node.peers.own, self.states[name])
+                for name, node in sorted(self.nodes.items())
+            )
+        )
+        for node in self.nodes.values():
+            node.membership.others = {n: one.membership for n, one in self.nodes.items()}
+            node.membership.change(view)
+
+    def kill(self, name: str, seen: bool = True) -> None:
+        """Let an instance die, seen at once by the others if ``seen``."""
+        self.nodes[name].peers.crash()
+        self.nodes[name].dispatcher.stop()
+        self.states[name] = member.State.DEAD
+        if seen:
+            self.show()
+
+    def submit(self, at: str, request: submission.Submission) -> job.Job:
+        """Start a job at an instance and return it at once."""
+        running = job.Job(request, self.runtime.now() + request.timeout_s)
+        self.runtime.spawn(self.nodes[at].dispatcher.run, running)
+        return running
+
+
+def make_service(
+    servers: dict[str, int],
+    data_centre: str = "dc1",
+    run_time_s: float = 0.1,
+    limits: intent.Limits = intent.Limits(),  # noqa: B008 (frozen)
+) -> intent.Service:
+    """Return a service with one task type and servers with the given slots."""
+    return intent.Service(
+        "scale",
+        "tea",
+        (intent.TaskType("tag", run_time_s),),
+        tuple(
+            intent.BackendServer(name, f"virtual:{name}", data_centre, slots)
+            for name, slots in servers.items()
+        ),
+        limits,
+    )
+
+
+def make_request(job_id: str, tasks: int, timeout_s: float = 30.0) -> submission.Submission:
+    """Return a first attempt at a job of equal tasks."""
+    call = submission.TaskCall("tag")
+    return submission.Submission("scale", job_id, 1, 0.0, timeout_s, (call,) * tasks)
