--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: commands that print figures and keep them under results."""
--- /dev/null
+++ b/rosedyke/dispatch/backlog.py
@@ -0,0 +1,121 @@
+"""What this instance knows of how busy each pool is, own or not.
+
+Reports ride on the replies of owners; for pools that this instance does not talk to they come with
+the membership's probes and so cost no message.  A report that lags by a heartbeat still tells a
+busy data centre from an idle one.
+"""
+
+import attrs
+import msgspec
+
+from rosedyke.dispatch import message, settings, shard
+from rosedyke.membership import ports as membership_ports
+from rosedyke.runtime import Runtime
+
+TOPIC = "dispatch.pools"
+MAX_ADVERTISED_BYTES = 512
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(dict[str, message.PoolReport])
+
+
+@attrs.define
+class Known:
+    """The newest report of a pool.
+
+    Attributes
+    ----------
+    report : PoolReport
+        As its owner sent it, plus what this instance has asked for since.
+    heard_at : float
+        Monotonic seconds.
+    avoided_until : float
+        The owner did not answer; use another pool until then.
+    """
+
+    report: message.PoolReport
+    heard_at: float
+    avoided_until: float = 0.0
+
+
+class Board:
+    """Newest reports by pool.
+
+    Parameters
+    ----------
+    options : DispatchSettings
+        How long a report counts.
+    runtime : Runtime
+        Time.
+    membership : Membership
+        Carries reports between owners and everyone else.
+    """
+
+    def __init__(
+        self,
+        options: settings.DispatchSettings,
+        runtime: Runtime,
+        membership: membership_ports.Membership,
+    ):
+        self.options = options
+        self.runtime = runtime
+        self.membership = membership
+        self.known: dict[str, Known] = {}
+        self.heard: dict[str, bytes] = {}
+
+    def learn(self, key: str, report: message.PoolReport) -> None:
+        """Take in a report from the pool's owner itself."""
+        self.known[key] = Known(report, self.runtime.now())
+
+    def avoid(self, key: str) -> None:
+        """Keep new work away from a pool whose owner does not answer."""
+        known = self.known.setdefault(key, Known(message.PoolReport(), self.runtime.now()))
+        known.avoided_until = self.runtime.now() + self.options.avoid_s
+
+    def is_avoided(self, key: str) -> bool:
+        """Return whether the pool's owner did not answer lately."""
+        known = self.known.get(key)
+        return known is not None and self.runtime.now() < known.avoided_until
+
+    def report(self, target: shard.Shard) -> message.PoolReport | None:
+        """Return what is known of a pool, None when nothing is."""
+        owner = shard.owner_of(target.key, target.data_centre, self.membership.view)
+        if owner is None:
+            return None
+        self._hear(owner.name)
+        known = self.known.get(target.key)
+        return None if known is None else known.report
+
+    def advertise(self, reports: dict[str, message.PoolReport]) -> None:
+        """Let the membership's probes carry the reports of the own pools, as far as they fit."""
+        body = _encoder.encode(reports)
+        while len(body) > MAX_ADVERTISED_BYTES and reports:
+            reports = {key: coarse(report) for key, report in reports.items()}
+            body = _encoder.encode(reports)
+            if len(body) > MAX_ADVERTISED_BYTES:
+                reports.pop(next(reversed(reports)))
+        self.membership.advertise(TOPIC, body)
+
+    def _hear(self, name):
+        """Take in what the membership heard from an instance since the last time."""
+        body = self.membership.advertised(name, TOPIC)
+        if body is None or body == self.heard.get(name):
+            return
+        self.heard[name] = body
+        try:
+            reports = _decoder.decode(body)
+        except msgspec.DecodeError:
+            return  # from another version; its replies still tell
+        for key, report in reports.items():
+            self.known.setdefault(key, Known(report, 0.0)).report = report
+
+
+def coarse(report: message.PoolReport) -> message.PoolReport:
+    """Return a shorter report: only the fastest kind of free slot, rounded."""
+    return message.PoolReport(
+        tuple((round(slowness, 2), count) for slowness, count in report.free[:1]),
+        round(report.queued_s, 2),
+        round(report.running_s, 2),
+        round(report.rate, 1),
+        report.slots,
+    )
--- a/rosedyke/dispatch/dispatcher.py
+++ b/rosedyke/dispatch/dispatcher.py
@@ -1,7 +1,18 @@
 """Runs jobs on the region's backend servers: the part of dispatch that others see."""
 
+from rosedyke.configuration import intent
 from rosedyke.configuration import ports as configuration_ports
-from rosedyke.dispatch import holder, owner, ports, settings, shard, speed
+from rosedyke.dispatch import (
+    backlog,
+    holder,
+    message,
+    owner,
+    ports,
+    routing,
+    settings,
+    shard,
+    speed,
+)
 from rosedyke.job import code, job, submission
 from rosedyke.job import ports as job_ports
 from rosedyke.membership import member
@@ -44,8 +55,14 @@
         self.current = current
         self.gateway = gateway
         self.tables: dict[str, speed.SpeedTable] = {}
-        self.owner = owner.PoolOwner(options, runtime, peers, membership, current, self.speeds_of)
-        self.holder = holder.Holder(options, runtime, peers, membership, gateway, self.speeds_of)
+        self.shards = shard.Catalogue(current, options.shard_servers)
+        self.board = backlog.Board(options, runtime, membership)
+        self.owner = owner.PoolOwner(
+            options, runtime, peers, membership, current, self.speeds_of, self.board
+        )
+        self.holder = holder.Holder(
+            options, runtime, peers, membership, gateway, self.speeds_of, self.board, self.place
+        )
 
     def start(self) -> None:
         """Begin the periodic work."""
@@ -89,7 +106,7 @@
         closed = self.runtime.signal()
         running.on_close.append(lambda _: closed.set())
         if not running.is_closed:
-            self._place(running, service)
+            self.place(running, service, range(len(running.request.tasks)))
             closed.wait(max(0.0, running.deadline - self.runtime.now()))
         running.fail(code.Code.DEADLINE, "the timeout passed before the last task ended")
         self.holder.withdraw(running)
@@ -98,14 +115,51 @@
         alive = [one for one in new.members if one.state is not member.State.DEAD]
         self.gateway.share_with(len(alive))
 
-    def _place(self, running, service):
-        shards = shard.shards_of(service, self.options.shard_servers)
-        indices = range(len(running.request.tasks))
-        target = next(
-            (one for one in shards if one.data_centre == self.membership.own.data_centre),
-            shards[0] if shards else None,
-        )
-        if target is None:
-            running.fail(code.Code.NO_SERVER, f"{service.name} has no backend server")
+    def place(self, running: job.Job, service: intent.Service, indices) -> None:
+        """Ask the pools that are expected to finish the tasks first for slots."""
+        usable = self._usable(service)
+        if not usable:
+            running.fail(code.Code.NO_SERVER, f"no backend server of {service.name} in reach")
             return
-        self.holder.lodge(running, service, target, indices)
+        by_key = {one.key: one for one in usable}
+        for key, part in self._split(running, service, indices, usable).items():
+            self.holder.lodge(running, service, by_key[key], part)
+
+    def _usable(self, service) -> list[shard.Shard]:
+        """Return the pools that can be asked, the own data centre's first."""
+        own = self.membership.own.data_centre
+        view = self.membership.view
+        reachable = [
+            one
+            for one in self.shards.of(service)
+            if shard.owner_of(one.key, one.data_centre, view) is not None
+        ]
+        usable = [one for one in reachable if not self.board.is_avoided(one.key)] or reachable
+        return sorted(usable, key=lambda one: (one.data_centre != own, one.key))
+
+    def _split(self, running, service, indices, usable) -> dict[str, list[int]]:
+        own = self.membership.own.data_centre
+        estimates = []
+        for one in usable:
+            report = self.board.report(one)
+            if report is None:
+                report = unknown_report(one)
+            if report.rate > 0:
+                trip_s = 0.0 if one.data_centre == own else self.options.trip_s
+                estimates.append(routing.estimate(one.key, report, trip_s))
+        if len(estimates) < 2:
+            key = estimates[0].key if estimates else usable[0].key
+            return {key: list(indices)}
+        speeds = self.speeds_of(service.name)
+        tasks = []
+        for index in indices:
+            call = running.request.tasks[index]
+            declared_s = call.run_time_s or service.task(call.name).run_time_s
+            tasks.append((speeds.reference_s(call.name, declared_s), index))
+        return routing.split(tasks, estimates)
+
+
+def unknown_report(target: shard.Shard) -> message.PoolReport:
+    """Return what to assume of a pool that was never heard of: idle and of average speed."""
+    slots = sum(server.slots for server in target.servers)
+    return message.PoolReport(((1.0, slots),), 0.0, 0.0, float(slots), slots)
--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -5,7 +5,17 @@
 import attrs
 
 from rosedyke.configuration import intent
-from rosedyke.dispatch import events, lease, message, metrics, ports, retry, settings, shard
+from rosedyke.dispatch import (
+    backlog,
+    events,
+    lease,
+    message,
+    metrics,
+    ports,
+    retry,
+    settings,
+    shard,
+)
 from rosedyke.job import answer, code, job
 from rosedyke.membership import ports as membership_ports
 from rosedyke.observe import event, metric
@@ -43,8 +53,6 @@
         Lodged or about to be.
     asked, releases, withdrawn : list
         Not yet told.
-    report : PoolReport
-        The newest.
     is_flushing : bool
         A task is telling the owner.
     """
@@ -54,7 +62,6 @@
     asked: list[message.SlotRequest] = attrs.Factory(list)
     releases: list[message.Release] = attrs.Factory(list)
     withdrawn: list[int] = attrs.Factory(list)
-    report: message.PoolReport = message.PoolReport()
     is_flushing: bool = False
 
 
@@ -73,6 +80,12 @@
         Who owns what.
     gateway : BackendGateway
         Sends the tasks.
+    speeds : callable
+        ``speeds(service)`` returns the service's ``SpeedTable``.
+    board : Board
+        Takes the reports that ride on replies.
+    reroute : callable
+        ``reroute(running, service, indices)`` lodges waiting tasks anew, in the best pool.
     """
 
     def __init__(
@@ -83,6 +96,8 @@
         membership: membership_ports.Membership,
         gateway: ports.BackendGateway,
         speeds,
+        board: backlog.Board,
+        reroute,
     ):
         self.options = options
         self.runtime = runtime
@@ -90,6 +105,8 @@
         self.membership = membership
         self.gateway = gateway
         self.speeds = speeds
+        self.board = board
+        self.reroute = reroute
         self.links: dict[str, Link] = {}
         self.numbers = itertools.count(1)
         self.budget = retry.Budget(options.retry_share, options.retry_burst)
@@ -154,6 +171,7 @@
             event.log(
                 events.EXCHANGE_FAILED, pool=link.shard.key, owner=owner.name, reason=error.code
             )
+            self._leave(link)
             return False
         if reply.ballot is None:
             return False
@@ -163,8 +181,25 @@
         self._use(link, reply.grants, reply.report)
         return True
 
+    def _leave(self, link):
+        """Move waiting tasks away from a data centre whose owner does not answer.
+
+        The owner may have taken the requests in and may still grant: those grants carry numbers
+        that this instance has given up, so they are returned unused and nothing starts twice.
+        Pools of the own data centre get a new owner soon, so their tasks stay.
+        """
+        if link.shard.data_centre == self.peers.own.data_centre:
+            return
+        self.board.avoid(link.shard.key)
+        requests = list(link.requests.values())
+        link.requests.clear()
+        link.withdrawn.extend(request.number for request in requests)
+        link.asked.clear()
+        for request in requests:
+            self.reroute(request.running, request.service, tuple(request.waiting))
+
     def _use(self, link, grants, report):
-        link.report = report
+        self.board.learn(link.shard.key, report)
         for grant in grants:
             request = link.requests.get(grant.request)
             if request is None or grant.index not in request.waiting:
@@ -211,9 +246,20 @@
             self._release(link, grant, lease.Outcome.LOST)
             running.fail(code.Code.SERVER_LOST, f"no answer from {grant.server}: {error}")
         else:
-            self._release(link, grant, lease.Outcome.DONE, self.runtime.now() - started)
+            run_s = self.runtime.now() - started
+            self._learn(link, request, grant, run_s)
+            self._release(link, grant, lease.Outcome.DONE, run_s)
             running.mark_finished(grant.index, reply.result)
 
+    def _learn(self, link, request, grant, run_s):
+        """Learn from a task of another instance's pool; an own pool learns by the release."""
+        owner = shard.owner_of(link.shard.key, link.shard.data_centre, self.membership.view)
+        if owner is not None and owner.peer == self.peers.own:
+            return
+        call = request.running.request.tasks[grant.index]
+        declared_s = call.run_time_s or request.service.task(call.name).run_time_s
+        self.speeds(request.service.name).learn(call.name, grant.server, declared_s, run_s)
+
     def _timeout_s(self, request, call, now):
         declared = request.service.task(call.name).timeout_s
         return max(0.001, min(declared, request.running.deadline - now))
@@ -234,7 +280,7 @@
             return
         self.runtime.sleep(self.options.retry_delay_s * 2 * self.runtime.random())
         if not running.is_closed:
-            self.lodge(running, request.service, link.shard, (grant.index,))
+            self.reroute(running, request.service, (grant.index,))
 
 
 def group_tasks(
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -110,21 +110,29 @@
 
 @attrs.frozen
 class PoolReport:
-    """How busy a pool is; rides on replies.
+    """How busy a pool is; rides on replies and on the membership's probes.
+
+    Reference seconds are run times on a server of average speed.
 
     Attributes
     ----------
     free : tuple of (float, int)
-        Free slots by the slowness of their server.
-    backlog_s : float
-        Expected seconds of work, queued and running, for each unit of speed.
+        Free slots by the slowness of their server, fastest first.
+    queued_s : float
+        Reference seconds of work that waits.
+    running_s : float
+        Reference seconds of work that runs and is left.
     rate : float
-        Seconds of reference work that the pool does in a second.
+        Reference seconds that the pool works off in a second; 0 when it can't serve.
+    slots : int
+        Slots that may be used.
     """
 
     free: tuple[tuple[float, int], ...] = ()
-    backlog_s: float = 0.0
-    rate: float = 1.0
+    queued_s: float = 0.0
+    running_s: float = 0.0
+    rate: float = 0.0
+    slots: int = 0
 
 
 @codec.message("dispatch.exchange")
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -2,7 +2,7 @@
 
 from rosedyke.configuration import intent
 from rosedyke.configuration import ports as configuration_ports
-from rosedyke.dispatch import events, lease, message, metrics, pool, settings, shard
+from rosedyke.dispatch import backlog, events, lease, message, metrics, pool, settings, shard
 from rosedyke.membership import ports as membership_ports
 from rosedyke.observe import event, metric
 from rosedyke.runtime import Runtime
@@ -26,6 +26,8 @@
         Services and servers.
     speeds : callable
         ``speeds(service)`` returns the service's ``SpeedTable``.
+    board : Board
+        Carries reports of the own pools to the others.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         membership: membership_ports.Membership,
         current: configuration_ports.Current,
         speeds,
+        board: backlog.Board,
     ):
         self.options = options
         self.runtime = runtime
@@ -45,6 +48,9 @@
         self.speeds = speeds
         self.pools: dict[str, pool.Pool] = {}
         self.ballots: dict[str, message.Ballot] = {}
+        self.board = board
+        self.shards = shard.Catalogue(current, options.shard_servers)
+        self.advertised_at = 0.0
         self.is_running = False
         peers.handle(message.Exchange, self.on_exchange)
 
@@ -71,11 +77,15 @@
         for asked in told.requests:
             owned.add(sender, asked, now)
         own_grants = self._assign(owned, sender)
-        return message.ExchangeReply(self.ballots[owned.key], own_grants, owned.report(now))
+        return message.ExchangeReply(self.ballots[owned.key], own_grants, self.report_of(owned))
+
+    def report_of(self, owned: pool.Pool) -> message.PoolReport:
+        """Return how busy a pool is now."""
+        return owned.report(self.runtime.now(), self.current.is_leaving)
 
     def _owned(self, key):
         """Return the pool if this instance owns it in the present view."""
-        found = self._shard(key)
+        found = self.shards.find(key)
         if found is None:
             return None
         owner = shard.owner_of(key, found.data_centre, self.membership.view)
@@ -88,18 +98,6 @@
             self.ballots[key] = message.Ballot(1, own.name, own.incarnation)
         return self.pools[key]
 
-    def _shard(self, key) -> shard.Shard | None:
-        configuration = self.current.configuration
-        if configuration is None:
-            return None
-        service = configuration.service(key.split("/", 1)[0])
-        if service is None:
-            return None
-        for found in shard.shards_of(service, self.options.shard_servers):
-            if found.key == key:
-                return found
-        return None
-
     def _assign(self, owned: pool.Pool, asker: peer.Peer | None) -> tuple[message.Grant, ...]:
         """Grant what can be granted; send it to the holders, but return the asker's."""
         now = self.runtime.now()
@@ -113,9 +111,7 @@
         return own_grants
 
     def _send(self, owned, holder, grants):
-        told = message.Grants(
-            owned.key, self.ballots[owned.key], grants, owned.report(self.runtime.now())
-        )
+        told = message.Grants(owned.key, self.ballots[owned.key], grants, self.report_of(owned))
         try:
             self.peers.send(holder, told)
         except peer.PeerError:
@@ -132,6 +128,10 @@
                 for held in owned.expire(now):
                     event.log(events.LEASE_EXPIRED, server=held.server, holder=held.holder.name)
                 self._assign(owned, None)
+            if now >= self.advertised_at + self.options.advertise_s:
+                self.advertised_at = now
+                reports = {key: self.report_of(owned) for key, owned in self.pools.items()}
+                self.board.advertise(reports)
 
 
 def fits_somewhere(service: intent.Service, size: intent.Size) -> bool:
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -118,11 +118,7 @@
         granted: list[lease.Lease] = []
         if not self.waiting:
             return granted
-        usable = [
-            server
-            for name, server in self.servers.items()
-            if not (server.is_leaving or server.health.is_held(now) or is_leaving(name))
-        ]
+        usable = self._usable(now, is_leaving)
         free = [server for server in usable if server.free() > 0]
         if not free:
             return granted
@@ -141,19 +137,29 @@
             horizon.free_in[name].extend([0.0] * server.free())
         return granted
 
-    def report(self, now: float) -> message.PoolReport:
+    def report(self, now: float, is_leaving) -> message.PoolReport:
         """Return how busy the pool is."""
         free = []
         rate = 0.0
         running_s = 0.0
-        for name, server in self.servers.items():
-            slowness = self.speeds.slowness(name)
+        slots = 0
+        for server in self._usable(now, is_leaving):
+            slowness = self.speeds.slowness(server.declared.name)
+            slots += server.declared.slots
             rate += server.declared.slots / slowness
             if server.free() > 0:
                 free.append((slowness, server.free()))
             running_s += sum(h.remaining_s(now) / slowness for h in server.leases.values())
         free.sort()
-        return message.PoolReport(tuple(free), self.waiting.work_s + running_s, rate)
+        return message.PoolReport(tuple(free), self.waiting.work_s, running_s, rate, slots)
+
+    def _usable(self, now, is_leaving):
+        """Return the servers that may get new work."""
+        return [
+            server
+            for name, server in self.servers.items()
+            if not (server.is_leaving or server.health.is_held(now) or is_leaving(name))
+        ]
 
     def _judge(self, server, outcome, now):
         """Let a server's health follow from what became of a task there."""
--- /dev/null
+++ b/rosedyke/dispatch/routing.py
@@ -0,0 +1,91 @@
+"""Which pools a job's tasks go to: each to the one that is expected to finish it first.
+
+The own data centre's pools win a tie, and another data centre has to win by more than the trip.
+"""
+
+import attrs
+
+from rosedyke.dispatch import message
+
+
+@attrs.define
+class Estimate:
+    """A pool as this job sees it, with the job's own tasks added while they are placed.
+
+    Attributes
+    ----------
+    key : str
+        The pool's name.
+    trip_s : float
+        What another data centre costs on top.
+    free : list of [float, int]
+        Free slots by slowness, fastest first.
+    queued_s : float
+        Reference seconds that wait.
+    rate : float
+        Reference seconds worked off in a second.
+    next_free_s : float
+        Expected wait for the next busy slot.
+    slowness : float
+        Mean slowness of the slots that come free.
+    """
+
+    key: str
+    trip_s: float
+    free: list[list]
+    queued_s: float
+    rate: float
+    next_free_s: float
+    slowness: float
+
+    def finish_s(self, reference_s: float) -> float:
+        """Return when one more task would be finished."""
+        waited = self.trip_s + self.queued_s / self.rate
+        queued = waited + self.next_free_s + reference_s * self.slowness
+        if not self.free:
+            return queued
+        return min(queued, waited + reference_s * self.free[0][0])
+
+    def add(self, reference_s: float) -> None:
+        """Count one more task."""
+        if not self.free:
+            self.queued_s += reference_s
+            return
+        self.free[0][1] -= 1
+        if not self.free[0][1]:
+            self.free.pop(0)
+
+
+def estimate(key: str, report: message.PoolReport, trip_s: float) -> Estimate:
+    """Return a pool's estimate before any task of the job is added."""
+    slots = max(1, report.slots)
+    rate = max(report.rate, 1e-6)
+    slowness = slots / rate
+    busy_s = report.running_s * slowness / slots
+    return Estimate(
+        key,
+        trip_s,
+        [list(one) for one in report.free],
+        report.queued_s,
+        rate,
+        busy_s / slots,
+        slowness,
+    )
+
+
+def split(tasks: list[tuple[float, int]], estimates: list[Estimate]) -> dict[str, list[int]]:
+    """Return the indices that each pool gets.
+
+    Parameters
+    ----------
+    tasks : list of (float, int)
+        Reference seconds and index of each task.
+    estimates : list of Estimate
+        Usable pools, the own data centre's first.
+    """
+    placed: dict[str, list[int]] = {}
+    for reference_s, index in sorted(tasks, reverse=True):
+        best = min(estimates, key=lambda one: one.finish_s(reference_s))
+        best.add(reference_s)
+        placed.setdefault(best.key, []).append(index)
+    return placed
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -34,6 +34,12 @@
         likely in the tasks than in the servers.
     refused_s, refused_limit_s : float
         How long a server that did not start a task gets no other, doubled up to the limit.
+    avoid_s : float
+        How long a pool whose owner did not answer gets no new work from here.
+    trip_s : float
+        What running in another data centre is taken to cost.
+    advertise_s : float
+        How often an owner renews the reports that the membership carries.
     pause_s : float
         A stop of the own process for longer than this makes grants from before it worthless.
     """
@@ -52,4 +58,7 @@
     eject_share: float = 0.34
     refused_s: float = 0.05
     refused_limit_s: float = 2.0
+    avoid_s: float = 2.0
+    trip_s: float = 0.004
+    advertise_s: float = 0.1
     pause_s: float = 1.0
--- a/rosedyke/dispatch/shard.py
+++ b/rosedyke/dispatch/shard.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from rosedyke.configuration import intent
+from rosedyke.configuration import ports as configuration_ports
 from rosedyke.membership import member
 
 
@@ -52,6 +53,43 @@
     return tuple(shards)
 
 
+class Catalogue:
+    """The pools of the configuration in force, worked out once for each generation.
+
+    Parameters
+    ----------
+    current : Current
+        The configuration.
+    shard_servers : int
+        The most servers of one pool.
+    """
+
+    def __init__(self, current: configuration_ports.Current, shard_servers: int):
+        self.current = current
+        self.shard_servers = shard_servers
+        self.generation = 0
+        self.by_service: dict[str, tuple[Shard, ...]] = {}
+
+    def of(self, service: intent.Service) -> tuple[Shard, ...]:
+        """Return a service's pools."""
+        generation = self.current.configuration.generation
+        if generation != self.generation:
+            self.generation = generation
+            self.by_service = {}
+        found = self.by_service.get(service.name)
+        if found is None:
+            found = self.by_service[service.name] = shards_of(service, self.shard_servers)
+        return found
+
+    def find(self, key: str) -> Shard | None:
+        """Return the pool of that key."""
+        configuration = self.current.configuration
+        service = configuration and configuration.service(key.split("/", 1)[0])
+        if service is None:
+            return None
+        return next((one for one in self.of(service) if one.key == key), None)
+
+
 def owner_of(key: str, data_centre: str, view: member.View) -> member.Member | None:
     """Return the serving instance that owns a pool."""
     ranked = view.ranked(key, data_centre)
--- a/rosedyke/dispatch/speed.py
+++ b/rosedyke/dispatch/speed.py
@@ -4,6 +4,10 @@
 type, a part for the server and a part for the pair.  So one run of any task on a new server says
 something about every other task there, and a task type whose declared time is far off is
 corrected on all servers at once.
+
+The parts are fixed only up to a constant that moves from tasks to servers.  What leaves this
+instance is normalised so that the task types' parts have a mean of zero; so two instances that
+learned from different servers mean the same by a reference second.
 """
 
 import math
@@ -43,11 +47,14 @@
         By backend server; positive is slow.
     pairs : dict of (str, str) to Factor
         By task type and server.
+    mean : float
+        Of the task types' values.
     """
 
     tasks: dict[str, Factor] = attrs.Factory(dict)
     servers: dict[str, Factor] = attrs.Factory(dict)
     pairs: dict[tuple[str, str], Factor] = attrs.Factory(dict)
+    mean: float = 0.0
 
     def learn(self, task: str, server: str, declared_s: float, measured_s: float) -> None:
         """Take in one finished run."""
@@ -67,13 +74,12 @@
             task_factor.learn(error, 0.2)
             server_factor.learn(error, 0.4)
             pair_factor.learn(error, 0.4)
+        self.mean = sum(factor.value for factor in self.tasks.values()) / len(self.tasks)
 
     def expected_s(self, task: str, server: str, declared_s: float) -> float:
         """Return the expected run time."""
-        factor = 0.0
         known = self.tasks.get(task)
-        if known is not None:
-            factor = known.value
+        factor = known.value if known is not None else self.mean
         known = self.servers.get(server)
         if known is not None:
             factor += known.value
@@ -85,9 +91,10 @@
     def reference_s(self, task: str, declared_s: float) -> float:
         """Return the expected run time on a server of average speed."""
         known = self.tasks.get(task)
-        return max(declared_s, SHORTEST_S) * math.exp(known.value if known else 0.0)
+        value = known.value if known is not None else self.mean
+        return max(declared_s, SHORTEST_S) * math.exp(value - self.mean)
 
     def slowness(self, server: str) -> float:
         """Return how many times longer than average tasks take on a server."""
         known = self.servers.get(server)
-        return math.exp(known.value) if known is not None else 1.0
+        return math.exp(self.mean + (known.value if known is not None else 0.0))
