Serve callers over HTTP within bounds of size, time and memory

eventlet's WSGI server bounds one read but not a whole request, answers unreadable requests without a body and lets connections over its limit wait in silence. The protocol class here bounds headers, bodies and answers as wholes and answers each fault with a problem document.

A refusal before the job's claim says 'ran: no' to attempt 1 only: an earlier attempt may have run at another instance.

event.log takes exc_info, for the one event that needs its traceback.

--- /dev/null
+++ b/rosedyke/callers/fakes.py
@@ -0,0 +1,53 @@
+"""Fakes of what stands behind the callers' interface, for tests."""
+
+from rosedyke.job import answer, code, ports, submission
+
+
+class FakeManager:
+    """Answers at once, with what the test sets."""
+
+    def __init__(self):
+        self.submitted: list[submission.Submission] = []
+        self.cancelled: list[str] = []
+        self.answers: dict[str, answer.Answer] = {}
+
+    def submit(self, request: submission.Submission) -> answer.Answer:
+        """Return the answer set for the job, else one that echoes the payloads."""
+        self.submitted.append(request)
+        return self.answers.get(request.job_id) or answer.Answer(
+            request.job_id,
+            code.Code.COMPLETE,
+            answer.Ran.YES,
+            tuple(task.payload for task in request.tasks),
+        )
+
+    def cancel(self, job_id: str) -> answer.Answer | None:
+        """Record the cancellation."""
+        self.cancelled.append(job_id)
+        return self.answers.get(job_id)
+
+    def find(self, job_id: str) -> answer.Answer | None:
+        """Return the answer set for the job."""
+        return self.answers.get(job_id)
+
+
+class FakeGate:
+    """Open unless the test sets a refusal."""
+
+    def __init__(self):
+        self.closed: ports.Refusal | None = None
+
+    def refusal(self) -> ports.Refusal | None:
+        """Return what the test set."""
+        return self.closed
+
+
+class FakeRecorder:
+    """Keeps what was recorded."""
+
+    def __init__(self):
+        self.records: list[tuple[str, answer.Answer, float]] = []
+
+    def record(self, service: str, final: answer.Answer, seconds: float) -> None:
+        """Keep one record."""
+        self.records.append((service, final, seconds))
--- /dev/null
+++ b/rosedyke/callers/server_test.py
@@ -0,0 +1,360 @@
+import json
+import unittest
+
+import eventlet
+from eventlet.green import socket
+
+from rosedyke.callers import application, fakes, server, settings
+from rosedyke.daemon import green
+from rosedyke.job import answer, code, ports
+
+JOB = b'{"job_id":"a","tasks":[{"name":"tag","payload":1}]}'
+LIMIT_S = 30.0
+
+
+def post(content, *headers, path="/v1/services/weighing/jobs"):
+    lines = [f"POST {path} HTTP/1.1", "Host: x", f"Content-Length: {len(content)}", *headers]
+    return "\r\n".join([*lines, "", ""]).encode() + content
+
+
+class Response:
+    def __init__(self, connection):
+        file = connection.makefile("rb")
+        self.status = int(file.readline().split()[1])
+        self.headers = {}
+        while (line := file.readline().strip()) != b"":
+            name, _, value = line.decode().partition(":")
+            self.headers[name.lower()] = value.strip()
+        self.content = file.read(int(self.headers["content-length"]))
+
+    @property
+    def document(self):
+        return json.loads(self.content)
+
+
+class ServerCase(unittest.TestCase):
+    limits = settings.CallersSettings()
+
+    def setUp(self):
+        self.manager = fakes.FakeManager()
+        self.gate = fakes.FakeGate()
+        self.recorder = fakes.FakeRecorder()
+        self.application = application.Application(
+            self.limits, green.GreenRuntime(), self.manager, self.gate, self.recorder
+        )
+        self.server = server.Server("127.0.0.1:0", self.application, self.limits)
+        self.server.start()
+        self.addCleanup(self.server.stop, LIMIT_S)
+        # Nothing here may hang the suite; a test that does fails with this timeout.
+        timeout = eventlet.Timeout(LIMIT_S)
+        self.addCleanup(timeout.cancel)
+
+    def connect(self):
+        connection = socket.create_connection((self.server.host, self.server.port))
+        self.addCleanup(connection.close)
+        return connection
+
+    def ask(self, data):
+        connection = self.connect()
+        connection.sendall(data)
+        return Response(connection)
+
+    def assert_refused(self, response, reason, ran):
+        self.assertEqual(response.headers["content-type"], "application/problem+json")
+        document = response.document
+        self.assertEqual(document["code"], reason.value)
+        self.assertEqual(document["outcome"], "failed")
+        self.assertEqual(document["ran"], ran)
+        self.assertEqual(document["status"], response.status)
+        self.assertNotIn("results", document)
+
+    def assert_serves(self):
+        response = self.ask(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assertEqual(response.status, 200)
+
+
+class Requests(ServerCase):
+    def test_whole_answer(self):
+        response = self.ask(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.document, {"job_id": "a", "outcome": "complete", "results": [1]})
+        self.assertEqual(len(self.recorder.records), 1)
+
+    def test_several_requests_on_one_connection(self):
+        connection = self.connect()
+        for number in range(3):
+            connection.sendall(post(JOB.replace(b'"a"', b'"j%d"' % number), "Rosedyke-Attempt: 1"))
+            self.assertEqual(Response(connection).document["job_id"], f"j{number}")
+
+    def test_answer_of_another_job_is_held_back(self):
+        self.manager.answers["a"] = answer.Answer("b", code.Code.COMPLETE, answer.Ran.YES, (b"7",))
+        with self.assertLogs("rosedyke", "CRITICAL"):
+            response = self.ask(post(JOB))
+        self.assert_refused(response, code.Code.INTERNAL, "unknown")
+        self.assertNotIn(b"7", response.content)
+
+    def test_failed_answer_has_no_results(self):
+        self.manager.answers["a"] = answer.Answer(
+            "a", code.Code.OVERLOADED, answer.Ran.NO, retry_after_s=0.25
+        )
+        response = self.ask(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assert_refused(response, code.Code.OVERLOADED, "no")
+        self.assertEqual(response.headers["retry-after"], "1")
+        self.assertEqual(response.document["retry_after_s"], 0.25)
+
+    def test_refusal_of_a_closed_gate_is_true_for_every_attempt(self):
+        self.gate.closed = ports.Refusal(code.Code.NOT_READY, "no configuration yet", 1.0)
+        response = self.ask(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assert_refused(response, code.Code.NOT_READY, "no")
+        response = self.ask(post(JOB, "Rosedyke-Attempt: 2", "Rosedyke-Age-Ms: 40"))
+        self.assert_refused(response, code.Code.NOT_READY, "unknown")
+        self.assert_refused(self.ask(post(JOB)), code.Code.NOT_READY, "unknown")
+        self.assertEqual(self.manager.submitted, [])
+
+    def test_find_and_cancel(self):
+        self.manager.answers["a"] = answer.Answer("a", code.Code.CANCELLED, answer.Ran.NO)
+        response = self.ask(b"GET /v1/jobs/a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assert_refused(response, code.Code.CANCELLED, "no")
+        response = self.ask(b"DELETE /v1/jobs/a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assert_refused(response, code.Code.CANCELLED, "no")
+        self.assertEqual(self.manager.cancelled, ["a"])
+        response = self.ask(b"GET /v1/jobs/b HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assert_refused(response, code.Code.UNKNOWN_JOB, "unknown")
+
+    def test_health_and_readiness(self):
+        ready = b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"
+        self.assertEqual(self.ask(ready).status, 200)
+        self.gate.closed = ports.Refusal(code.Code.DRAINING, "shutting down")
+        self.assertEqual(self.ask(ready).status, 503)
+        self.assertEqual(self.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").status, 200)
+
+    def test_error_behind_the_interface_is_a_problem(self):
+        self.manager.submit = lambda request: 1 / 0
+        with self.assertLogs("rosedyke", "ERROR"):
+            response = self.ask(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assert_refused(response, code.Code.INTERNAL, "unknown")
+        del self.manager.submit
+        self.assert_serves()
+
+
+class BadRequests(ServerCase):
+    limits = settings.CallersSettings(
+        max_body_bytes=10_000,
+        max_bodies_bytes=15_000,
+        max_header_bytes=2_000,
+        header_timeout_s=0.2,
+        body_timeout_s=0.2,
+        write_timeout_s=0.2,
+    )
+
+    def check(self, response, reason, ran="unknown"):
+        self.assert_refused(response, reason, ran)
+        self.assertEqual(self.manager.submitted, [])
+        self.assert_serves()
+
+    def test_malformed_body(self):
+        response = self.ask(post(b"{", "Rosedyke-Attempt: 1"))
+        self.check(response, code.Code.MALFORMED, "no")
+
+    def test_malformed_later_attempt_does_not_say_that_the_job_has_not_run(self):
+        response = self.ask(post(b"{", "Rosedyke-Attempt: 2", "Rosedyke-Age-Ms: 1"))
+        self.check(response, code.Code.MALFORMED, "unknown")
+
+    def test_oversized_body(self):
+        response = self.ask(post(b" " * 10_001, "Rosedyke-Attempt: 1"))
+        self.check(response, code.Code.TOO_LARGE, "no")
+
+    def test_announced_size_beyond_the_bound_is_not_waited_for(self):
+        head = b"POST /v1/services/weighing/jobs HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n"
+        self.check(self.ask(head), code.Code.TOO_LARGE)
+
+    def test_oversized_chunked_body(self):
+        head = b"POST /v1/services/weighing/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"1000\r\n" + b" " * 0x1000 + b"\r\n"
+        self.check(self.ask(head + chunk * 20), code.Code.TOO_LARGE)
+
+    def test_chunked_body_within_the_bound(self):
+        head = b"POST /v1/services/weighing/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        response = self.ask(head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(JOB), JOB))
+        self.assertEqual(response.status, 200)
+
+    def test_bodies_of_many_callers_are_bounded_together(self):
+        """Two callers announce 9 kB each and send slowly, with 15 kB for all together.
+
+        The second is refused while the first is still sending; the memory is free again once the
+        first is cut off.
+        """
+        head = b"POST /v1/services/weighing/jobs HTTP/1.1\r\nContent-Length: 9000\r\n\r\n"
+        first = self.connect()
+        first.sendall(head)
+        while not self.application.reader.held_bytes:
+            eventlet.sleep(0)
+        with self.assertLogs("rosedyke", "WARNING"):
+            response = self.ask(head)
+        self.assert_refused(response, code.Code.OVERLOADED, "unknown")
+        self.assert_refused(Response(first), code.Code.CALLER_TOO_SLOW, "unknown")
+        self.assertEqual(self.application.reader.held_bytes, 0)
+
+    def test_body_cut_short(self):
+        connection = self.connect()
+        connection.sendall(
+            b"POST /v1/services/weighing/jobs HTTP/1.1\r\nContent-Length: 90\r\n\r\n{"
+        )
+        connection.shutdown(socket.SHUT_WR)
+        self.check(Response(connection), code.Code.MALFORMED)
+
+    def test_slow_body_is_cut_off_though_bytes_keep_coming(self):
+        connection = self.connect()
+        connection.sendall(
+            b"POST /v1/services/weighing/jobs HTTP/1.1\r\nContent-Length: 9000\r\n\r\n"
+        )
+        answered = eventlet.spawn(Response, connection)
+        while not answered.dead:
+            try:
+                connection.sendall(b" ")
+            except OSError:
+                break
+            eventlet.sleep(0.02)
+        self.check(answered.wait(), code.Code.CALLER_TOO_SLOW)
+
+    def test_slow_headers_are_cut_off_though_bytes_keep_coming(self):
+        connection = self.connect()
+        connection.sendall(b"GET /healthz HTTP/1.1\r\nX-Slow: ")
+        answered = eventlet.spawn(Response, connection)
+        while not answered.dead:
+            try:
+                connection.sendall(b"a")
+            except OSError:
+                break
+            eventlet.sleep(0.02)
+        self.check(answered.wait(), code.Code.CALLER_TOO_SLOW)
+
+    def test_connection_without_a_request_is_closed(self):
+        connection = self.connect()
+        self.assertEqual(connection.recv(1), b"")
+        self.assert_serves()
+
+    def test_caller_that_does_not_read_is_cut_off(self):
+        """A caller asks for a large answer and never reads it.
+
+        Its connection fills; the server gives up on it and its memory is free again.
+        """
+        payload = b'"' + b"x" * 9_000 + b'"'
+        self.manager.answers["a"] = answer.Answer(
+            "a", code.Code.COMPLETE, answer.Ran.YES, (payload,) * 3000
+        )
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.connect((self.server.host, self.server.port))
+        self.addCleanup(connection.close)
+        connection.sendall(post(JOB))
+        while not self.manager.submitted:
+            eventlet.sleep(0.001)
+        while self.server.protocols:
+            eventlet.sleep(0.001)
+        self.assertEqual(self.application.reader.held_bytes, 0)
+
+    def test_header_flood(self):
+        flood = b"".join(b"X-%d: %s\r\n" % (number, b"y" * 90) for number in range(60))
+        self.check(self.ask(b"GET /healthz HTTP/1.1\r\n" + flood), code.Code.TOO_LARGE)
+
+    def test_many_short_headers(self):
+        flood = b"".join(b"X%d:\r\n" % number for number in range(120))
+        self.check(self.ask(b"GET /healthz HTTP/1.1\r\n" + flood + b"\r\n"), code.Code.MALFORMED)
+
+    def test_endless_request_line(self):
+        self.check(self.ask(b"GET /" + b"a" * 20_000), code.Code.TOO_LARGE)
+
+    def test_bytes_that_are_not_http(self):
+        self.check(self.ask(b"\x16\x03\x01 hello there all\r\n\r\n"), code.Code.MALFORMED)
+
+    def test_doubtful_length(self):
+        for lines in [
+            b"Content-Length: 5\r\nContent-Length: 6",
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked",
+            b"Transfer-Encoding: gzip, chunked",
+            b"Content-Length: -1",
+            b"Content-Length: 1_0",
+            b"Content-Length: +5",
+            b"Content-Length: " + b"9" * 1000,
+        ]:
+            with self.subTest(lines[:40]):
+                head = b"POST /v1/services/weighing/jobs HTTP/1.1\r\n" + lines + b"\r\n\r\n"
+                self.manager.submitted.clear()
+                self.check(self.ask(head + b"hello"), code.Code.MALFORMED)
+
+    def test_broken_chunk(self):
+        head = b"POST /v1/services/weighing/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.check(self.ask(head + b"zz\r\nhello"), code.Code.MALFORMED)
+
+    def test_unknown_path_and_method(self):
+        response = self.ask(b"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.check(response, code.Code.NOT_FOUND)
+        self.manager.submitted.clear()
+        response = self.ask(b"PUT /v1/jobs/a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.check(response, code.Code.METHOD_NOT_ALLOWED)
+
+    def test_job_id_in_the_path(self):
+        response = self.ask(b"GET /v1/jobs/%20%0a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.check(response, code.Code.INVALID_FIELD)
+
+
+class ConnectionLimit(ServerCase):
+    limits = settings.CallersSettings(max_connections=2)
+
+    def test_one_connection_too_many_is_told_so(self):
+        first = [self.connect(), self.connect()]
+        for connection in first:
+            connection.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertEqual(Response(connection).status, 200)
+        with self.assertLogs("rosedyke", "WARNING"):
+            response = Response(self.connect())
+        self.assert_refused(response, code.Code.OVERLOADED, "unknown")
+        first[0].close()
+        while len(self.server.protocols) > 1:
+            eventlet.sleep(0)
+        self.assert_serves()
+
+
+class Stop(ServerCase):
+    def test_request_in_progress_gets_its_answer(self):
+        """A job is running when the server stops.
+
+        The caller gets its whole answer, with a header that closes the connection, and only then
+        has the server stopped.
+        """
+        runtime = green.GreenRuntime()
+        begun, go_on = runtime.signal(), runtime.signal()
+        answered = self.manager.submit
+
+        def submit(request):
+            begun.set()
+            go_on.wait()
+            return answered(request)
+
+        self.manager.submit = submit
+        connection = self.connect()
+        connection.sendall(post(JOB, "Rosedyke-Attempt: 1"))
+        begun.wait()
+        stopping = eventlet.spawn(self.server.stop, LIMIT_S)
+        eventlet.sleep(0)
+        self.assertFalse(stopping.dead)
+        go_on.set()
+        self.assertEqual(Response(connection).status, 200)
+        self.assertTrue(stopping.wait())
+        with self.assertRaises(OSError):
+            self.connect()
+
+    def test_request_that_has_arrived_on_an_idle_connection_is_answered(self):
+        connection = self.connect()
+        connection.sendall(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assertEqual(Response(connection).status, 200)
+        connection.sendall(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assertTrue(self.server.stop(LIMIT_S))
+        response = Response(connection)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.headers["connection"], "close")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/rosedyke/observe/event.py
+++ b/rosedyke/observe/event.py
@@ -44,8 +44,11 @@
 _logger = logging.getLogger("rosedyke")
 
 
-def log(event: Event, **fields: object) -> None:
-    """Write one event with its fields; ``logging`` decides whether and where."""
+def log(event: Event, *, exc_info: bool = False, **fields: object) -> None:
+    """Write one event with its fields; ``logging`` decides whether and where.
+
+    ``exc_info`` adds the traceback of the exception that is being handled.
+    """
     if _logger.isEnabledFor(event.level):
         text = " ".join(f"{key}={value}" for key, value in fields.items())
         _logger.log(
@@ -54,5 +57,6 @@
             event.number,
             event.name,
             text,
+            exc_info=exc_info,
             extra={"event": event.number, "event_name": event.name, "fields": fields},
         )
