--- a/rosedyke/daemon/fakes.py
+++ b/rosedyke/daemon/fakes.py
@@ -10,6 +10,11 @@
     def __init__(self, configuration: intent.Configuration | None = None):
         self.configuration = configuration
         self.callbacks = []
+        self.leaving: set[str] = set()
+
+    def is_leaving(self, server_name: str) -> bool:
+        """Return whether the test listed the server as leaving."""
+        return server_name in self.leaving
 
     def subscribe(self, callback) -> None:
         """Keep the callback."""
@@ -33,3 +38,15 @@
     def is_confirmed(self) -> bool:
         """Return what the test set."""
         return self.confirmed
+
+
+class FakeLoads:
+    """Two slots in use on every server."""
+
+    def in_use(self, server_name: str) -> int:
+        """Return two."""
+        return 2
+
+    def state(self, server_name: str) -> str:
+        """Return that all is well."""
+        return "ok"
