--- a/rosedyke/callers/client.py
+++ b/rosedyke/callers/client.py
@@ -70,6 +70,12 @@
     code = "job_failed"
 
 
+class JobRunning(ClientError):
+    """The job has no answer yet."""
+
+    code = "job_running"
+
+
 class JobUnknown(ClientError):
     """Nobody who could be asked knows whether the job ran."""
 
@@ -141,6 +147,13 @@
     results: list[msgspec.Raw]
 
 
+class _Running(msgspec.Struct):
+    """The body for a job that has no answer yet."""
+
+    job_id: str
+    holder: str = ""
+
+
 class _Lost(Exception):
     """A request has no answer that can be read.
 
@@ -162,6 +175,7 @@
 
     job_id: str
     deadline: float
+    is_first: bool
     attempts: int = 0
     first: float | None = None
     last: answer.Answer | None = None
@@ -208,6 +222,7 @@
         timeout_s: float = 30.0,
         job_id: str | None = None,
         idempotent: bool = False,
+        is_first: bool | None = None,
     ) -> answer.Answer:
         """Run a job and return its whole answer.
 
@@ -223,14 +238,19 @@
             Unique for ever; made up if None.
         idempotent : bool
             Whether a second run would do no harm.
+        is_first : bool or None
+            Whether nobody, also no earlier process, has submitted this job before.  Then it costs
+            no question to other data centres.  None vouches only for an id that is made up here.
 
         Raises
         ------
         ClientError
             One of its subclasses says whether the job ran.
         """
+        if is_first is None:
+            is_first = job_id is None
         job_id = job_id or uuid.uuid4().hex
-        progress = _Progress(job_id, self.clock() + timeout_s)
+        progress = _Progress(job_id, self.clock() + timeout_s, is_first)
         encoded = msgspec.json.encode([_task_body(task) for task in tasks])
         while self.clock() < progress.deadline:
             final = self._attempt(service, encoded, idempotent, progress)
@@ -258,9 +278,10 @@
         age_s = 0.0 if progress.first is None else now - progress.first
         headers = {
             "Content-Type": "application/json",
-            "Rosedyke-Attempt": str(progress.attempts + 1),
             "Rosedyke-Age-Ms": str(int(age_s * 1000)),
         }
+        if progress.is_first:
+            headers["Rosedyke-Attempt"] = str(progress.attempts + 1)
         content = b'{"job_id":%s,"timeout_s":%s,"idempotent":%s,"tasks":%s}' % (
             msgspec.json.encode(progress.job_id),
             msgspec.json.encode(left_s),
@@ -381,6 +402,16 @@
             complete = msgspec.json.decode(content, type=_Complete)
             results = tuple(bytes(result) for result in complete.results)
             return answer.Answer(complete.job_id, job_code.Code.COMPLETE, answer.Ran.YES, results)
+        if status == 202:
+            running = msgspec.json.decode(content, type=_Running)
+            raise JobRunning(
+                answer.Answer(
+                    running.job_id,
+                    job_code.Code.UNKNOWN_JOB,
+                    answer.Ran.UNKNOWN,
+                    detail=f"the job runs at {running.holder}",
+                )
+            )
         document = msgspec.json.decode(content, type=problem.Document)
         return answer.Answer(
             document.job_id,
--- a/rosedyke/callers/client_test.py
+++ b/rosedyke/callers/client_test.py
@@ -117,7 +117,8 @@
         )
 
     def submit(self, caller, timeout_s=60.0):
-        return caller.submit("weighing", [client.Task("tag", {"kg": 1})], timeout_s, "a")
+        tasks = [client.Task("tag", {"kg": 1})]
+        return caller.submit("weighing", tasks, timeout_s, "a", is_first=True)
 
 
 class Submit(ClientCase):
@@ -189,6 +190,18 @@
         self.submit(self.client(instance.address))
         self.assertEqual(instance.requests[1].headers["rosedyke-attempt"], "2")
 
+    def test_id_of_the_caller_is_not_vouched_for(self):
+        """A process submits a job, dies, and is started again with the same job.
+
+        The library can't know that, so without the caller's word it never says "first attempt":
+        that would spare the questions which find the first run in another data centre.
+        """
+        instance = self.instance(complete, complete)
+        self.client(instance.address).submit("weighing", [client.Task("tag")], job_id="a")
+        self.assertNotIn("rosedyke-attempt", instance.requests[0].headers)
+        self.client(instance.address).submit("weighing", [client.Task("tag")])
+        self.assertEqual(instance.requests[1].headers["rosedyke-attempt"], "1")
+
 
 class Failure(ClientCase):
     def test_final_answers_are_raised_by_what_ran(self):
@@ -234,6 +247,12 @@
 
 
 class Lookup(ClientCase):
+    def test_running_job(self):
+        content = json.dumps({"job_id": "a", "outcome": "running", "holder": "north-1"})
+        instance = self.instance(lambda request: response(202, content))
+        with self.assertRaises(client.JobRunning):
+            self.client(instance.address).find("a")
+
     def test_next_instance_is_asked_when_one_is_down(self):
         instance = self.instance(complete)
         final = self.client(self.refused_address(), instance.address).find("a")
--- /dev/null
+++ b/rosedyke/command/burn.py
@@ -0,0 +1,108 @@
+"""``rosedyke burn``: how fast each service spends the failures that its objective allows."""
+
+import attrs
+import cyclopts
+
+from rosedyke.command import exit_codes, fetch, options, terminal
+from rosedyke.daemon import operator
+from rosedyke.observe import burn as burn_module
+
+PATH = "/v1/operator/burn"
+
+
+@attrs.frozen
+class Report:
+    """What ``--json`` prints.
+
+    Attributes
+    ----------
+    services : tuple of ServiceBurn
+        In name order.
+    reached : tuple of str
+        Instances whose counts are in it.
+    unreachable : dict of str to str
+        Addresses whose counts are missing, with the reason.
+    oldest_s : float
+        How far the oldest counts go back; a longer window holds no more than that.
+    """
+
+    services: tuple[burn_module.ServiceBurn, ...]
+    reached: tuple[str, ...]
+    unreachable: dict[str, str]
+    oldest_s: float
+
+
+def register(app: cyclopts.App) -> None:
+    """Add the command."""
+    app.command(burn)
+
+
+def burn(*, instances: options.Instances = (), json: options.Json = False) -> int:
+    """Show the service-level burn of every service over all instances.
+
+    A burn rate of 1 spends the allowed failures exactly over the period, 10 in a tenth of it. Look
+    at a short and a long window together: high in both is a fault that goes on, high in the short
+    one alone has just begun, high in the long one alone is over.
+
+    Instances keep their counts in memory. What an instance counted is lost with it; the metrics
+    sent by statsd keep the long view.
+    """
+    addresses = fetch.addresses(instances)
+    if not addresses:
+        return terminal.warn_no_instances()
+    fetched = fetch.fetch_all(addresses, PATH, operator.decode_burn)
+    counts = list(fetched.values.values())
+    report = Report(
+        burn_module.merge(counts),
+        tuple(sorted(one.instance for one in counts)),
+        fetched.unreachable,
+        max((one.uptime_s for one in counts), default=0.0),
+    )
+    if json:
+        terminal.print_json(report)
+    else:
+        print_report(report)
+    return exit_codes.OK if counts else exit_codes.UNREACHABLE
+
+
+def _rate(rate: float | None) -> str:
+    return "-" if rate is None else f"{rate:.1f}"
+
+
+def spenders(service: burn_module.ServiceBurn) -> str:
+    """Return what spends the budget, the most first."""
+    parts = [
+        (count, f"{count} {outcome} in {data_centre}")
+        for data_centre, by_outcome in service.spent_by.items()
+        for outcome, count in by_outcome.items()
+        if count
+    ]
+    return ", ".join(text for _, text in sorted(parts, reverse=True))
+
+
+def print_report(report: Report) -> None:
+    """Print the table, and what is missing in it."""
+    console = terminal.console()
+    names = tuple(burn_module.WINDOWS_S)
+    table = terminal.table(
+        "Burn rates",
+        *("service", "objective", "jobs", *names, "budget left", "spent by"),
+        right=("jobs", *names, "budget left"),
+    )
+    for service in report.services:
+        left = "-" if service.budget_left is None else f"{service.budget_left:.0%}"
+        table.add_row(
+            service.service,
+            f"{service.share:.3%} within {service.response_s:g} s",
+            str(service.windows[-1].jobs),
+            *(_rate(window.rate) for window in service.windows),
+            left,
+            spenders(service),
+        )
+    console.print(table)
+    console.print(
+        f"from {len(report.reached)} instances; the oldest counts go back "
+        f"{report.oldest_s / 60:.0f} min"
+    )
+    for address, reason in sorted(report.unreachable.items()):
+        terminal.warn(f"not counted, unreachable: {address}: {reason}")
--- /dev/null
+++ b/rosedyke/command/cancel.py
@@ -0,0 +1,54 @@
+"""``rosedyke cancel``: end jobs before they finish."""
+
+from typing import Annotated
+
+import cyclopts
+
+from rosedyke.callers import client
+from rosedyke.command import exit_codes, fetch, options, terminal
+from rosedyke.command import submit as submit_command
+from rosedyke.job import code
+
+
+def register(app: cyclopts.App) -> None:
+    """Add the command."""
+    app.command(cancel)
+
+
+def cancel(
+    job_ids: Annotated[tuple[str, ...], cyclopts.Parameter(help="The jobs.")],
+    *,
+    instances: options.Instances = (),
+    json: options.Json = False,
+) -> int:
+    """Cancel jobs wherever they run, and show the final answer of each.
+
+    No task of a cancelled job starts any more; one that runs is not stopped. A job that had
+    finished keeps its answer.
+    """
+    addresses = fetch.addresses(instances)
+    if not addresses:
+        return terminal.warn_no_instances()
+    caller = client.Client(client.ClientSettings(addresses))
+    codes = []
+    for job_id in job_ids:
+        try:
+            final = caller.cancel(job_id)
+        except client.ClientError as error:
+            final = error.answer
+        codes.append(exit_code(final.code))
+        outcome = submit_command.outcome_of(final, 0.0)
+        if json:
+            terminal.print_json(outcome)
+        else:
+            print(f"{job_id}: {outcome.code}, ran: {outcome.ran}. {outcome.detail}")
+    return max(codes, default=exit_codes.OK)
+
+
+def exit_code(final: code.Code) -> int:
+    """Return the exit code for a cancelled job's answer."""
+    if final is code.Code.UNKNOWN_JOB:
+        return exit_codes.NOT_FOUND
+    if final in (code.Code.NOT_READY, code.Code.DATA_CENTRE_UNREACHABLE):
+        return exit_codes.UNREACHABLE
+    return exit_codes.OK
--- /dev/null
+++ b/rosedyke/command/job_file.py
@@ -0,0 +1,90 @@
+"""Jobs in a file: one JSON object, a list of them, or one on each line."""
+
+import attrs
+import msgspec
+
+from rosedyke import fault
+
+
+class JobFileError(fault.RosedykeError):
+    """The file can't be used.
+
+    Attributes
+    ----------
+    faults : tuple of str
+        Every fault with its position.
+    """
+
+    code = "job_file"
+
+    def __init__(self, faults: tuple[str, ...]):
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+@attrs.frozen
+class TaskEntry:
+    """One task."""
+
+    name: str
+    payload: object = None
+    run_time_s: float | None = None
+    size: dict[str, float] | None = None
+
+
+@attrs.frozen
+class JobEntry:
+    """One job; without a ``job_id`` it gets a new one each time the file is submitted."""
+
+    service: str
+    tasks: list[TaskEntry]
+    job_id: str | None = None
+    timeout_s: float | None = None
+    idempotent: bool = False
+
+
+def parse(content: bytes) -> list[JobEntry]:
+    """Return the jobs of a file.
+
+    Raises
+    ------
+    JobFileError
+        Names every fault of every job.
+    """
+    jobs: list[JobEntry] = []
+    faults: list[str] = []
+    for position, value in _values(content):
+        try:
+            jobs.append(msgspec.convert(value, JobEntry))
+        except msgspec.ValidationError as error:
+            faults.append(f"{position}: {error}")
+    if not jobs and not faults:
+        faults.append("the file has no jobs")
+    if faults:
+        raise JobFileError(tuple(faults))
+    return jobs
+
+
+def _values(content: bytes) -> list[tuple[str, object]]:
+    try:
+        whole = msgspec.json.decode(content)
+    except msgspec.DecodeError:
+        return _lines(content)
+    if isinstance(whole, list):
+        return [(f"job {index + 1}", value) for index, value in enumerate(whole)]
+    return [("job 1", whole)]
+
+
+def _lines(content: bytes) -> list[tuple[str, object]]:
+    values = []
+    faults = []
+    for number, line in enumerate(content.splitlines(), 1):
+        if not line.strip():
+            continue
+        try:
+            values.append((f"line {number}", msgspec.json.decode(line)))
+        except msgspec.DecodeError as error:
+            faults.append(f"line {number}: {error}")
+    if faults:
+        raise JobFileError(tuple(faults))
+    return values
--- /dev/null
+++ b/tools/update_catalogues.py
@@ -0,0 +1,41 @@
+"""Write docs/EVENTS.md, docs/METRICS.md and docs/SETTINGS.md from the code.
+
+With ``--check`` nothing is written; the exit code is 1 if a page differs from the code.
+"""
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from rosedyke.daemon import argument_page  # noqa: E402
+from rosedyke.observe import catalogue  # noqa: E402
+
+PAGES = {
+    "EVENTS.md": catalogue.events_page,
+    "METRICS.md": catalogue.metrics_page,
+    "SETTINGS.md": argument_page.render,
+}
+
+
+def main() -> int:
+    """Write or check every page."""
+    catalogue.load()
+    is_check = "--check" in sys.argv[1:]
+    differing = []
+    for name, render in PAGES.items():
+        path = ROOT / "docs" / name
+        text = render()
+        if path.exists() and path.read_text() == text:
+            continue
+        differing.append(name)
+        if not is_check:
+            path.write_text(text)
+    for name in differing:
+        print(f"docs/{name} {'differs: run tools/update_catalogues.py' if is_check else 'written'}")
+    return 1 if is_check and differing else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
