--- a/rosedyke/gateways/settings.py
+++ b/rosedyke/gateways/settings.py
@@ -1,14 +1,9 @@
-<<<<<<< HEAD
-"""Settings of the clients of other systems."""
-=======
 """Settings of the gateways to outside systems."""
->>>>>>> dispatch
 
 import attrs
 
 
 @attrs.frozen
-<<<<<<< HEAD
 class StoreSettings:
     """How to reach the platform's key-value service.
 
@@ -34,7 +29,9 @@
     watch_idle_s: float = 60.0
     backoff_base_s: float = 0.2
     backoff_limit_s: float = 5.0
-=======
+
+
+@attrs.frozen
 class BackendSettings:
     """How backend servers are reached.
 
@@ -60,4 +57,3 @@
     idle_limit_s: float = 60.0
     silent_limit_s: float = 10.0
     max_result_bytes: int = 4 * 1024 * 1024
->>>>>>> dispatch
