--- a/rosedyke/standins/backend.py
+++ b/rosedyke/standins/backend.py
@@ -150,6 +150,9 @@
             status, headers, body = self._task(environ)
         elif path == "/v1/count":
             status, headers, body = "200 OK", [], json.dumps(attrs.asdict(self.counts)).encode()
+        elif path == "/v1/starts":
+            # By key, so that a task which ran on two servers is found by adding them up.
+            status, headers, body = "200 OK", [], json.dumps(self.starts).encode()
         elif path == "/v1/faults":
             status, headers, body = self._set_faults(environ)
         else:
