--- a/tools/demo.py
+++ b/tools/demo.py
@@ -228,19 +228,21 @@
 def main() -> int:
     """Run the demo and return its exit code."""
     begun = time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="rosedyke-demo-") as folder:
-        with processes.Group(pathlib.Path(folder)) as group:
-            region = region_module.Region(group, DATA_CENTRES, 2)
-            try:
-                for part in (start, apply, run_jobs, lose_an_instance, drain_an_instance):
-                    part(region)
-                look(region)
-                settle(region)
-            except (PromiseBroken, TimeoutError, OSError, KeyError) as error:
-                say(f"\nFAILED: {type(error).__name__}: {error}")
-                for one in group.started:
-                    say(f"--- end of the log of {one.name}\n{one.tail()}")
-                return 1
+    with (
+        tempfile.TemporaryDirectory(prefix="rosedyke-demo-") as folder,
+        processes.Group(pathlib.Path(folder)) as group,
+    ):
+        region = region_module.Region(group, DATA_CENTRES, 2)
+        try:
+            for part in (start, apply, run_jobs, lose_an_instance, drain_an_instance):
+                part(region)
+            look(region)
+            settle(region)
+        except (PromiseBroken, TimeoutError, OSError, KeyError) as error:
+            say(f"\nFAILED: {type(error).__name__}: {error}")
+            for one in group.started:
+                say(f"--- end of the log of {one.name}\n{one.tail()}")
+            return 1
     say(f"\nEvery process is ended. Every promise held. {time.monotonic() - begun:.0f} s.")
     return 0
 
