--- a/rosedyke/membership/core.py
+++ b/rosedyke/membership/core.py
@@ -236,6 +236,8 @@
             if self.own.peer == own:
                 self.on_rejected(target, reply)
             raise peer.PeerRefused(f"{target.name}: the own incarnation is over")
+        if not peer.is_anyone(target) and self.rejection(target) is not None:
+            raise peer.PeerGone(f"{target.name}: declared dead before it answered")
         return reply
 
     def send(self, target: peer.Peer, message: Any) -> None:
--- a/rosedyke/membership/join.py
+++ b/rosedyke/membership/join.py
@@ -26,7 +26,8 @@
         self.asked: set[str] = set()
         self.missed: dict[str, int] = {}
         self.has_searched = False
-        self.was_confirmed = False
+        # The counter of the own state that everyone had acknowledged at one moment.
+        self.confirmed_counter: int | None = None
         shared.restart_hooks.append(self._restart)
 
     def run(self) -> None:
@@ -91,7 +92,7 @@
         self.acknowledged.clear()
         self.missed.clear()
         self.asked.clear()
-        self.was_confirmed = False
+        self.confirmed_counter = None
         self.has_searched = bool(self.core.others())
 
     def _search(self):
@@ -110,14 +111,13 @@
 
     def _missing(self) -> list[record.Record]:
         """Return the members that have not acknowledged the present state."""
-        own = self.core.own
-        is_joining = own.state is member.State.JOINING
         missing = []
         for other in self.core.others():
-            # Of two that join at once each waits for the other, so that the later one
-            # acknowledged knows the earlier.  Whoever serves needn't wait for a newcomer: it
-            # asks everyone before it serves.
-            if other.state is member.State.JOINING and not is_joining:
+            # A newcomer that appears once everyone has acknowledged the own state hears of it
+            # from all whom it asks, and asks here too before it serves.  One that appeared
+            # earlier may have asked its last question already: both would serve, confirmed,
+            # without knowing each other.
+            if other.state is member.State.JOINING and self._was_confirmed():
                 continue
             incarnation, counter = self.acknowledged.get(other.name, (0, -1))
             if incarnation != other.peer.incarnation or counter < self.core.state_counter:
@@ -127,9 +127,13 @@
     def _advance(self):
         if self.core.own.state is member.State.JOINING and not self._missing():
             self.core.change_own(member.State.LIVE)
-        if self.is_confirmed() and not self.was_confirmed:
-            self.was_confirmed = True
-            event.log(events.JOINED, name=self.core.own.name, members=len(self.core.others()) + 1)
+        if self.is_confirmed() and not self._was_confirmed():
+            if self.confirmed_counter is None:
+                event.log(events.JOINED, name=self.core.own.name)
+            self.confirmed_counter = self.core.state_counter
+
+    def _was_confirmed(self):
+        return self.confirmed_counter == self.core.state_counter
 
     def _ask(self, target):
         if target.name not in self.asked:
--- a/rosedyke/membership/messages.py
+++ b/rosedyke/membership/messages.py
@@ -129,8 +129,15 @@
 @codec.message("membership.sync_reply")
 @attrs.frozen
 class SyncReply:
-    """What differs, empty where the digests are the same."""
+    """What differs, empty where the digests are the same.
 
+    Attributes
+    ----------
+    record : Record
+        The answering member's own, since a table can be asked for by address alone.
+    """
+
+    record: record.Record
     gossip: Gossip
 
 
--- a/rosedyke/membership/synchronise.py
+++ b/rosedyke/membership/synchronise.py
@@ -91,6 +91,11 @@
             return False
         if self.core.own.peer != own.peer:
             return True
+        rejection = self.core.rejection(reply.record.peer)
+        if rejection is not None:
+            self.core.send(reply.record.peer, rejection)
+            return True
+        self.core.put(reply.record)
         self.core.merge(reply.gossip)
         if reply.gossip.records:
             newer = newer_than(self.core.table.records.values(), reply.gossip.records)
@@ -110,7 +115,7 @@
             records = ()
         if self.core.adverts.digest() != sync.adverts_digest:
             adverts = tuple(self.core.adverts.newest.values())
-        return messages.SyncReply(messages.Gossip(records, adverts))
+        return messages.SyncReply(self.core.own, messages.Gossip(records, adverts))
 
     def on_push(self, sender: peer.Peer, push: messages.Push) -> None:
         """Take in records that this instance turned out not to have."""
