Apply teams' files as whole changes and spread them to the instances

Operators need one place for their intent, accepted completely or not at all. A change is one transaction of the key-value service on condition that the head (generation and digests of all files) is as seen, so it holds or it doesn't; its record lies under the generation that it makes, which is how a lost answer is settled.

Ruled out: positions by a parser of our own (the standard parser decides what is valid, a scanner only finds lines); a watch alone (a silent one would hide changes for ever, so watchers also read every five seconds).

The rank by rendezvous needs bytes, as the hash takes no text.

--- /dev/null
+++ b/rosedyke/command/apply.py
@@ -0,0 +1,82 @@
+"""``rosedyke apply``: put files in force, completely or not at all."""
+
+from typing import Annotated
+
+import cyclopts
+
+from rosedyke.command import exit_codes, in_force, options, outcome, store
+from rosedyke.configuration import change
+
+Wait = Annotated[
+    bool,
+    cyclopts.Parameter(
+        negative=(), help="Wait until the change is in force at every one of --instances."
+    ),
+]
+WaitTimeout = Annotated[
+    float, cyclopts.Parameter(name="--wait-timeout", help="Seconds to wait for that at most.")
+]
+Expect = Annotated[
+    int | None,
+    cyclopts.Parameter(
+        name="--expect",
+        help="The generation that you looked at (from show or diff): a later change of the same "
+        "teams' files is then a conflict.",
+    ),
+]
+
+
+def apply(
+    files: options.Files,
+    /,
+    *,
+    store_urls: options.Store = options.DEFAULT_STORE,
+    store_prefix: options.StorePrefix = options.DEFAULT_PREFIX,
+    operator: options.Operator = "",
+    expect: Expect = None,
+    wait: Wait = False,
+    wait_timeout_s: WaitTimeout = 30.0,
+    instances: options.Instances = (),
+    as_json: options.Json = False,
+) -> int:
+    """Put one or more teams' files in force as one change: all of it, or nothing.
+
+    The files are checked together with those of all other teams. The outcome is one of
+
+    - accepted (exit 0): in the store, and soon in force everywhere;
+    - rejected (3): the files have faults, all of which are listed;
+    - conflict (4): another operator changed the same files first;
+    - unknown (5): the answer was lost; the output names the command that settles it;
+    - unreachable (6): the store didn't answer, nothing was changed.
+
+    Applying the same files again is safe: what is so already is left as it is.
+
+    For example:
+
+    - `rosedyke apply weighbridge.toml`
+    - `rosedyke apply weighbridge.toml press-line.toml`
+    - `rosedyke apply weighbridge.toml --wait --instances 10.0.0.1:8080 10.0.0.2:8080`
+    """
+    if not files:
+        store.print_error("apply needs at least one file")
+        return exit_codes.USAGE
+    if wait and not instances:
+        store.print_error("--wait needs --instances")
+        return exit_codes.USAGE
+    access = store.connect(store_urls, store_prefix)
+    proposal = change.Proposal(
+        store.parse_files(files),
+        (),
+        options.operator_name(operator),
+        store.now_text(),
+        seen_generation=expect,
+    )
+    result = change.apply(access.store, access.keys, access.runtime, proposal)
+    return in_force.show_and_wait(
+        result, outcome.report(result), wait, instances, wait_timeout_s, as_json
+    )
+
+
+def register(app: cyclopts.App) -> None:
+    """Add the command."""
+    app.command(apply, name="apply")
--- /dev/null
+++ b/rosedyke/command/options.py
@@ -0,0 +1,68 @@
+"""Options that several commands share, with their environment variables."""
+
+import getpass
+import pathlib
+import socket
+from typing import Annotated
+
+import cyclopts
+
+Store = Annotated[
+    tuple[str, ...],
+    cyclopts.Parameter(
+        name="--store",
+        env_var="ROSEDYKE_STORE",
+        consume_multiple=True,
+        negative=(),
+        help="Endpoints of the platform's key-value service, as URLs.",
+    ),
+]
+
+StorePrefix = Annotated[
+    str,
+    cyclopts.Parameter(
+        name="--store-prefix",
+        env_var="ROSEDYKE_STORE_PREFIX",
+        help="Prefix of all keys in the key-value service.",
+    ),
+]
+
+Instances = Annotated[
+    tuple[str, ...],
+    cyclopts.Parameter(
+        name="--instances",
+        env_var="ROSEDYKE_INSTANCES",
+        consume_multiple=True,
+        negative=(),
+        help="Entry instances as ip:port of their HTTP interface.",
+    ),
+]
+
+Json = Annotated[
+    bool,
+    cyclopts.Parameter(
+        name="--json", negative=(), help="Print one JSON document for a program to read."
+    ),
+]
+
+Operator = Annotated[
+    str,
+    cyclopts.Parameter(
+        name="--operator",
+        env_var="ROSEDYKE_OPERATOR",
+        help="Who makes the change, as recorded in the history; by default user@host.",
+    ),
+]
+
+Files = Annotated[
+    tuple[pathlib.Path, ...],
+    cyclopts.Parameter(negative=(), help="Configuration files, one for each team."),
+]
+
+DEFAULT_STORE = ("http://127.0.0.1:2379",)
+DEFAULT_PREFIX = "/rosedyke/"
+
+
+def operator_name(given: str) -> str:
+    """Return the operator to record: the one given, or the user and host of this process."""
+    return given or f"{getpass.getuser()}@{socket.gethostname()}"
--- /dev/null
+++ b/rosedyke/command/store.py
@@ -0,0 +1,73 @@
+"""What the commands that talk to the store share: the client, files, outcomes as text."""
+
+import datetime
+import json
+import pathlib
+import sys
+from typing import Any
+
+import attrs
+import msgspec
+
+from rosedyke.command import exit_codes
+from rosedyke.configuration import diagnostic, file, ports, stored
+from rosedyke.daemon import green
+from rosedyke.gateways import etcd, settings
+
+SHORT_IDLE_S = 5.0
+
+
+@attrs.frozen
+class Access:
+    """The store as one command uses it."""
+
+    store: ports.Store
+    keys: stored.Keys
+    runtime: green.GreenRuntime
+
+
+def connect(endpoints: tuple[str, ...], prefix: str) -> Access:
+    """Return the store's client for one command; nothing is sent yet."""
+    runtime = green.GreenRuntime()
+    own = settings.StoreSettings(endpoints=endpoints, backoff_limit_s=1.0)
+    return Access(etcd.EtcdStore(own, runtime), stored.Keys(prefix), runtime)
+
+
+def parse_files(paths: tuple[pathlib.Path, ...]) -> tuple[file.Parsed, ...]:
+    """Read and parse the files; one that can't be read becomes a fault."""
+    parsed = []
+    for path in paths:
+        try:
+            parsed.append(file.parse(str(path), path.read_bytes()))
+        except OSError as error:
+            text = error.strerror or str(error)
+            fault = diagnostic.Diagnostic(str(path), 1, "", "unreadable", text)
+            parsed.append(file.Parsed(str(path), "", None, (), (fault,)))
+    return tuple(parsed)
+
+
+def now_text() -> str:
+    """Return the present time in UTC."""
+    now = datetime.datetime.now(datetime.UTC)
+    return now.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def print_json(document: Any) -> None:
+    """Print one JSON document of records, lists and plain values."""
+    plain = msgspec.to_builtins(document)
+    print(json.dumps(plain, indent=2))
+
+
+def print_error(text: str) -> None:
+    """Print a line for the operator beside what a program may read."""
+    print(text, file=sys.stderr)
+
+
+def fail(error: ports.StoreError, as_json: bool) -> int:
+    """Tell that the store could not be read and return the exit code."""
+    detail = f"{error.code}: {error}"
+    if as_json:
+        print_json({"outcome": "unreachable", "detail": detail})
+    else:
+        print_error(f"unreachable: nothing was changed; {detail}")
+    return exit_codes.UNREACHABLE
--- /dev/null
+++ b/rosedyke/configuration/check.py
@@ -0,0 +1,91 @@
+"""Checks of all teams' files as one set, and warnings about intent that can hardly work."""
+
+import collections
+from collections.abc import Iterable
+
+from rosedyke.configuration import diagnostic, file, intent
+
+_KIND_TEXT = {
+    "team": "team",
+    "service": "service",
+    "task": "task",
+    "server": "backend server",
+    "address": "address",
+}
+
+
+def check(files: Iterable[file.Parsed]) -> tuple[diagnostic.Diagnostic, ...]:
+    """Return all faults of the files, alone and together, in the order of files and lines."""
+    files = tuple(files)
+    found = [each for parsed in files for each in parsed.diagnostics]
+    found.extend(_duplicates(files))
+    for parsed in files:
+        if parsed.team is not None:
+            found.extend(_warnings(parsed))
+    order = {parsed.path: index for index, parsed in enumerate(files)}
+    return tuple(sorted(found, key=lambda each: (order[each.file], each.line, each.key)))
+
+
+def _duplicates(files: tuple[file.Parsed, ...]) -> list[diagnostic.Diagnostic]:
+    """Return a fault for each definition of a name that another one took before."""
+    found = []
+    first: dict[tuple[str, str], file.Definition] = {}
+    for parsed in files:
+        for definition in parsed.definitions:
+            name = (definition.kind, definition.name)
+            earlier = first.setdefault(name, definition)
+            if earlier is not definition:
+                found.append(_duplicate(definition, earlier))
+    return found
+
+
+def _duplicate(definition: file.Definition, earlier: file.Definition) -> diagnostic.Diagnostic:
+    kind = _KIND_TEXT[definition.kind]
+    text = f"{kind} {definition.name} is already defined at {earlier.file}:{earlier.line}"
+    return diagnostic.Diagnostic(
+        definition.file, definition.line, definition.key, f"duplicate_{definition.kind}", text
+    )
+
+
+def _warnings(parsed: file.Parsed) -> list[diagnostic.Diagnostic]:
+    found = []
+
+    def warn(path: str, code: str, text: str) -> None:
+        found.append(
+            diagnostic.Diagnostic(
+                parsed.path,
+                parsed.line(path),
+                path,
+                code,
+                text,
+                diagnostic.Severity.WARNING,
+            )
+        )
+
+    for index, service in enumerate(parsed.team.services):
+        path = f"services[{index}]"
+        _warn_about_tasks(path, service, warn)
+        _warn_about_service(path, service, warn)
+    return found
+
+
+def _warn_about_tasks(path: str, service: intent.Service, warn) -> None:
+    rooms = collections.Counter(server.size for server in service.servers)
+    for index, task in enumerate(service.tasks):
+        place = f"{path}.tasks[{index}]"
+        if not any(task.size.fits(room) for room in rooms):
+            warn(place, "task_fits_no_server", f"task {task.name} fits no server of its service")
+        if task.timeout_s < task.run_time_s:
+            text = f"task {task.name} times out before its estimated run time"
+            warn(f"{place}.timeout_s", "timeout_below_run_time", text)
+
+
+def _warn_about_service(path: str, service: intent.Service, warn) -> None:
+    fastest = min(task.run_time_s for task in service.tasks)
+    if service.objective.response_s < fastest:
+        text = f"no task of service {service.name} can end in {service.objective.response_s:g} s"
+        warn(f"{path}.objective.response_s", "objective_below_run_time", text)
+    slots = sum(server.slots for server in service.servers)
+    if service.limits.concurrency > slots:
+        text = f"service {service.name} has only {slots} slots"
+        warn(f"{path}.limits.concurrency", "concurrency_above_slots", text)
--- /dev/null
+++ b/rosedyke/gateways/etcd_format.py
@@ -0,0 +1,85 @@
+"""The JSON of the etcd v3 gateway: base64 keys and values, 64-bit numbers as strings."""
+
+import base64
+from typing import Any
+
+from rosedyke.configuration import ports
+
+
+def encode_text(text: str) -> str:
+    """Return a key as the gateway takes it."""
+    return base64.b64encode(text.encode()).decode()
+
+
+def encode_bytes(value: bytes) -> str:
+    """Return a value as the gateway takes it."""
+    return base64.b64encode(value).decode()
+
+
+def range_request(span: ports.Span, revision: int = 0, limit: int = 0) -> dict[str, Any]:
+    """Return the body that reads a span; reads are linearizable by default."""
+    request: dict[str, Any] = {"key": encode_text(span.first)}
+    if span.end:
+        request["range_end"] = encode_text(span.end)
+    if span.since:
+        request["min_mod_revision"] = str(span.since)
+    if revision:
+        request["revision"] = str(revision)
+    if limit:
+        request["limit"] = str(limit)
+    return request
+
+
+def compare(condition: ports.Compare) -> dict[str, Any]:
+    """Return a condition of a transaction; a missing key has modification revision 0."""
+    return {
+        "key": encode_text(condition.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(condition.revision),
+    }
+
+
+def operation(change: ports.Put | ports.Delete) -> dict[str, Any]:
+    """Return an operation of a transaction."""
+    if isinstance(change, ports.Put):
+        put = {"key": encode_text(change.key), "value": encode_bytes(change.value)}
+        return {"request_put": put}
+    return {"request_delete_range": {"key": encode_text(change.key)}}
+
+
+def watch_request(span: ports.Span, revision: int) -> dict[str, Any]:
+    """Return the body that opens a watch."""
+    request = {"key": encode_text(span.first), "start_revision": str(revision)}
+    if span.end:
+        request["range_end"] = encode_text(span.end)
+    return {"create_request": request}
+
+
+def entries(response: dict[str, Any]) -> tuple[ports.Entry, ...]:
+    """Return the entries of a range's response."""
+    return tuple(
+        ports.Entry(
+            base64.b64decode(kv["key"]).decode(),
+            base64.b64decode(kv.get("value", "")),
+            int(kv["mod_revision"]),
+        )
+        for kv in response.get("kvs", ())
+    )
+
+
+def revision(response: dict[str, Any]) -> int:
+    """Return the store's revision at which a response was made."""
+    return int(response["header"]["revision"])
+
+
+def changes(result: dict[str, Any]) -> tuple[ports.Change, ...]:
+    """Return the changes of one message of a watch."""
+    found = []
+    for event in result.get("events", ()):
+        kv = event["kv"]
+        is_delete = event.get("type") == "DELETE"
+        value = None if is_delete else base64.b64decode(kv.get("value", ""))
+        key = base64.b64decode(kv["key"]).decode()
+        found.append(ports.Change(key, value, int(kv["mod_revision"])))
+    return tuple(found)
--- a/rosedyke/membership/rendezvous.py
+++ b/rosedyke/membership/rendezvous.py
@@ -11,4 +11,6 @@
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
     """Return ``names`` ordered by their weight for ``key``, the responsible one first."""
-    return sorted(names, key=lambda name: (xxhash.xxh3_64_intdigest(f"{name}\0{key}"), name))
+    return sorted(
+        names, key=lambda name: (xxhash.xxh3_64_intdigest(f"{name}\0{key}".encode()), name)
+    )
--- /dev/null
+++ b/rosedyke/standins/store.py
@@ -0,0 +1,344 @@
+"""A stand-in for the platform's key-value service: etcd's v3 JSON gateway in memory.
+
+It speaks the subset that is used here and can be made to fail: slow, down, an answer lost after
+the write took effect, reads of an old revision, watches that stay silent.  Faults are set through
+``Server.faults`` or by ``POST /faults``; ``GET /counts`` tells the calls so far.
+
+    python -m rosedyke.standins.store --address 127.0.0.1:2379
+"""
+
+import argparse
+import collections
+import contextlib
+import http.server
+import json
+import socket
+import threading
+import time
+from typing import Any
+
+import attrs
+
+from rosedyke.standins import keyvalue, store_format
+
+MAX_BODY_BYTES = 3 * 1024 * 1024  # 1.5 MiB in base64, and some
+MAX_VALUE_REQUEST_BYTES = 1_572_864  # etcd's default bound on a request
+WATCH_TICK_S = 0.5
+GRPC_INVALID = 3
+GRPC_NOT_FOUND = 5
+GRPC_OUT_OF_RANGE = 11
+
+
+@attrs.define
+class Faults:
+    """What goes wrong.
+
+    Attributes
+    ----------
+    is_down : bool
+        Every connection is closed without an answer, and watches are cut.
+    is_unavailable : bool
+        Every call gets 503.
+    delay_s : float
+        How long each answer takes.
+    lost_answers : int
+        So many further transactions take effect and their connections are closed.
+    stale_revision : int
+        Reads answer as of this revision; 0 for the newest.
+    is_watch_silent : bool
+        Watches stand and never say anything.
+    """
+
+    is_down: bool = False
+    is_unavailable: bool = False
+    delay_s: float = 0.0
+    lost_answers: int = 0
+    stale_revision: int = 0
+    is_watch_silent: bool = False
+
+
+class Server:
+    """The store with its listening socket; ``start`` serves in threads of its own."""
+
+    def __init__(self, address: str = "127.0.0.1:0"):
+        self.state = keyvalue.KeyValue()
+        self.faults = Faults()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.changed = threading.Condition()
+        self.is_closed = False
+        host, _, port = address.rpartition(":")
+        self.http = _HttpServer((host, int(port)), _Handler)
+        self.http.store = self
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` of the listening socket."""
+        host, port = self.http.server_address[:2]
+        return f"{host}:{port}"
+
+    @property
+    def url(self) -> str:
+        """The endpoint for a client."""
+        return f"http://{self.address}"
+
+    def start(self) -> None:
+        """Serve in the background."""
+        threading.Thread(target=self.http.serve_forever, args=(0.05,), daemon=True).start()
+        threading.Thread(target=self._expire, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop listening and cut every watch."""
+        with self.changed:
+            self.is_closed = True
+            self.changed.notify_all()
+        self.http.shutdown()
+        self.http.server_close()
+
+    def set_faults(self, **faults: Any) -> None:
+        """Change some faults and let open watches see it."""
+        with self.changed:
+            for name, value in faults.items():
+                setattr(self.faults, name, value)
+            self.changed.notify_all()
+
+    def compact(self) -> None:
+        """Compact up to the present revision."""
+        with self.changed:
+            self.state.compact(self.state.revision)
+            self.changed.notify_all()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Set a key, as the platform would."""
+        with self.changed:
+            self.state.put(key.encode(), value, self.state.revision + 1)
+            self.state.revision += 1
+            self.changed.notify_all()
+
+    def delete(self, key: str) -> None:
+        """Remove a key, as the platform would."""
+        with self.changed:
+            self.state.delete(key.encode(), b"", self.state.revision + 1)
+            self.state.revision += 1
+            self.changed.notify_all()
+
+    def _expire(self) -> None:
+        while not self.is_closed:
+            time.sleep(0.1)
+            with self.changed:
+                if self.state.expire(time.monotonic()):
+                    self.changed.notify_all()
+
+    def answer(self, path: str, request: dict[str, Any]) -> dict[str, Any]:
+        """Do one call and return its document; raises the state's errors."""
+        with self.changed:
+            stale = self.faults.stale_revision
+            document = self._answer(path, request, stale)
+            self.changed.notify_all()
+            return document
+
+    def _answer(self, path: str, request: dict[str, Any], stale: int) -> dict[str, Any]:
+        state, now = self.state, time.monotonic()
+        if path == "/v3/kv/range":
+            return store_format.do_range(state, request, stale)
+        if path == "/v3/kv/txn":
+            return store_format.do_txn(state, request, stale)
+        if path == "/v3/kv/put":
+            store_format.do_txn(state, {"success": [{"request_put": request}]}, 0)
+        elif path == "/v3/kv/deleterange":
+            store_format.do_txn(state, {"success": [{"request_delete_range": request}]}, 0)
+        elif path == "/v3/kv/compaction":
+            state.compact(int(request["revision"]))
+        elif path == "/v3/lease/grant":
+            seconds = float(request["TTL"])
+            lease = state.grant(seconds, now, int(request.get("ID", 0)))
+            header = store_format.header(state)
+            return {"header": header, "ID": str(lease), "TTL": str(int(seconds))}
+        elif path == "/v3/lease/keepalive":
+            seconds = state.keep_alive(int(request["ID"]), now)
+            header = store_format.header(state)
+            result = {"header": header, "ID": str(request["ID"]), "TTL": str(int(seconds))}
+            return {"result": result}
+        elif path in ("/v3/lease/revoke", "/v3/kv/lease/revoke"):
+            state.revoke(int(request["ID"]))
+        else:
+            raise store_format.BadRequest(f"no such call: {path}")
+        return {"header": store_format.header(state)}
+
+
+class _HttpServer(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+    store: Server
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    """One connection of one client."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_: Any) -> None:
+        """Keep quiet; the counts tell what was called."""
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Tell the calls so far."""
+        self.reply(200, dict(self.server.store.counts))
+
+    def do_POST(self) -> None:  # noqa: N802
+        """Answer one call."""
+        store = self.server.store
+        length = int(self.headers.get("Content-Length", 0))
+        if length > MAX_BODY_BYTES:
+            self.reply(413, {"code": GRPC_INVALID, "message": "request is too large"})
+            return
+        try:
+            request = json.loads(self.rfile.read(length) or b"{}")
+        except ValueError:
+            self.reply(400, {"code": GRPC_INVALID, "message": "not JSON"})
+            return
+        if self.path == "/faults":
+            store.set_faults(**request)
+            self.reply(200, {})
+            return
+        if self.path == "/compact":
+            store.compact()
+            self.reply(200, {})
+            return
+        store.counts[self.path] += 1
+        if store.faults.delay_s:
+            time.sleep(store.faults.delay_s)
+        if store.faults.is_down:
+            self.cut()
+        elif store.faults.is_unavailable:
+            self.reply(503, {"code": 14, "message": "etcdserver: no leader"})
+        elif self.path == "/v3/watch":
+            self.watch(request["create_request"])
+        else:
+            self.call(request, length)
+
+    def call(self, request: dict[str, Any], length: int) -> None:
+        """Answer anything but a watch."""
+        store = self.server.store
+        # Base64 takes four bytes for three.
+        if length * 3 // 4 > MAX_VALUE_REQUEST_BYTES:
+            message = "etcdserver: request is too large"
+            self.reply(400, {"code": GRPC_INVALID, "message": message})
+            return
+        try:
+            document = store.answer(self.path, request)
+        except keyvalue.Compacted:
+            message = "etcdserver: mvcc: required revision has been compacted"
+            self.reply(400, {"code": GRPC_OUT_OF_RANGE, "message": message})
+            return
+        except keyvalue.UnknownLease:
+            message = "etcdserver: requested lease not found"
+            self.reply(404, {"code": GRPC_NOT_FOUND, "message": message})
+            return
+        except (store_format.BadRequest, keyvalue.FutureRevision, KeyError, ValueError) as error:
+            self.reply(400, {"code": GRPC_INVALID, "message": repr(error)})
+            return
+        if self.path == "/v3/kv/txn" and request.get("compare") and store.faults.lost_answers:
+            store.faults.lost_answers -= 1
+            self.cut()
+            return
+        self.reply(200, document)
+
+    def watch(self, request: dict[str, Any]) -> None:
+        """Stream the events of a span until the client goes or the server stops."""
+        store = self.server.store
+        key = store_format.decode(request["key"])
+        end = store_format.decode(request.get("range_end"))
+        self.send_response(200)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        try:
+            with store.changed:
+                revision = int(request.get("start_revision", 0)) or store.state.revision + 1
+                first = {"header": store_format.header(store.state), "created": True}
+            self.chunk({"result": first})
+            while True:
+                documents, revision = self.wait_for_events(key, end, revision)
+                if documents is None:
+                    self.cut()
+                    return
+                if documents and not store.faults.is_watch_silent:
+                    self.chunk(documents)
+                    if "compact_revision" in documents["result"]:
+                        self.cut()
+                        return
+        except OSError:
+            self.close_connection = True
+
+    def wait_for_events(
+        self, key: bytes, end: bytes, revision: int
+    ) -> tuple[dict[str, Any] | None, int]:
+        """Return the next message and the revision after it; None when the watch is cut."""
+        store = self.server.store
+        with store.changed:
+            if store.is_closed or store.faults.is_down:
+                return None, revision
+            header = store_format.header(store.state)
+            try:
+                events = store.state.since(revision, key, end)
+            except keyvalue.Compacted:
+                compacted = str(store.state.compacted)
+                result = {"header": header, "canceled": True, "compact_revision": compacted}
+                return {"result": result}, revision
+            if events:
+                documents = [store_format.event_document(event) for event in events]
+                message = {"result": {"header": header, "events": documents}}
+                return message, store.state.revision + 1
+            store.changed.wait(WATCH_TICK_S)
+        if self.is_gone():
+            return None, revision
+        return {}, revision
+
+    def is_gone(self) -> bool:
+        """Return whether the client has closed its end."""
+        try:
+            return self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def chunk(self, document: dict[str, Any]) -> None:
+        """Send one line of a stream."""
+        data = json.dumps(document).encode() + b"\n"
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def cut(self) -> None:
+        """Close the connection without an answer."""
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.connection.shutdown(socket.SHUT_RDWR)
+
+    def reply(self, status: int, document: dict[str, Any]) -> None:
+        """Send one document."""
+        data = json.dumps(document).encode()
+        try:
+            self.send_response(status)
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+        except OSError:  # the client gave up waiting
+            self.close_connection = True
+
+
+def main() -> None:
+    """Serve until interrupted."""
+    parser = argparse.ArgumentParser(description="Stand-in of the platform's key-value service.")
+    parser.add_argument("--address", default="127.0.0.1:2379", help="ip:port to listen on")
+    server = Server(parser.parse_args().address)
+    server.start()
+    print(f"stand-in store at {server.url}", flush=True)
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rosedyke/standins/virtual_store.py
@@ -0,0 +1,124 @@
+"""The store's interface on the virtual clock, with the faults that a test sets."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from rosedyke import runtime as runtime_module
+from rosedyke.configuration import ports
+from rosedyke.standins import keyvalue
+
+
+@attrs.define
+class Faults:
+    """What goes wrong, for all clients of the store.
+
+    Attributes
+    ----------
+    is_down : bool
+        Every call fails and has no effect.
+    delay_s : float
+        How long each call takes.
+    lost_answers : int
+        So many further writes take effect and lose their answer.
+    stale_revision : int
+        Reads answer as of this revision; 0 for the newest.
+    is_watch_silent : bool
+        Watches stand and never say anything.
+    """
+
+    is_down: bool = False
+    delay_s: float = 0.001
+    lost_answers: int = 0
+    stale_revision: int = 0
+    is_watch_silent: bool = False
+
+
+class VirtualStore:
+    """Implements ``ports.Store``; each client has its own so that calls can be counted.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        The clock.
+    state : KeyValue
+        Shared by all clients.
+    faults : Faults
+        Shared, or this client's own when only it is cut off.
+    """
+
+    watch_poll_s = 0.005
+
+    def __init__(self, runtime: runtime_module.Runtime, state: keyvalue.KeyValue, faults: Faults):
+        self.runtime = runtime
+        self.state = state
+        self.faults = faults
+        self.idle_limit_s = 30.0
+        self.calls = 0
+
+    def _call(self) -> None:
+        self.calls += 1
+        self.runtime.sleep(self.faults.delay_s)
+        if self.faults.is_down:
+            raise ports.StoreUnreachable("down")
+
+    def read(self, *spans: ports.Span) -> ports.Reading:
+        """Return the entries of all spans."""
+        self._call()
+        revision = self.faults.stale_revision or self.state.revision
+        entries = []
+        for span in spans:
+            records, _ = self.state.range(span.first.encode(), span.end.encode(), revision)
+            entries.extend(
+                ports.Entry(record.key.decode(), record.value, record.mod_revision)
+                for record in records
+                if record.mod_revision >= span.since
+            )
+        return ports.Reading(revision, tuple(entries))
+
+    def read_all(self, *spans: ports.Span) -> ports.Reading:
+        """Return the entries of all spans."""
+        return self.read(*spans)
+
+    def write(self, compares, operations) -> bool:
+        """Do all operations if every condition holds."""
+        self._call()
+        state = self.state
+        if not all(state.compare(c.key.encode(), "MOD", "EQUAL", c.revision) for c in compares):
+            return False
+        revision = state.revision + 1
+        for operation in operations:
+            if isinstance(operation, ports.Put):
+                state.put(operation.key.encode(), operation.value, revision)
+            else:
+                state.delete(operation.key.encode(), b"", revision)
+        state.revision = revision
+        if self.faults.lost_answers:
+            self.faults.lost_answers -= 1
+            raise ports.StoreOutcomeUnknown("lost")
+        return True
+
+    def watch(self, span: ports.Span, revision: int) -> Iterator[tuple[ports.Change, ...]]:
+        """Yield changes until nothing came for the idle limit."""
+        self._call()
+        yield ()
+        quiet_since = self.runtime.now()
+        while self.runtime.now() - quiet_since < self.idle_limit_s:
+            self.runtime.sleep(self.watch_poll_s)
+            if self.faults.is_down:
+                raise ports.StoreUnreachable("cut")
+            if self.faults.is_watch_silent:
+                continue
+            try:
+                events = self.state.since(revision, span.first.encode(), span.end.encode())
+            except keyvalue.Compacted:
+                raise ports.StoreCompacted("compacted") from None
+            if events:
+                quiet_since = self.runtime.now()
+                revision = self.state.revision + 1
+                yield tuple(_change(event) for event in events)
+
+
+def _change(event: keyvalue.Event) -> ports.Change:
+    value = None if event.is_delete else event.record.value
+    return ports.Change(event.record.key.decode(), value, event.record.mod_revision)
