Prove that changes are true to their operators and that instances never step back

Found by them and mended: a service defined twice also reported each of its tasks; with nothing applied yet every instance read the store at the watchers' pace; after a restore from an old copy the store's lower revisions hid newer generations.

--- a/rosedyke/command/apply.py
+++ b/rosedyke/command/apply.py
@@ -27,7 +27,7 @@
 
 
 def apply(
-    files: options.Files,
+    files: store.Files,
     /,
     *,
     store_urls: options.Store = options.DEFAULT_STORE,
--- a/rosedyke/command/options.py
+++ b/rosedyke/command/options.py
@@ -1,7 +1,6 @@
 """Options that several commands share, with their environment variables."""
 
 import getpass
-import pathlib
 import socket
 from typing import Annotated
 
@@ -54,11 +53,6 @@
     ),
 ]
 
-Files = Annotated[
-    tuple[pathlib.Path, ...],
-    cyclopts.Parameter(negative=(), help="Configuration files, one for each team."),
-]
-
 DEFAULT_STORE = ("http://127.0.0.1:2379",)
 DEFAULT_PREFIX = "/rosedyke/"
 
--- a/rosedyke/command/store.py
+++ b/rosedyke/command/store.py
@@ -4,9 +4,10 @@
 import json
 import pathlib
 import sys
-from typing import Any
+from typing import Annotated, Any
 
 import attrs
+import cyclopts
 import msgspec
 
 from rosedyke.command import exit_codes
@@ -14,7 +15,10 @@
 from rosedyke.daemon import green
 from rosedyke.gateways import etcd, settings
 
-SHORT_IDLE_S = 5.0
+Files = Annotated[
+    tuple[pathlib.Path, ...],
+    cyclopts.Parameter(negative=(), help="Configuration files, one for each team."),
+]
 
 
 @attrs.frozen
--- a/rosedyke/configuration/change.py
+++ b/rosedyke/configuration/change.py
@@ -155,8 +155,8 @@
             return Accepted(self.seen.head.generation, self.seen.head.change_id, (), found)
         return self.conflict()
 
-    def conflict(self) -> Conflict | None:
-        """Return who changed the same files after what the operator saw."""
+    def conflict(self) -> Outcome | None:
+        """Return a conflict if the same files were changed after what the operator saw."""
         winner = None
         if self.seen.head.generation > self.base:
             try:
--- a/rosedyke/configuration/check.py
+++ b/rosedyke/configuration/check.py
@@ -29,10 +29,10 @@
 def _duplicates(files: tuple[file.Parsed, ...]) -> list[diagnostic.Diagnostic]:
     """Return a fault for each definition of a name that another one took before."""
     found = []
-    first: dict[tuple[str, str], file.Definition] = {}
+    first: dict[tuple[str, str, str], file.Definition] = {}
     for parsed in files:
         for definition in parsed.definitions:
-            name = (definition.kind, definition.name)
+            name = (definition.kind, definition.scope, definition.name)
             earlier = first.setdefault(name, definition)
             if earlier is not definition:
                 found.append(_duplicate(definition, earlier))
--- a/rosedyke/configuration/distribution_test.py
+++ b/rosedyke/configuration/distribution_test.py
@@ -1,8 +1,9 @@
 import unittest
+import zlib
 
 import attrs
 
-from rosedyke.configuration import change, distribution, file, ports, settings, stored
+from rosedyke.configuration import change, distribution, file, messages, ports, settings, stored
 from rosedyke.membership import member
 from rosedyke.standins import keyvalue, virtual, virtual_store
 from rosedyke.wire import peer
@@ -142,3 +143,322 @@
         region.runtime.call(region.operator.write, (), (ports.Delete(put.key),))
         region.run(1)
         self.assertFalse(started.distribution.is_leaving("s1"))
+
+
+class SeveralInstances(unittest.TestCase):
+    def test_only_two_of_a_data_centre_read_the_store(self):
+        region = Region()
+        for number in range(8):
+            region.start(f"i{number}")
+        region.apply(text("a"))
+        region.run(10)
+        before = {name: each.store.calls for name, each in region.instances.items()}
+        region.apply(text("a", servers=2))
+        region.run(10)
+        self.assertEqual(set(region.generations().values()), {2})
+        readers = [n for n, each in region.instances.items() if each.store.calls > before[n]]
+        self.assertEqual(len(readers), 2)
+
+    def test_change_is_in_force_within_a_second(self):
+        region = Region()
+        for number in range(12):
+            region.start(f"i{number}", f"dc{number % 3}")
+        region.run(10)
+        region.apply(text("a"))
+        region.run(1)
+        self.assertEqual(set(region.generations().values()), {1})
+
+    def test_watcher_ends(self):
+        """Both watchers of the data centre die; the next two must take over their watch."""
+        region = Region()
+        for number in range(5):
+            region.start(f"i{number}")
+        region.run(10)
+        for each in list(region.instances.values()):
+            if each.distribution.reader.is_watcher() and len(region.instances) > 3:
+                region.end(each.membership.own.name)
+        region.apply(text("a"))
+        region.run(7)
+        self.assertEqual(list(region.generations().values()), [1, 1, 1])
+
+    def test_removed_team_is_gone_everywhere(self):
+        region = Region()
+        for number in range(5):
+            region.start(f"i{number}")
+        region.apply(text("a"), text("bb"))
+        region.run(5)
+        region.apply(removals=("a",))
+        region.run(3)
+        for each in region.instances.values():
+            found = each.distribution.configuration
+            self.assertEqual([team.name for team in found.teams], ["bb"])
+
+    def test_large_set_comes_in_several_pulls(self):
+        region = Region()
+        region.start("i0")
+        region.start("i1")
+        filler = "".join(f"# {number} {'x' * 90}\n" for number in range(2500))
+        texts = [(text(f"team-{n}") + filler).replace("127.1.", f"127.{n + 2}.") for n in range(9)]
+        for start in (0, 3, 6):
+            region.apply(*texts[start : start + 3])
+        region.run(10)
+        late = region.start("i2")
+        region.run(5)
+        self.assertEqual(len(late.distribution.configuration.teams), 9)
+
+    def test_leaving_servers_are_told_to_all(self):
+        region = Region()
+        for number in range(5):
+            region.start(f"i{number}")
+        region.run(10)
+        put = ports.Put(KEYS.servers.first + "s1", stored.encode(stored.ServerRecord("leaving")))
+        region.runtime.call(region.operator.write, (), (put,))
+        region.run(2)
+        for each in region.instances.values():
+            self.assertTrue(each.distribution.is_leaving("s1"))
+        versions = {each.distribution.held.leaving.version for each in region.instances.values()}
+        self.assertEqual(len(versions), 1)
+
+    def test_nothing_is_pulled_when_nothing_changes(self):
+        region = Region()
+        for number in range(6):
+            region.start(f"i{number}")
+        region.apply(text("a"))
+        region.run(20)
+        # Another key of the store changes, which raises its revision.
+        region.runtime.call(region.operator.write, (), (ports.Put("/other", b""),))
+        region.run(10)
+        sent = len(region.network.log)
+        region.run(30)
+        self.assertEqual(len(region.network.log), sent)
+
+
+class StoreFaults(unittest.TestCase):
+    def test_instance_that_starts_while_the_store_is_down(self):
+        """The store goes down, an instance is replaced, and the new one finds no store.
+
+        Callers must not see a refusal or an older generation: it gets the newest from its peers.
+        """
+        region = Region()
+        for number in range(3):
+            region.start(f"i{number}")
+        region.apply(text("a"))
+        region.apply(text("a", servers=2))
+        region.run(5)
+        region.faults.is_down = True
+        late = region.start("i9")
+        region.run(3)
+        self.assertEqual(late.history, [2])
+
+    def test_all_instances_replaced_during_an_outage(self):
+        region = Region()
+        region.apply(text("a"))
+        for number in range(4):
+            region.start(f"i{number}")
+        region.run(5)
+        region.faults.is_down = True
+        for number in range(4):
+            region.end(f"i{number}")
+            region.start(f"j{number}")
+            region.run(5)
+        self.assertEqual(set(region.generations().values()), {1})
+
+    def test_store_that_answers_with_an_old_revision(self):
+        """A lagging replica of the store answers a new instance and a running one.
+
+        The running ones ignore it; the new one hears the newest from a peer before anyone can
+        see what it holds, so nobody is served by the older generation.
+        """
+        region = Region()
+        region.start("i0")
+        region.apply(text("a"))
+        region.run(3)
+        stale = region.state.revision
+        region.apply(text("a", servers=2))
+        region.run(3)
+        region.faults.stale_revision = stale
+        late = region.start("i1")
+        region.run(20)
+        self.assertEqual(late.history, [2])
+        self.assertEqual(region.instances["i0"].history, [1, 2])
+
+    def test_store_restored_from_an_old_copy(self):
+        """The store's data is replaced by an old copy and another change is applied to that.
+
+        The same generation number then means two things.  Instances keep what was accepted first
+        and go on with the first generation above it.
+        """
+        region = Region()
+        region.start("i0")
+        region.apply(text("a"))
+        state = region.state
+        copy = dict(state.records), list(state.events), state.revision
+        region.apply(text("a", servers=2))
+        region.run(3)
+        state.records, state.events, state.revision = copy
+        region.apply(text("a", servers=3))
+        region.run(10)
+        held = region.instances["i0"].distribution
+        self.assertEqual(len(held.configuration.service("a").servers), 2)
+        region.apply(text("a", servers=4))
+        region.run(10)
+        self.assertEqual(len(held.configuration.service("a").servers), 4)
+
+    def test_silent_watch(self):
+        """The watch stands but says nothing: a read now and then finds the change all the same."""
+        region = Region()
+        region.start("i0")
+        region.run(3)
+        region.faults.is_watch_silent = True
+        region.apply(text("a"))
+        region.run(7)
+        self.assertEqual(region.generations(), {"i0": 1})
+
+    def test_compaction_while_the_store_was_down(self):
+        region = Region()
+        started = region.start("i0")
+        region.apply(text("a"))
+        region.run(3)
+        region.faults.is_down = True
+        region.run(5)
+        region.apply(text("a", servers=2))
+        region.state.compact(region.state.revision)
+        region.faults.is_down = False
+        region.run(12)
+        self.assertEqual(started.history, [1, 2])
+        region.apply(text("a", servers=3))
+        region.run(1)
+        self.assertEqual(started.history, [1, 2, 3])
+
+    def test_outage_ends(self):
+        region = Region()
+        started = region.start("i0")
+        region.faults.is_down = True
+        region.run(60)
+        region.apply(text("a"))
+        region.faults.is_down = False
+        region.run(9)
+        self.assertEqual(started.history, [1])
+
+    def test_watchers_cut_off_from_the_store_while_another_is_not(self):
+        region = Region()
+        cut = virtual_store.Faults(is_down=True)
+        for number in range(4):
+            region.start(f"i{number}", faults=cut)
+        for each in region.instances.values():
+            if not each.distribution.reader.is_watcher():
+                each.store.faults = region.faults
+        region.apply(text("a"))
+        region.run(20)
+        self.assertEqual(set(region.generations().values()), {1})
+
+
+class Partitions(unittest.TestCase):
+    def start(self, region):
+        for data_centre in ("dc1", "dc2"):
+            for number in range(3):
+                region.start(f"{data_centre}-{number}", data_centre)
+
+    def test_data_centre_without_store_and_peers_keeps_what_it_has_and_catches_up(self):
+        region = Region()
+        self.start(region)
+        region.apply(text("a"))
+        region.run(5)
+        names = sorted(region.instances)
+        region.network.partition(names[:3], names[3:])
+        cut = virtual_store.Faults(is_down=True)
+        for name in names[3:]:
+            region.instances[name].store.faults = cut
+        region.apply(text("a", servers=2))
+        region.run(10)
+        self.assertEqual(list(region.generations().values()), [2, 2, 2, 1, 1, 1])
+        region.network.heal()
+        region.run(12)
+        self.assertEqual(set(region.generations().values()), {2})
+        for each in region.instances.values():
+            self.assertEqual(each.history, [1, 2])
+
+    def test_data_centre_cut_off_from_the_store_alone_is_fed_by_the_other(self):
+        region = Region()
+        self.start(region)
+        region.run(5)
+        cut = virtual_store.Faults(is_down=True)
+        for name, each in region.instances.items():
+            if name.startswith("dc2"):
+                each.store.faults = cut
+        region.apply(text("a"))
+        region.run(12)
+        self.assertEqual(set(region.generations().values()), {1})
+
+    def test_rejoining_side_with_the_older_generation_changes_nothing(self):
+        region = Region()
+        self.start(region)
+        region.apply(text("a"))
+        region.run(5)
+        names = sorted(region.instances)
+        region.network.partition(names[:3], names[3:])
+        stale = virtual_store.Faults(stale_revision=region.state.revision)
+        for name in names[3:]:
+            region.instances[name].store.faults = stale
+        region.apply(text("a", servers=2))
+        region.run(5)
+        for name in names[3:]:
+            region.end(name)
+            region.start(f"{name}-new", "dc2", faults=stale)
+        region.run(10)
+        region.network.heal()
+        region.run(15)
+        for name in names[:3]:
+            self.assertEqual(region.instances[name].history, [1, 2])
+        self.assertEqual(set(region.generations().values()), {2})
+
+
+class ForeignMessages(unittest.TestCase):
+    """What a broken or hostile peer sends must neither be taken nor end the pulling task."""
+
+    def offer(self, delta):
+        region = Region()
+        started = region.start("i0")
+        region.apply(text("a"))
+        region.run(3)
+        liar = virtual.VirtualPeers(region.network, peer.Peer("liar", 99, "dc1", "127.0.0.1:99"))
+        liar.handle(messages.Pull, lambda sender, pull: delta)
+        target = member.Member(liar.own, member.State.LIVE)
+        self.assertFalse(region.runtime.call(started.distribution.puller.pull, target))
+        self.assertEqual(started.history, [1])
+        region.apply(text("a", servers=2))
+        region.run(2)
+        self.assertEqual(started.history, [1, 2])
+
+    def test_entries_that_do_not_match_their_digest(self):
+        entry = stored.HeadEntry("x", 9, "00")
+        self.offer(messages.Delta(9, "id", "no digest", (entry,), messages.pack([])))
+
+    def test_content_that_is_no_content(self):
+        self.offer(messages.Delta(9, "id", "", (), b"\x00\x01"))
+
+    def test_content_that_grows_without_bound(self):
+        self.offer(messages.Delta(9, "id", "", (), zlib.compress(bytes(50_000_000))))
+
+    def test_file_that_is_not_the_one_of_the_head(self):
+        forged = stored.TeamFile("x", 9, "eve", "", text("x"))
+        entry = stored.HeadEntry("x", 9, stored.digest("another text"))
+        head = stored.Head(9, "id", (entry,))
+        self.offer(messages.Delta(9, "id", head.digest(), (entry,), messages.pack([forged])))
+
+    def test_file_that_this_version_cannot_read(self):
+        unread = stored.TeamFile("x", 9, "eve", "", text("x") + "later_key = 1\n")
+        entry = stored.HeadEntry("x", 9, unread.digest)
+        mine = stored.TeamFile("a", 1, "ana", "", text("a"))
+        entries = (stored.HeadEntry("a", 1, mine.digest), entry)
+        digest = stored.Head(9, "id", entries).digest()
+        self.offer(messages.Delta(9, "id", digest, entries, messages.pack([unread, mine])))
+
+    def test_unreadable_advertisement_is_nobody_ahead(self):
+        region = Region()
+        started = region.start("i0")
+        other = region.start("i1")
+        region.run(3)
+        for value in (b"", b"x y", b"1", "\u00b2 \u00b2".encode(), b"9" * 500):
+            other.membership.values["generation"] = value
+            self.assertIsNone(region.runtime.call(started.distribution.puller.find_ahead))
--- a/rosedyke/configuration/file.py
+++ b/rosedyke/configuration/file.py
@@ -24,9 +24,11 @@
     kind : str
         ``team``, ``service``, ``task``, ``server`` or ``address``.
     name : str
-        The name; a task's is preceded by its service's.
+        The name.
     file, line, key
         Where it is defined.
+    scope : str
+        Where the name must be unique; empty for all files.
     """
 
     kind: str
@@ -34,6 +36,7 @@
     file: str
     line: int
     key: str
+    scope: str = ""
 
 
 @attrs.frozen
@@ -122,9 +125,9 @@
         line = position.nearest(self.lines, path)
         self.diagnostics.append(diagnostic.Diagnostic(self.path, line, path, code, text))
 
-    def define(self, kind: str, name: str, path: str) -> None:
+    def define(self, kind: str, name: str, path: str, scope: str = "") -> None:
         line = position.nearest(self.lines, path)
-        self.definitions.append(Definition(kind, name, self.path, line, path))
+        self.definitions.append(Definition(kind, name, self.path, line, path, scope))
 
     def team(self, values: dict[str, Any]) -> intent.Team | None:
         found = self.table("", "", values)
@@ -146,7 +149,7 @@
         limits = self.single("services.limits", path, values)
         objective = self.single("services.objective", path, values)
         tasks = tuple(
-            self.task(place, table, name)
+            self.task(place, table, scope=f"{self.path} {path}")
             for place, table in self.children("services.tasks", f"{path}.tasks", values)
         )
         servers = tuple(
@@ -160,10 +163,10 @@
             name, team, tasks, servers, intent.Limits(**limits), intent.Objective(**objective)
         )
 
-    def task(self, path: str, values: dict[str, Any], service: str) -> intent.TaskType | None:
+    def task(self, path: str, values: dict[str, Any], scope: str) -> intent.TaskType | None:
         found = self.table("services.tasks", path, values)
         if "name" in found:
-            self.define("task", f"{service}/{found['name']}", f"{path}.name")
+            self.define("task", found["name"], f"{path}.name", scope)
         if self.diagnostics:
             return None
         return intent.TaskType(found["name"], found["run_time_s"], _size(found), found["timeout_s"])
--- a/rosedyke/configuration/reader.py
+++ b/rosedyke/configuration/reader.py
@@ -47,25 +47,31 @@
         self.failures = 0
 
     def is_watcher(self) -> bool:
-        """Return whether this instance should read the store now."""
+        """Return whether this instance is one of its data centre's readers of the store."""
         own = self.membership.own
         ranked = self.membership.view.ranked(WATCHER_KEY, own.data_centre)
         if not ranked:  # the whole data centre is starting
             return True
-        if own.name in {each.name for each in ranked[: self.settings.watchers]}:
-            return True
-        # The watchers may be cut off from the store together while this instance isn't.
-        is_late = self.runtime.now() - self.started_at > self.settings.alone_s
-        return is_late and not self.held.generation
+        return own.name in {each.name for each in ranked[: self.settings.watchers]}
+
+    def is_alone(self) -> bool:
+        """Return whether nobody has given this instance a configuration for some time."""
+        waited_s = self.runtime.now() - self.started_at
+        return not self.held.generation and waited_s > self.settings.alone_s
 
     def run(self) -> None:
         """Read for ever, whenever woken and at least each poll interval."""
         while True:
             self.wake = self.runtime.signal()
-            pause_s = self.settings.poll_s * (0.8 + 0.4 * self.runtime.random())
+            pause_s = self.settings.poll_s
             if self.is_watcher():
-                pause_s = min(pause_s, self.try_to_refresh())
-            self.wake.wait(pause_s)
+                pause_s = self.try_to_refresh()
+            elif self.is_alone():
+                # The watchers may be cut off from the store together while this instance isn't.
+                # Rarely, for as long as nothing was ever applied all instances are alone.
+                self.try_to_refresh()
+                pause_s = self.settings.alone_poll_s
+            self.wake.wait(pause_s * (0.8 + 0.4 * self.runtime.random()))
 
     def try_to_refresh(self) -> float:
         """Read once and return how long to wait at most before the next try."""
@@ -79,7 +85,7 @@
                 kind = events.FILE_UNREADABLE
             event.log(kind, code=error.code, detail=error, failures=self.failures)
             growing_s = RETRY_BASE_S * 2 ** min(self.failures, 10)
-            return min(self.settings.retry_limit_s, growing_s) * (0.5 + self.runtime.random())
+            return min(self.settings.retry_limit_s, growing_s)
         self.failures = 0
         return self.settings.poll_s
 
@@ -91,14 +97,19 @@
         if not is_full:
             servers = ports.Span(servers.first, servers.end, since=self.revision + 1)
         reading = self.store.read(ports.Span(self.keys.head), servers)
-        if reading.revision < self.revision:
+        is_behind = reading.revision < self.revision
+        if is_behind:
             metric.count(metrics.IGNORED)
             event.log(events.STORE_BEHIND, revision=reading.revision, known=self.revision)
-            return
-        self._take_servers(reading, is_full)
+        else:
+            self._take_servers(reading, is_full)
+        # Also from behind: after a restore from an old copy the store's revisions start lower,
+        # but a generation above the one held was accepted in any case.
         for entry in reading.entries:
             if entry.key == self.keys.head:
                 self._take_head(stored.decode(entry.value, stored.Head))
+        if is_behind:
+            return
         # Only now: a reading that failed half way is repeated from the same revision.
         self.revision = reading.revision
         if is_full:
--- a/rosedyke/configuration/settings.py
+++ b/rosedyke/configuration/settings.py
@@ -27,6 +27,8 @@
         How long a starting instance waits for peers to appear before it trusts the store alone.
     alone_s : float
         After so long without a configuration an instance reads the store though it is no watcher.
+    alone_poll_s : float
+        Seconds between such reads.
     pull_timeout_s : float
         For one request to a peer.
     retry_limit_s : float
@@ -41,5 +43,6 @@
     far_check_s: float = 5.0
     join_wait_s: float = 1.0
     alone_s: float = 5.0
+    alone_poll_s: float = 30.0
     pull_timeout_s: float = 2.0
     retry_limit_s: float = 5.0
