--- a/rosedyke/command/apply.py
+++ b/rosedyke/command/apply.py
@@ -27,7 +27,7 @@
 
 
 def apply(
-    files: options.Files,
+    files: store.Files,
     /,
     *,
     store_urls: options.Store = options.DEFAULT_STORE,
@@ -54,6 +54,7 @@
     For example:
 
     - `rosedyke apply weighbridge.toml`
+    - `rosedyke apply weighbridge.toml press-line.toml`
     - `rosedyke apply weighbridge.toml --wait --instances 10.0.0.1:8080 10.0.0.2:8080`
     """
     if not files:
