Take pools over without passing a server's limit

A new owner grants only after every member has told its slots in use (or is dead), under a ballot above any that a member obeys, and after the servers have said how many tasks run; so tasks of dead instances keep their slots for as long as they really run, and no longer. Holders give every waiting request a new number when the owner changes, so late grants of the old owner start nothing.

A slot whose task never answered, or whose holder died, is orphaned and freed by the server's own count (X-Running) in place of a guess. Waiting for the old jobs' deadlines would have idled it for up to a minute; taking it at once put one task too many on the server.

Grants that never arrive are found by an audit of old leases, and grants that were long on their way (pause, healed cut) by the difference of the two clocks against its smallest value lately; their slots go back unused.

Service concurrency and team quotas are split over the pools by slots, once for each generation: exact and without messages; a share left unused by one pool is not lent to another.

--- a/rosedyke/dispatch/dispatcher.py
+++ b/rosedyke/dispatch/dispatcher.py
@@ -58,16 +58,33 @@
         self.shards = shard.Catalogue(current, options.shard_servers)
         self.board = backlog.Board(options, runtime, membership)
         self.owner = owner.PoolOwner(
-            options, runtime, peers, membership, current, self.speeds_of, self.board
+            options,
+            runtime,
+            peers,
+            membership,
+            current,
+            gateway,
+            self.speeds_of,
+            self.board,
+            self.shards,
         )
         self.holder = holder.Holder(
-            options, runtime, peers, membership, gateway, self.speeds_of, self.board, self.place
+            options,
+            runtime,
+            peers,
+            membership,
+            gateway,
+            self.speeds_of,
+            self.board,
+            self.shards,
+            self.place,
         )
 
     def start(self) -> None:
         """Begin the periodic work."""
         self.membership.subscribe(self._on_view)
         self._on_view(self.membership.view, self.membership.view)
+        self.holder.start()
         self.owner.start()
 
     def stop(self) -> None:
@@ -123,7 +140,7 @@
             return
         by_key = {one.key: one for one in usable}
         for key, part in self._split(running, service, indices, usable).items():
-            self.holder.lodge(running, service, by_key[key], part)
+            self.holder.ask(running, service, by_key[key], part)
 
     def _usable(self, service) -> list[shard.Shard]:
         """Return the pools that can be asked, the own data centre's first."""
--- a/rosedyke/dispatch/events.py
+++ b/rosedyke/dispatch/events.py
@@ -17,11 +17,12 @@
     logging.INFO,
     "The owner of a pool did not answer; the message is sent again to the present owner.",
 )
-LEASE_EXPIRED = event.define(
+SLOTS_ORPHANED = event.define(
     4003,
-    "lease_expired",
+    "slots_orphaned",
     logging.WARNING,
-    "A slot was not released by its holder before the job's deadline; it is free again.",
+    "Slots of a pool may be in use by tasks that nobody tells of, because their holder died or "
+    "did not release them in time; the servers are asked before the slots are used again.",
 )
 SERVER_EJECTED = event.define(
     4004,
@@ -29,3 +30,15 @@
     logging.WARNING,
     "A backend server failed several tasks in a row and gets no work for a while; look at it.",
 )
+POOL_TAKEN_OVER = event.define(
+    4005,
+    "pool_taken_over",
+    logging.INFO,
+    "This instance owns the pool now and has heard from every member; it grants slots.",
+)
+GRANTS_NOT_SENT = event.define(
+    4006,
+    "grants_not_sent",
+    logging.WARNING,
+    "Slots could not be told to their holder; they are taken back at the next audit.",
+)
--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -2,13 +2,13 @@
 
 import itertools
 
-import attrs
-
 from rosedyke.configuration import intent
 from rosedyke.dispatch import (
     backlog,
     events,
+    lateness,
     lease,
+    link,
     message,
     metrics,
     ports,
@@ -17,54 +17,13 @@
     shard,
 )
 from rosedyke.job import answer, code, job
+from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
 from rosedyke.observe import event, metric
 from rosedyke.runtime import Runtime
 from rosedyke.wire import peer
 
 
-@attrs.define(eq=False)
-class Request:
-    """Tasks of one job that wait for slots of one pool.
-
-    Attributes
-    ----------
-    running : Job
-        The job.
-    service : Service
-        Its service when the job was placed.
-    waiting : set of int
-        Indices without a grant.
-    """
-
-    number: int
-    running: job.Job
-    service: intent.Service
-    waiting: set[int]
-
-
-@attrs.define(eq=False)
-class Link:
-    """What this instance has to tell the owner of one pool, and what it heard.
-
-    Attributes
-    ----------
-    requests : dict of int to Request
-        Lodged or about to be.
-    asked, releases, withdrawn : list
-        Not yet told.
-    is_flushing : bool
-        A task is telling the owner.
-    """
-
-    shard: shard.Shard
-    requests: dict[int, Request] = attrs.Factory(dict)
-    asked: list[message.SlotRequest] = attrs.Factory(list)
-    releases: list[message.Release] = attrs.Factory(list)
-    withdrawn: list[int] = attrs.Factory(list)
-    is_flushing: bool = False
-
-
 class Holder:
     """Runs the tasks of this instance's jobs through grants of the pools' owners.
 
@@ -84,8 +43,10 @@
         ``speeds(service)`` returns the service's ``SpeedTable``.
     board : Board
         Takes the reports that ride on replies.
+    shards : Catalogue
+        The pools of the configuration.
     reroute : callable
-        ``reroute(running, service, indices)`` lodges waiting tasks anew, in the best pool.
+        ``reroute(running, service, indices)`` asks anew for waiting tasks, in the best pool.
     """
 
     def __init__(
@@ -97,6 +58,7 @@
         gateway: ports.BackendGateway,
         speeds,
         board: backlog.Board,
+        shards: shard.Catalogue,
         reroute,
     ):
         self.options = options
@@ -106,155 +68,223 @@
         self.gateway = gateway
         self.speeds = speeds
         self.board = board
+        self.shards = shards
         self.reroute = reroute
-        self.links: dict[str, Link] = {}
+        self.links: dict[str, link.Link] = {}
+        self.by_job: dict[job.Job, list[link.Request]] = {}
         self.numbers = itertools.count(1)
+        self.lateness = lateness.Lateness()
         self.budget = retry.Budget(options.retry_share, options.retry_burst)
         peers.handle(message.Grants, self.on_grants)
+        peers.handle(message.Recover, self.on_recover)
+        peers.handle(message.Audit, self.on_audit)
+
+    def start(self) -> None:
+        """Begin to follow the membership."""
+        self.membership.subscribe(self._on_view)
 
-    def lodge(
-        self, running: job.Job, service: intent.Service, target: shard.Shard, indices
-    ) -> Request:
+    def ask(self, running: job.Job, service: intent.Service, target: shard.Shard, indices) -> None:
         """Ask the owner of a pool for slots for waiting tasks of a job."""
-        link = self.links.setdefault(target.key, Link(target))
-        request = Request(next(self.numbers), running, service, set(indices))
-        link.requests[request.number] = request
-        left_s = max(0.0, running.deadline - self.runtime.now())
-        groups = group_tasks(service, running, request.waiting)
-        link.asked.append(message.SlotRequest(request.number, groups, left_s))
-        self._flush_soon(link)
-        return request
+        if running.is_closed:
+            return
+        to = self._link(target)
+        self.by_job.setdefault(running, []).append(to.ask(running, service, indices))
+        self._flush_soon(to)
 
     def withdraw(self, running: job.Job) -> None:
         """Stop waiting for slots for a closed job."""
-        for link in self.links.values():
-            numbers = [n for n, request in link.requests.items() if request.running is running]
-            for number in numbers:
-                del link.requests[number]
-                link.withdrawn.append(number)
-            if numbers:
-                self._flush_soon(link)
+        for request in self.by_job.pop(running, ()):
+            request.link.withdraw(request)
+            self._flush_soon(request.link)
 
     def on_grants(self, sender: peer.Peer, told: message.Grants) -> None:
         """Use slots that came free."""
-        link = self.links.get(told.pool)
-        if link is not None:
-            self._use(link, told.grants, told.report)
-
-    def _flush_soon(self, link):
-        if not link.is_flushing:
-            link.is_flushing = True
-            self.runtime.spawn(self._flush, link)
-
-    def _flush(self, link):
+        to = self.links.get(told.pool)
+        if to is None or sender != to.owner or not to.obey(told.ballot):
+            # From an owner that is no more: what waits was asked anew under other numbers.
+            metric.count(metrics.GRANTS_LATE, len(told.grants))
+            return
+        delay_s = self.lateness.delay_s(sender, told.sent_at, self.runtime.now())
+        self.board.learn(told.pool, told.report)
+        self._use(to, told.grants, delay_s > self.options.late_s)
+
+    def on_recover(self, sender: peer.Peer, told: message.Recover) -> message.RecoverReply:
+        """Tell a new owner which slots are in use, and obey no earlier one from now on."""
+        target = self.shards.find(told.pool)
+        if target is None:
+            return message.RecoverReply(None)
+        to = self._link(target)
+        if not to.obey(told.ballot):
+            return message.RecoverReply(to.ballot)
+        held = to.held_slots(self.runtime.now())
+        to.renew(sender)
+        self._flush_soon(to)
+        return message.RecoverReply(None, held)
+
+    def on_audit(self, sender: peer.Peer, told: message.Audit) -> message.AuditReply | None:
+        """Tell an owner which of its old grants never came; their tasks are asked for anew."""
+        to = self.links.get(told.pool)
+        if to is None or sender != to.owner or not to.obey(told.ballot):
+            return message.AuditReply(told.leases)
+        missing = tuple(one for one in told.leases if tuple(one) not in to.held)
+        for request, index in missing:
+            self._ask_again(to, message.Grant(request, index, ""))
+        return message.AuditReply(missing)
+
+    def _link(self, target) -> link.Link:
+        found = self.links.get(target.key)
+        if found is None:
+            found = self.links[target.key] = link.Link(target, self.numbers)
+        found.shard = target
+        return found
+
+    def _owner(self, to) -> peer.Peer | None:
+        owner = shard.owner_of(to.shard.key, to.shard.data_centre, self.membership.view)
+        return None if owner is None else owner.peer
+
+    def _on_view(self, old: member.View, new: member.View):
+        peers = {one.peer for one in new.members if one.state is not member.State.DEAD}
+        self.lateness.forget(lambda sender: sender not in peers)
+        for to in self.links.values():
+            if to.requests and self._owner(to) != to.owner:
+                to.renew(self._owner(to))
+                self._flush_soon(to)
+
+    def _flush_soon(self, to):
+        if not to.is_flushing:
+            to.is_flushing = True
+            self.runtime.spawn(self._flush, to)
+
+    def _flush(self, to):
         """Tell the owner everything that has gathered, until nothing is left.
 
         Whatever gathers while one message is on its way goes with the next.
         """
         try:
-            while link.asked or link.releases or link.withdrawn:
-                if not self._exchange(link):
+            while to.has_news():
+                if not self._exchange(to):
                     self.runtime.sleep(self.options.tick_s * (0.5 + self.runtime.random()))
         finally:
-            link.is_flushing = False
+            to.is_flushing = False
 
-    def _exchange(self, link) -> bool:
-        owner = shard.owner_of(link.shard.key, link.shard.data_centre, self.membership.view)
+    def _exchange(self, to) -> bool:
+        owner = self._owner(to)
+        if owner != to.owner:
+            to.renew(owner)
         if owner is None:
+            self._leave(to)
             return False
-        told = message.Exchange(
-            link.shard.key, tuple(link.asked), tuple(link.releases), tuple(link.withdrawn)
-        )
+        told = self._news(to)
+        renewals = to.renewals
+        sent_at = self.runtime.now()
         try:
-            reply = self.peers.request(owner.peer, told, self.options.request_timeout_s)
+            reply = self.peers.request(owner, told, self.options.request_timeout_s)
         except peer.PeerError as error:
-            event.log(
-                events.EXCHANGE_FAILED, pool=link.shard.key, owner=owner.name, reason=error.code
-            )
-            self._leave(link)
+            event.log(events.EXCHANGE_FAILED, pool=told.pool, owner=owner.name, reason=error.code)
+            if to.renewals == renewals:
+                self._leave(to)
             return False
-        if reply.ballot is None:
+        if to.renewals != renewals:
+            return True  # the owner changed meanwhile; everything was asked anew
+        if reply.ballot is None or not to.obey(reply.ballot):
             return False
-        del link.asked[: len(told.requests)]
-        del link.releases[: len(told.releases)]
-        del link.withdrawn[: len(told.withdrawn)]
-        self._use(link, reply.grants, reply.report)
+        for asked in told.requests:
+            to.asked.pop(asked.number, None)
+        del to.releases[: len(told.releases)]
+        del to.withdrawn[: len(told.withdrawn)]
+        now = self.runtime.now()
+        self.board.learn(told.pool, reply.report)
+        self.lateness.delay_s(owner, reply.sent_at, now)
+        self._use(to, reply.grants, now - sent_at > self.options.request_timeout_s)
         return True
 
-    def _leave(self, link):
-        """Move waiting tasks away from a data centre whose owner does not answer.
+    def _news(self, to) -> message.Exchange:
+        """Return everything that the owner has not been told."""
+        now = self.runtime.now()
+        requests = tuple(
+            message.SlotRequest(
+                request.number,
+                group_tasks(request.service, request.running, request.waiting),
+                max(0.0, request.running.deadline - now),
+            )
+            for request in to.asked.values()
+        )
+        return message.Exchange(to.shard.key, requests, tuple(to.releases), tuple(to.withdrawn))
+
+    def _leave(self, to):
+        """Ask other pools for what waits at an owner that does not answer.
 
         The owner may have taken the requests in and may still grant: those grants carry numbers
-        that this instance has given up, so they are returned unused and nothing starts twice.
-        Pools of the own data centre get a new owner soon, so their tasks stay.
+        that were given up, so they are returned unused and nothing starts twice.
         """
-        if link.shard.data_centre == self.peers.own.data_centre:
-            return
-        self.board.avoid(link.shard.key)
-        requests = list(link.requests.values())
-        link.requests.clear()
-        link.withdrawn.extend(request.number for request in requests)
-        link.asked.clear()
+        self.board.avoid(to.shard.key)
+        requests = list(to.requests.values())
+        for request in requests:
+            to.withdraw(request)
         for request in requests:
-            self.reroute(request.running, request.service, tuple(request.waiting))
+            if not request.running.is_closed:
+                self.reroute(request.running, request.service, tuple(request.waiting))
 
-    def _use(self, link, grants, report):
-        self.board.learn(link.shard.key, report)
+    def _use(self, to, grants, is_late):
         for grant in grants:
-            request = link.requests.get(grant.request)
-            if request is None or grant.index not in request.waiting:
-                metric.count(metrics.GRANTS_LATE)
-                self._release(link, grant, lease.Outcome.UNUSED)
+            if (grant.request, grant.index) in to.held:
+                continue  # told twice, because an answer was lost
+            request = None if is_late else to.take(grant, self.runtime.now())
+            if request is not None:
+                self.runtime.spawn(self._run_task, to, request, grant)
                 continue
-            request.waiting.remove(grant.index)
-            if not request.waiting:
-                del link.requests[request.number]
-            self.runtime.spawn(self._run_task, link, request, grant)
+            metric.count(metrics.GRANTS_LATE)
+            self._release(to, grant, lease.Outcome.UNUSED)
+            self._ask_again(to, grant)
+
+    def _ask_again(self, to, grant):
+        """Ask anew for a task whose grant can't be used, if it still waits."""
+        request = to.give_up(grant)
+        if request is not None and not request.running.is_closed:
+            self.reroute(request.running, request.service, (grant.index,))
 
-    def _release(self, link, grant, outcome, run_s=0.0):
-        link.releases.append(message.Release(grant.request, grant.index, outcome.value, run_s))
-        self._flush_soon(link)
+    def _release(self, to, grant, outcome, run_s=0.0):
+        to.release(grant, outcome, run_s)
+        self._flush_soon(to)
 
-    def _run_task(self, link, request, grant):
+    def _run_task(self, to, request, grant):
         """Send one task and record what came of it."""
         running = request.running
         try:
             running.mark_sent(grant.index)
         except job.JobError:
-            self._release(link, grant, lease.Outcome.UNUSED)
+            self._release(to, grant, lease.Outcome.UNUSED)
             return
         metric.count(metrics.TASKS_SENT)
         self.budget.sent()
         call = running.request.tasks[grant.index]
-        server = find_server(link.shard, grant.server)
         started = self.runtime.now()
         try:
             reply = self.gateway.run_task(
-                server,
+                find_server(to.shard, grant.server),
                 ports.BackendCall(running.request.job_id, grant.index, call.name, call.payload),
                 self._timeout_s(request, call, started),
             )
         except ports.NotStarted as error:
-            self._not_started(link, request, grant, error)
+            self._not_started(to, request, grant, error)
         except ports.TaskFailed as error:
             metric.count(metrics.TASKS_FAILED)
-            self._release(link, grant, lease.Outcome.FAILED)
+            self._release(to, grant, lease.Outcome.FAILED)
             running.fail(code.Code.TASK_FAILED, str(error), ran=answer.Ran.YES)
         except ports.MayHaveRun as error:
             metric.count(metrics.TASKS_LOST)
             event.log(events.SERVER_LOST, server=grant.server, reason=error)
-            self._release(link, grant, lease.Outcome.LOST)
+            self._release(to, grant, lease.Outcome.LOST)
             running.fail(code.Code.SERVER_LOST, f"no answer from {grant.server}: {error}")
         else:
             run_s = self.runtime.now() - started
-            self._learn(link, request, grant, run_s)
-            self._release(link, grant, lease.Outcome.DONE, run_s)
+            self._learn(to, request, grant, run_s)
+            self._release(to, grant, lease.Outcome.DONE, run_s)
             running.mark_finished(grant.index, reply.result)
 
-    def _learn(self, link, request, grant, run_s):
+    def _learn(self, to, request, grant, run_s):
         """Learn from a task of another instance's pool; an own pool learns by the release."""
-        owner = shard.owner_of(link.shard.key, link.shard.data_centre, self.membership.view)
-        if owner is not None and owner.peer == self.peers.own:
+        if to.owner == self.peers.own:
             return
         call = request.running.request.tasks[grant.index]
         declared_s = call.run_time_s or request.service.task(call.name).run_time_s
@@ -264,7 +294,7 @@
         declared = request.service.task(call.name).timeout_s
         return max(0.001, min(declared, request.running.deadline - now))
 
-    def _not_started(self, link, request, grant, error):
+    def _not_started(self, to, request, grant, error):
         """Put the task back and, within the budget, ask for another slot."""
         metric.count(metrics.TASKS_NOT_STARTED)
         running = request.running
@@ -272,7 +302,7 @@
         outcome = lease.Outcome.REFUSED if error.is_reached else lease.Outcome.UNREACHED
         if error.is_leaving:
             outcome = lease.Outcome.LEAVING
-        self._release(link, grant, outcome)
+        self._release(to, grant, outcome)
         if running.is_closed:
             return
         if not self.budget.take():
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -149,19 +149,90 @@
 @codec.message("dispatch.exchange_reply")
 @attrs.frozen
 class ExchangeReply:
-    """The owner's answer; ``ballot`` is None when it doesn't own the pool (yet)."""
+    """The owner's answer; ``ballot`` is None when it doesn't own the pool.
+
+    ``sent_at`` is the owner's clock, from which the holder tells how late a later message is.
+    """
 
     ballot: Ballot | None
     grants: tuple[Grant, ...] = ()
     report: PoolReport = PoolReport()
+    sent_at: float = 0.0
 
 
 @codec.message("dispatch.grants")
 @attrs.frozen
 class Grants:
-    """Slots that came free later."""
+    """Slots that came free later; ``sent_at`` is the owner's clock."""
 
     pool: str
     ballot: Ballot
     grants: tuple[Grant, ...]
     report: PoolReport = PoolReport()
+    sent_at: float = 0.0
+
+
+@codec.message("dispatch.recover")
+@attrs.frozen
+class Recover:
+    """A new owner asks for the slots that the receiver uses.
+
+    Who answers takes no more grants of an earlier ballot for this pool.
+    """
+
+    pool: str
+    ballot: Ballot
+
+
+@attrs.frozen
+class HeldSlot:
+    """A slot in use, as its holder reports it.
+
+    Attributes
+    ----------
+    request, index : int
+        What the grant was for.
+    server, task : str
+        Where it runs and what.
+    run_time_s : float
+        The declared run time.
+    elapsed_s : float
+        Since the grant.
+    deadline_left_s : float
+        To the job's deadline.
+    """
+
+    request: int
+    index: int
+    server: str
+    task: str
+    run_time_s: float
+    elapsed_s: float
+    deadline_left_s: float
+
+
+@codec.message("dispatch.recover_reply")
+@attrs.frozen
+class RecoverReply:
+    """Slots in use, or the newer ballot that the receiver already obeys."""
+
+    newer: Ballot | None
+    held: tuple[HeldSlot, ...] = ()
+
+
+@codec.message("dispatch.audit")
+@attrs.frozen
+class Audit:
+    """An owner asks whether old grants have arrived: ``(request, index)`` each."""
+
+    pool: str
+    ballot: Ballot
+    leases: tuple[tuple[int, int], ...]
+
+
+@codec.message("dispatch.audit_reply")
+@attrs.frozen
+class AuditReply:
+    """The grants that the holder does not have and will not use if they still come."""
+
+    missing: tuple[tuple[int, int], ...]
--- a/rosedyke/dispatch/metrics.py
+++ b/rosedyke/dispatch/metrics.py
@@ -25,3 +25,16 @@
 QUEUE_TASKS = metric.define(
     "dispatch.queue_tasks", "gauge", "Tasks that wait in the pools owned here."
 )
+PROBES = metric.define(
+    "dispatch.probes",
+    "counter",
+    "Questions to backend servers how many tasks run, after a loss; each is a wasted message.",
+)
+TAKEOVERS = metric.define(
+    "dispatch.takeovers", "counter", "Pools that this instance became the owner of."
+)
+SLOTS_ORPHANED = metric.define(
+    "dispatch.slots_orphaned",
+    "counter",
+    "Slots whose holder died or never got an answer; used again once the server shows them free.",
+)
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -1,14 +1,56 @@
 """The owner's side: grants slots of the pools that this instance owns."""
 
+import attrs
+
 from rosedyke.configuration import intent
 from rosedyke.configuration import ports as configuration_ports
-from rosedyke.dispatch import backlog, events, lease, message, metrics, pool, settings, shard
+from rosedyke.dispatch import (
+    backlog,
+    events,
+    lease,
+    message,
+    metrics,
+    orphans,
+    pool,
+    ports,
+    recovery,
+    settings,
+    shard,
+)
+from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
 from rosedyke.observe import event, metric
 from rosedyke.runtime import Runtime
 from rosedyke.wire import peer
 
 
+@attrs.define(eq=False)
+class Owned:
+    """A pool that this instance owns or takes over.
+
+    Attributes
+    ----------
+    shard : Shard
+        Its declaration.
+    pool : Pool
+        The aggregate.
+    recovery : Recovery
+        The take-over, also the source of the ballot.
+    audited_at : float
+        When holders were last asked for old grants.
+    """
+
+    shard: shard.Shard
+    pool: pool.Pool
+    recovery: recovery.Recovery
+    audited_at: float
+
+    @property
+    def ballot(self) -> message.Ballot:
+        """The ballot under which it grants."""
+        return self.recovery.ballot
+
+
 class PoolOwner:
     """Answers exchanges of holders and sends them slots as these come free.
 
@@ -24,10 +66,14 @@
         Who owns what.
     current : Current
         Services and servers.
+    gateway : BackendGateway
+        Asks servers with orphaned slots.
     speeds : callable
         ``speeds(service)`` returns the service's ``SpeedTable``.
     board : Board
         Carries reports of the own pools to the others.
+    shards : Catalogue
+        The pools of the configuration.
     """
 
     def __init__(
@@ -37,8 +83,10 @@
         peers: peer.Peers,
         membership: membership_ports.Membership,
         current: configuration_ports.Current,
+        gateway: ports.BackendGateway,
         speeds,
         board: backlog.Board,
+        shards: shard.Catalogue,
     ):
         self.options = options
         self.runtime = runtime
@@ -46,17 +94,20 @@
         self.membership = membership
         self.current = current
         self.speeds = speeds
-        self.pools: dict[str, pool.Pool] = {}
-        self.ballots: dict[str, message.Ballot] = {}
         self.board = board
-        self.shards = shard.Catalogue(current, options.shard_servers)
+        self.shards = shards
+        self.prober = orphans.Prober(options, runtime, gateway)
+        self.owned: dict[str, Owned] = {}
         self.advertised_at = 0.0
         self.is_running = False
         peers.handle(message.Exchange, self.on_exchange)
 
     def start(self) -> None:
-        """Begin to look after expired leases and waiting tasks."""
+        """Begin to follow the membership and to look after leases and waiting tasks."""
         self.is_running = True
+        self.membership.subscribe(self._on_view)
+        self.current.subscribe(lambda _: self.follow())
+        self.follow()
         self.runtime.spawn(self._tick)
 
     def stop(self) -> None:
@@ -66,72 +117,161 @@
     def on_exchange(self, sender: peer.Peer, told: message.Exchange) -> message.ExchangeReply:
         """Take in what a holder says and return what it gets at once."""
         metric.count(metrics.EXCHANGES)
-        owned = self._owned(told.pool)
-        if owned is None:
+        owned = self.owned.get(told.pool)
+        if owned is None or not self.is_owner(owned.shard):
             return message.ExchangeReply(None)
         now = self.runtime.now()
         for request in told.withdrawn:
-            owned.withdraw(sender, request)
+            owned.pool.withdraw(sender, request)
         for released in told.releases:
-            owned.release(sender, released, now)
+            owned.pool.release(sender, released, now)
+        again: list[lease.Lease] = []
         for asked in told.requests:
-            owned.add(sender, asked, now)
-        own_grants = self._assign(owned, sender)
-        return message.ExchangeReply(self.ballots[owned.key], own_grants, self.report_of(owned))
+            again.extend(owned.pool.add(sender, asked, now))
+        grants = tuple(grant_of(held) for held in again) + self._assign(owned, sender)
+        return message.ExchangeReply(owned.ballot, grants, self.report_of(owned), now)
 
-    def report_of(self, owned: pool.Pool) -> message.PoolReport:
+    def report_of(self, owned: Owned) -> message.PoolReport:
         """Return how busy a pool is now."""
-        return owned.report(self.runtime.now(), self.current.is_leaving)
-
-    def _owned(self, key):
-        """Return the pool if this instance owns it in the present view."""
-        found = self.shards.find(key)
-        if found is None:
-            return None
-        owner = shard.owner_of(key, found.data_centre, self.membership.view)
-        if owner is None or owner.peer != self.peers.own:
-            return None
-        if key not in self.pools:
-            speeds = self.speeds(found.service)
-            self.pools[key] = pool.Pool(key, found.servers, speeds, self.options)
-            own = self.peers.own
-            self.ballots[key] = message.Ballot(1, own.name, own.incarnation)
-        return self.pools[key]
-
-    def _assign(self, owned: pool.Pool, asker: peer.Peer | None) -> tuple[message.Grant, ...]:
-        """Grant what can be granted; send it to the holders, but return the asker's."""
+        return owned.pool.report(self.runtime.now(), self.current.is_leaving)
+
+    def is_owner(self, target: shard.Shard) -> bool:
+        """Return whether the present view makes this instance the pool's owner."""
+        owner = shard.owner_of(target.key, target.data_centre, self.membership.view)
+        return owner is not None and owner.peer == self.peers.own
+
+    def follow(self) -> None:
+        """Begin to own the pools that are this instance's now, and drop those that aren't."""
+        configuration = self.current.configuration
+        services = (
+            [s for team in configuration.teams for s in team.services] if configuration else []
+        )
+        declared = {
+            one.key: one
+            for service in services
+            for one in self.shards.of(service)
+            if one.data_centre == self.peers.own.data_centre and self.is_owner(one)
+        }
+        for key in [key for key in self.owned if key not in declared]:
+            del self.owned[key]
         now = self.runtime.now()
+        for key, target in declared.items():
+            if key not in self.owned:
+                self._take_over(target)
+            self.owned[key].shard = target
+            self.owned[key].pool.declare(target.servers, self.shards.limit(target), now)
+
+    def _take_over(self, target):
+        taken = pool.Pool(target.key, self.speeds(target.service), self.options)
+        owned = Owned(
+            target,
+            taken,
+            recovery.Recovery(self.options, self.runtime, self.peers, self.membership, taken),
+            self.runtime.now(),
+        )
+        self.owned[target.key] = owned
+        self.runtime.spawn(self._recover, owned)
+
+    def _recover(self, owned):
+        if owned.recovery.run(lambda: self._is_current(owned)):
+            metric.count(metrics.TAKEOVERS)
+            event.log(events.POOL_TAKEN_OVER, pool=owned.shard.key, term=owned.ballot.term)
+            self._use_freed(owned)
+
+    def _is_current(self, owned):
+        return self.is_running and self.owned.get(owned.shard.key) is owned
+
+    def _on_view(self, old: member.View, new: member.View):
+        self.follow()
+        alive = {
+            (m.name, m.peer.incarnation) for m in new.members if m.state is not member.State.DEAD
+        }
+        gone = {(m.name, m.peer.incarnation) for m in old.members} - alive
+        for name, incarnation in gone:
+            for owned in self.owned.values():
+                ended = owned.pool.lose(name, incarnation, self.runtime.now())
+                self._log_orphans(owned, ended)
+
+    def _assign(self, owned: Owned, asker: peer.Peer | None) -> tuple[message.Grant, ...]:
+        """Grant what can be granted; send it to the holders, but return the asker's."""
         by_holder: dict[peer.Peer, list[message.Grant]] = {}
-        for held in owned.assign(now, self.current.is_leaving):
-            grant = message.Grant(held.request, held.index, held.server)
-            by_holder.setdefault(held.holder, []).append(grant)
+        for held in owned.pool.assign(self.runtime.now(), self.current.is_leaving):
+            by_holder.setdefault(held.holder, []).append(grant_of(held))
         own_grants = tuple(by_holder.pop(asker, ()))
         for holder, grants in by_holder.items():
             self._send(owned, holder, tuple(grants))
         return own_grants
 
     def _send(self, owned, holder, grants):
-        told = message.Grants(owned.key, self.ballots[owned.key], grants, self.report_of(owned))
+        now = self.runtime.now()
+        told = message.Grants(owned.shard.key, owned.ballot, grants, self.report_of(owned), now)
+        # A message that is lost here or on the way is found by the audit of old leases.
         try:
-            self.peers.send(holder, told)
-        except peer.PeerError:
-            # Not sent, so the slots are free again; the holder's tasks wait as before.
-            for grant in grants:
-                unused = message.Release(grant.request, grant.index, lease.Outcome.UNUSED.value)
-                owned.release(holder, unused, self.runtime.now())
+            if holder == self.peers.own:
+                self.peers.request(holder, told, self.options.request_timeout_s)
+            else:
+                self.peers.send(holder, told)
+        except peer.PeerError as error:
+            event.log(events.GRANTS_NOT_SENT, holder=holder.name, reason=error.code)
+
+    def _use_freed(self, owned):
+        """Grant slots that came free without a message from a holder."""
+        if self._is_current(owned):
+            self.prober.look_after(owned.pool, lambda _: self._use_freed(owned))
+            self._assign(owned, None)
 
     def _tick(self):
         while self.is_running:
             self.runtime.sleep(self.options.tick_s)
             now = self.runtime.now()
-            for owned in list(self.pools.values()):
-                for held in owned.expire(now):
-                    event.log(events.LEASE_EXPIRED, server=held.server, holder=held.holder.name)
-                self._assign(owned, None)
-            if now >= self.advertised_at + self.options.advertise_s:
-                self.advertised_at = now
-                reports = {key: self.report_of(owned) for key, owned in self.pools.items()}
-                self.board.advertise(reports)
+            for owned in list(self.owned.values()):
+                if owned.pool.is_granting:
+                    self._log_orphans(owned, owned.pool.expire(now))
+                    self._use_freed(owned)
+                    self._audit(owned, now)
+            self._advertise(now)
+
+    def _advertise(self, now):
+        if now < self.advertised_at + self.options.advertise_s:
+            return
+        self.advertised_at = now
+        granting = {key: owned for key, owned in self.owned.items() if owned.pool.is_granting}
+        self.board.advertise({key: self.report_of(owned) for key, owned in granting.items()})
+        metric.gauge(
+            metrics.QUEUE_TASKS, sum(owned.pool.waiting.tasks for owned in self.owned.values())
+        )
+
+    def _audit(self, owned, now):
+        """Ask holders whether grants have arrived that should have been released by now."""
+        if now < owned.audited_at + self.options.audit_s:
+            return
+        owned.audited_at = now
+        by_holder: dict[peer.Peer, list[tuple[int, int]]] = {}
+        for held in owned.pool.leases.values():
+            if now - held.granted_at > max(self.options.audit_s, 3 * held.expected_s):
+                by_holder.setdefault(held.holder, []).append((held.request, held.index))
+        for holder, leases in by_holder.items():
+            self.runtime.spawn(self._audit_holder, owned, holder, tuple(leases))
+
+    def _audit_holder(self, owned, holder, leases):
+        told = message.Audit(owned.shard.key, owned.ballot, leases)
+        try:
+            reply = self.peers.request(holder, told, self.options.request_timeout_s)
+        except peer.PeerError:
+            return  # asked again at the next audit; a dead holder shows in the membership
+        for request, index in reply.missing:
+            unused = message.Release(request, index, lease.Outcome.UNUSED.value)
+            owned.pool.release(holder, unused, self.runtime.now())
+
+    def _log_orphans(self, owned, ended):
+        if ended:
+            metric.count(metrics.SLOTS_ORPHANED, len(ended))
+            event.log(events.SLOTS_ORPHANED, pool=owned.shard.key, slots=len(ended))
+
+
+def grant_of(held: lease.Lease) -> message.Grant:
+    """Return a lease as its holder is told of it."""
+    return message.Grant(held.request, held.index, held.server)
 
 
 def fits_somewhere(service: intent.Service, size: intent.Size) -> bool:
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -3,14 +3,24 @@
 The aggregate's rules:
 
 - a server never has more leases and orphaned slots than slots;
-- a lease ends when its holder releases it, or past its job's deadline, and never by guess;
+- a lease ends when its holder releases it.  When the holder can't any more, the slot is orphaned,
+  and free again only once the server itself shows that nothing unknown runs there;
 - a task of a request is granted once at most.
 """
 
 import attrs
 
 from rosedyke.configuration import intent
-from rosedyke.dispatch import ejection, events, lease, message, placement, queue, settings, speed
+from rosedyke.dispatch import (
+    ejection,
+    events,
+    lease,
+    message,
+    placement,
+    queue,
+    settings,
+    speed,
+)
 from rosedyke.observe import event
 from rosedyke.wire import peer
 
@@ -25,21 +35,60 @@
         What the operators said.
     leases : dict of Key to Lease
         Granted slots.
+    orphans : int
+        Slots that may be in use by tasks that no lease tells of.
+    orphaned_at : float
+        When the newest of them was orphaned.
+    health : Health
+        Its failures.
     is_leaving : bool
         The server itself said that it takes no new work.
+    is_removed : bool
+        It is no longer declared and waits for its last lease to end.
+    is_held : bool
+        It is being asked how many tasks run and gets no other meanwhile.
     """
 
     declared: intent.BackendServer
     leases: dict[lease.Key, lease.Lease] = attrs.Factory(dict)
+    orphans: int = 0
+    orphaned_at: float = 0.0
     health: ejection.Health = attrs.Factory(ejection.Health)
     is_leaving: bool = False
+    is_removed: bool = False
+    is_held: bool = False
 
     def free(self) -> int:
         """Return how many slots may be granted."""
+        if self.is_held:
+            return 0
         usable = self.declared.slots
         if self.health.allowance is not None:
             usable = min(usable, self.health.allowance)
-        return usable - len(self.leases)
+        return usable - len(self.leases) - self.orphans
+
+    def orphan(self, count: int, now: float) -> None:
+        """Count slots as in use by something unknown."""
+        self.orphans += count
+        self.orphaned_at = now
+
+    def settle(self, running: int, known: set[lease.Key], asked_at: float) -> None:
+        """Take in how many tasks the server itself said were running.
+
+        Parameters
+        ----------
+        running : int
+            What it said.
+        known : set of Key
+            Leases that were surely in use when it was asked.  Those that still are account for
+            as many of the running tasks; at most the rest is unknown.
+        asked_at : float
+            A task that was on its way at that time had reached the server when it answered;
+            an answer from before the newest orphan says nothing about it.
+        """
+        if asked_at >= self.orphaned_at:
+            unknown = max(0, running - len(known & self.leases.keys()))
+            self.orphans = min(self.orphans, unknown)
 
 
 class Pool:
@@ -49,32 +98,59 @@
     ----------
     key : str
         The pool's name.
-    declared : tuple of BackendServer
-        Its servers.
     speeds : SpeedTable
         The service's learned run times.
     options : DispatchSettings
         How to queue and place.
     """
 
-    def __init__(
-        self,
-        key: str,
-        declared: tuple[intent.BackendServer, ...],
-        speeds: speed.SpeedTable,
-        options: settings.DispatchSettings,
-    ):
+    def __init__(self, key: str, speeds: speed.SpeedTable, options: settings.DispatchSettings):
         self.key = key
         self.speeds = speeds
         self.options = options
-        self.servers = {server.name: Server(server) for server in declared}
+        self.servers: dict[str, Server] = {}
         self.leases: dict[lease.Key, lease.Lease] = {}
-        slots = sum(server.slots for server in declared)
-        self.waiting = queue.RequestQueue(slots, options.aging)
+        self.released_early: set[lease.Key] = set()
+        self.newest_request: dict[tuple[str, int], int] = {}
+        self.limit: int | None = None
+        self.is_granting = False
+        self.waiting = queue.RequestQueue(1, options.aging)
 
-    def add(self, holder: peer.Peer, asked: message.SlotRequest, now: float) -> None:
-        """Take in a request for slots."""
+    def declare(
+        self, servers: tuple[intent.BackendServer, ...], limit: int | None, now: float
+    ) -> None:
+        """Take in the servers and the concurrency limit of a new configuration.
+
+        A server that is new here may still run tasks of an owner that went: each of its slots
+        is orphaned until the server has said what runs.
+        """
+        self.limit = limit
+        names = {server.name for server in servers}
+        for declared in servers:
+            server = self.servers.get(declared.name)
+            if server is None:
+                server = self.servers[declared.name] = Server(declared)
+                server.orphan(declared.slots, now - self.options.settle_s)
+            server.declared = declared
+            server.is_removed = False
+        for name, server in list(self.servers.items()):
+            server.is_removed = name not in names
+            if server.is_removed and not server.leases:
+                del self.servers[name]
+        self.waiting.slots = max(1, sum(server.slots for server in servers))
+
+    def add(self, holder: peer.Peer, asked: message.SlotRequest, now: float) -> list[lease.Lease]:
+        """Take in a request, or return what was granted for it when it is asked again."""
+        sender = (holder.name, holder.incarnation)
+        if asked.number <= self.newest_request.get(sender, 0):
+            return [
+                held
+                for held in self.leases.values()
+                if held.holder == holder and held.request == asked.number
+            ]
+        self.newest_request[sender] = asked.number
         self.waiting.add(queue.waiting(holder, asked, self.speeds, now))
+        return []
 
     def withdraw(self, holder: peer.Peer, request: int) -> None:
         """Forget what still waits of a request."""
@@ -85,26 +161,72 @@
         key = lease.Key(holder.name, holder.incarnation, released.request, released.index)
         held = self.leases.get(key)
         if held is None:
+            if not self.is_granting:
+                self.released_early.add(key)
             return
         outcome = lease.Outcome(released.outcome)
-        server = self.servers.get(held.server)
-        if server is not None:
-            self._judge(server, outcome, now)
+        server = self.servers[held.server]
+        self._judge(server, outcome, now)
         if outcome is lease.Outcome.DONE:
             self.speeds.learn(held.task, held.server, held.run_time_s, released.run_s)
-        # After LOST the server may still run the task: the slot stays taken until the deadline.
-        if outcome is not lease.Outcome.LOST:
-            self._end(held)
+        self._end(held)
+        if outcome is lease.Outcome.LOST:
+            server.orphan(1, now)
 
     def expire(self, now: float) -> list[lease.Lease]:
-        """End leases and requests whose job is over, and return the leases."""
+        """Orphan slots whose job is over by far, and return their leases."""
         margin = self.options.lease_margin_s
         ended = [held for held in self.leases.values() if held.deadline + margin <= now]
-        for held in ended:
-            self._end(held)
+        self._orphan(ended, now)
         self.waiting.expire(now)
         return ended
 
+    def lose(self, name: str, incarnation: int, now: float) -> list[lease.Lease]:
+        """Forget a dead holder's requests and orphan its slots; return their leases."""
+        for item in [
+            item
+            for item in self.waiting
+            if (item.holder.name, item.holder.incarnation) == (name, incarnation)
+        ]:
+            self.waiting.remove(item.key)
+        ended = [
+            held
+            for held in self.leases.values()
+            if (held.holder.name, held.holder.incarnation) == (name, incarnation)
+        ]
+        self._orphan(ended, now)
+        self.newest_request.pop((name, incarnation), None)
+        return ended
+
+    def restore(self, holder: peer.Peer, slots: tuple[message.HeldSlot, ...], now: float) -> None:
+        """Take in the slots that a holder uses by grants of an earlier owner."""
+        for slot in slots:
+            server = self.servers.get(slot.server)
+            if server is None:
+                continue
+            expected_s = self.speeds.expected_s(slot.task, slot.server, slot.run_time_s)
+            held = lease.Lease(
+                slot.server,
+                holder,
+                slot.request,
+                slot.index,
+                slot.task,
+                slot.run_time_s,
+                now - slot.elapsed_s,
+                expected_s,
+                now + slot.deadline_left_s,
+            )
+            if held.key in self.released_early or held.key in self.leases:
+                continue
+            self._begin(server, held)
+            # Until the server was asked, each slot without a lease counts as in use.
+            server.orphans = max(0, server.orphans - 1)
+
+    def begin_granting(self) -> None:
+        """Trust the leases: every member has told its own, or is dead."""
+        self.is_granting = True
+        self.released_early.clear()
+
     def assign(self, now: float, is_leaving) -> list[lease.Lease]:
         """Grant free slots to waiting tasks and return the new leases.
 
@@ -116,7 +238,7 @@
             ``is_leaving(name)`` tells whether the platform lists a server as leaving.
         """
         granted: list[lease.Lease] = []
-        if not self.waiting:
+        if not self.waiting or not self.is_granting:
             return granted
         usable = self._usable(now, is_leaving)
         free = [server for server in usable if server.free() > 0]
@@ -126,7 +248,7 @@
         free.sort(key=lambda server: self.speeds.slowness(server.declared.name))
         for server in free:
             name = server.declared.name
-            while server.free() > 0 and self.waiting:
+            while server.free() > 0 and self.waiting and self._within_limit():
                 choice = placement.choose(self.waiting, name, server.declared.size, horizon)
                 if choice is None:
                     break
@@ -151,6 +273,11 @@
                 free.append((slowness, server.free()))
             running_s += sum(h.remaining_s(now) / slowness for h in server.leases.values())
         free.sort()
+        if self.limit is not None and slots > self.limit:
+            rate *= self.limit / slots
+            slots = self.limit
+            if len(self.leases) >= self.limit:
+                free.clear()
         return message.PoolReport(tuple(free), self.waiting.work_s, running_s, rate, slots)
 
     def _usable(self, now, is_leaving):
@@ -158,9 +285,20 @@
         return [
             server
             for name, server in self.servers.items()
-            if not (server.is_leaving or server.health.is_held(now) or is_leaving(name))
+            if not (
+                server.is_leaving
+                or server.is_removed
+                or server.health.is_held(now)
+                or is_leaving(name)
+            )
         ]
 
+    def _within_limit(self):
+        if self.limit is None:
+            return True
+        orphans = sum(server.orphans for server in self.servers.values())
+        return len(self.leases) + orphans < self.limit
+
     def _judge(self, server, outcome, now):
         """Let a server's health follow from what became of a task there."""
         if outcome is lease.Outcome.DONE:
@@ -195,12 +333,18 @@
             choice.expected_s,
             choice.item.deadline,
         )
+        self._begin(server, held)
+        return held
+
+    def _begin(self, server, held):
         self.leases[held.key] = held
         server.leases[held.key] = held
-        return held
 
     def _end(self, held):
         del self.leases[held.key]
-        server = self.servers.get(held.server)
-        if server is not None:
-            server.leases.pop(held.key, None)
+        self.servers[held.server].leases.pop(held.key, None)
+
+    def _orphan(self, ended, now):
+        for held in ended:
+            self._end(held)
+            self.servers[held.server].orphan(1, now)
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -40,8 +40,21 @@
         What running in another data centre is taken to cost.
     advertise_s : float
         How often an owner renews the reports that the membership carries.
-    pause_s : float
-        A stop of the own process for longer than this makes grants from before it worthless.
+    late_s : float
+        A grant that took longer from its owner is not used.
+    settle_s : float
+        How long after a holder is lost nothing of it can still start; more than ``late_s``.
+    started_s : float
+        How long after a grant its task has reached the server.
+    recover_retry_s : float
+        How often a new owner asks a member again that did not answer.
+    probe_timeout_s : float
+        How long a server may take to say how many tasks run.
+    probe_s, probe_limit_s : float
+        How often a server with slots of unknown use is asked, doubled up to the limit.
+    audit_s : float
+        Age of a lease, and three times its expected run time, after which its holder is asked
+        whether the grant has arrived.
     """
 
     shard_servers: int = 64
@@ -61,4 +74,11 @@
     avoid_s: float = 2.0
     trip_s: float = 0.004
     advertise_s: float = 0.1
-    pause_s: float = 1.0
+    late_s: float = 0.4
+    settle_s: float = 0.5
+    started_s: float = 0.1
+    recover_retry_s: float = 0.1
+    probe_timeout_s: float = 0.5
+    probe_s: float = 0.05
+    probe_limit_s: float = 2.0
+    audit_s: float = 2.0
--- a/rosedyke/dispatch/shard.py
+++ b/rosedyke/dispatch/shard.py
@@ -33,6 +33,11 @@
     data_centre: str
     servers: tuple[intent.BackendServer, ...]
 
+    @property
+    def slots(self) -> int:
+        """Slots of all its servers."""
+        return sum(server.slots for server in self.servers)
+
 
 def shards_of(service: intent.Service, shard_servers: int) -> tuple[Shard, ...]:
     """Return a service's pools over all data centres, in order of their keys."""
@@ -53,6 +58,17 @@
     return tuple(shards)
 
 
+def share_of(target: Shard, total: int, pools: tuple[Shard, ...]) -> int:
+    """Return a pool's whole share of a limit; the shares of all pools add up to it."""
+    slots = sum(one.slots for one in pools)
+    shares = {one.key: total * one.slots // slots for one in pools}
+    left = total - sum(shares.values())
+    by_remainder = sorted(pools, key=lambda one: (-(total * one.slots % slots), one.key))
+    for one in by_remainder[:left]:
+        shares[one.key] += 1
+    return shares[target.key]
+
+
 class Catalogue:
     """The pools of the configuration in force, worked out once for each generation.
 
@@ -81,6 +97,23 @@
             found = self.by_service[service.name] = shards_of(service, self.shard_servers)
         return found
 
+    def limit(self, target: Shard) -> int | None:
+        """Return how many tasks a pool may run at one time, None for as many as its slots.
+
+        A limit over several pools is split by their slots once for each generation.  So it is
+        held exactly without any message; what one pool leaves unused, another can't use.
+        """
+        configuration = self.current.configuration
+        service = configuration.service(target.service)
+        team = configuration.team(service.team)
+        limits = []
+        if service.limits.concurrency:
+            limits.append(share_of(target, service.limits.concurrency, self.of(service)))
+        if team is not None and team.quota:
+            pools = tuple(one for every in team.services for one in self.of(every))
+            limits.append(share_of(target, team.quota, pools))
+        return min(limits) if limits else None
+
     def find(self, key: str) -> Shard | None:
         """Return the pool of that key."""
         configuration = self.current.configuration
--- /dev/null
+++ b/rosedyke/dispatch/takeover_test.py
@@ -0,0 +1,216 @@
+"""Slots stay within every server's limit while owners and holders come, go and stall."""
+
+import random
+import unittest
+
+import attrs
+
+from rosedyke.dispatch import message, shard
+from rosedyke.job import answer, code
+from rosedyke.membership import member, rendezvous
+from rosedyke.standins import fleet
+
+POOL = "scale/dc1/0"
+
+
+def owner_name(world):
+    view = next(iter(world.nodes.values())).membership.view
+    return shard.owner_of(POOL, "dc1", view).name
+
+
+def busy_world(instances=("a", "b", "c"), seed=0, shuffle=False, run_time_s=None):
+    world = fleet.Fleet(
+        fleet.make_service({"s1": 2, "s2": 3}),
+        {name: "dc1" for name in instances},
+        run_time_s or (lambda server, call: 0.05 + 0.3 * random.Random(f"{call}").random()),
+        seed=seed,
+        shuffle=shuffle,
+    )
+    jobs = [world.submit(name, fleet.make_request(f"j-{name}", 40)) for name in instances]
+    world.runtime.run(0.5)
+    return world, jobs
+
+
+class Rules(unittest.TestCase):
+    def check(self, world, jobs=()):
+        self.assertEqual(world.gateway.excess, 0)
+        self.assertLessEqual(set(world.gateway.starts.values()), {1})
+        for running in jobs:
+            self.assertEqual(running.answer.code, code.Code.COMPLETE)
+
+
+class OwnerDies(Rules):
+    def test_jobs_of_the_others_end_whole_and_no_slot_is_used_twice(self):
+        # The owner is killed while its own tasks and those of others run.  Nobody knows any more
+        # what it had running.  The new owner asks the others and then the servers; callers of
+        # the others see only a short wait.
+        world, jobs = busy_world()
+        dead = owner_name(world)
+        world.kill(dead)
+        world.runtime.run(20)
+        self.check(world, [one for one in jobs if one.request.job_id != f"j-{dead}"])
+
+    def test_slots_of_the_dead_are_used_again_as_soon_as_their_tasks_end(self):
+        world, jobs = busy_world(run_time_s=lambda server, call: 1.0)
+        dead = owner_name(world)
+        world.kill(dead)
+        world.runtime.run(3.5)
+        # 5 slots, 1 s a task: by 3.5 s at least the second and third round have all 5 in use.
+        self.assertGreaterEqual(len([t for t, *_ in world.gateway.started if t > 1.0]), 10)
+        self.check(world)
+
+
+class HolderDies(Rules):
+    def test_its_slots_are_not_reused_before_its_tasks_end(self):
+        # A holder dies; its tasks go on at the servers.  The owner must not take its slots for
+        # free, or the servers would get one task too many.
+        world, jobs = busy_world(run_time_s=lambda server, call: 2.0)
+        owner = owner_name(world)
+        dead = next(name for name in world.nodes if name != owner)
+        world.kill(dead)
+        world.runtime.run(40)
+        self.check(world)
+        self.assertEqual(max(s.most_running for s in world.gateway.servers.values()), 3)
+
+
+class OwnerChangesByJoin(Rules):
+    def test_joining_instance_takes_the_pool_over_from_a_living_owner(self):
+        # The newcomer ranks first.  The old owner's grants may still be on their way when the
+        # holders already obey the new one.
+        for seed in range(8):
+            world, jobs = busy_world(("a", "b"), seed=seed, shuffle=True)
+            before = owner_name(world)
+            joined = next(
+                name
+                for name in (f"n{number}" for number in range(100))
+                if fleet_rank_first(name, world)
+            )
+            world.add(joined, "dc1")
+            self.assertNotEqual(owner_name(world), before)
+            world.runtime.run(20)
+            self.check(world, jobs)
+
+    def test_views_that_differ_for_a_while(self):
+        # One instance hears of the newcomer 300 ms after the others and goes on asking the old
+        # owner, which has given the pool up.
+        for seed in range(4):
+            world, jobs = busy_world(("a", "b", "c"), seed=seed, shuffle=True)
+            lagging = next(name for name in world.nodes if name != owner_name(world))
+            stale = world.nodes[lagging].membership.view
+            joined = next(f"n{n}" for n in range(100) if fleet_rank_first(f"n{n}", world))
+            world.add(joined, "dc1")
+            world.nodes[lagging].membership.change(stale)
+            world.runtime.run(0.8)
+            world.show()
+            world.runtime.run(20)
+            self.check(world, jobs)
+
+
+def fleet_rank_first(name, world):
+    return rendezvous.rank(POOL, [*world.nodes, name])[0] == name
+
+
+class TwoOwners(Rules):
+    def test_two_that_both_believe_to_be_the_owner(self):
+        # Views disagree for two seconds: half the instances take "a" for the owner, half "b".
+        # Both ask everyone for the slots in use.  Ballots let only one of them grant at a time.
+        for seed in range(6):
+            world, jobs = busy_world(("a", "b", "c", "d"), seed=seed, shuffle=True)
+            for names, without in ((("a", "c"), "b"), (("b", "d"), "a")):
+                for name in names:
+                    node = world.nodes[name]
+                    node.membership.change(
+                        member.View(
+                            tuple(
+                                (
+                                    attrs.evolve(one, state=member.State.LEAVING)
+                                    if one.name in (without, "c", "d")
+                                    else one
+                                )
+                                for one in node.membership.view.members
+                            )
+                        )
+                    )
+            world.runtime.run(2.5)
+            world.show()
+            world.runtime.run(25)
+            self.check(world, jobs)
+
+
+class LostMessages(Rules):
+    def test_grants_that_never_arrive_are_taken_back_and_given_again(self):
+        # Every second message of slots vanishes.  The holder would wait and the slot stay taken
+        # until the job's deadline; the owner's audit finds both.
+        world = fleet.Fleet(fleet.make_service({"s1": 4}), {"a": "dc1", "b": "dc1"})
+        sent = []
+
+        def delay_s(source, target, told):
+            if isinstance(told, message.Grants):
+                sent.append(told)
+                return None if len(sent) % 2 == 1 else 0.0005
+            return 0.0005
+
+        world.network.delay_s = delay_s
+        jobs = [world.submit(name, fleet.make_request(f"j-{name}", 100)) for name in "ab"]
+        world.runtime.run(29)
+        self.assertGreater(len(sent), 2)  # so two were lost at least
+        self.check(world, jobs)
+
+    def test_lost_replies_grant_nothing_twice(self):
+        for seed in range(4):
+            world = fleet.Fleet(
+                fleet.make_service({"s1": 2, "s2": 2}), {"a": "dc1", "b": "dc1"}, seed=seed
+            )
+            source_of_loss = random.Random(seed)
+
+            def delay_s(source, target, told, source_of_loss=source_of_loss):
+                lost = source_of_loss.random() < 0.2
+                return None if lost else 0.0005 + 0.01 * source_of_loss.random()
+
+            world.network.delay_s = delay_s
+            jobs = [world.submit(name, fleet.make_request(f"j-{name}", 10)) for name in "ab"]
+            world.runtime.run(29.9)
+            self.check(world, jobs)
+
+    def test_grant_that_was_long_on_its_way_is_not_used(self):
+        # A grant waits two seconds in a stalled network.  Its slot may be another's by then.
+        world = fleet.Fleet(fleet.make_service({"s1": 1}), {"a": "dc1", "b": "dc1"})
+        owner = owner_name(world)
+        other = "b" if owner == "a" else "a"
+        late = []
+
+        def delay_s(source, target, told):
+            if isinstance(told, message.Grants) and len(late) == 0:
+                late.append(world.runtime.now())
+                return 1.9
+            return 0.0005
+
+        first = world.submit(owner, fleet.make_request("first", 1))
+        world.runtime.run(0.05)
+        world.network.delay_s = delay_s
+        second = world.submit(other, fleet.make_request("second", 1))
+        world.runtime.run(10)
+        self.assertEqual(len(late), 1)
+        self.check(world, [first, second])
+        started = [t for t, _, name, _ in world.gateway.started if name == "second"]
+        self.assertGreater(started[0], late[0] + 1.9)
+
+
+class LostTask(Rules):
+    def test_slot_of_a_task_without_answer_waits_for_the_server(self):
+        # The job's timeout passes while its task runs on.  The slot must stay taken until the
+        # server shows that the task ended, and come free soon after.
+        world = fleet.Fleet(
+            fleet.make_service({"s1": 1}),
+            {"a": "dc1"},
+            lambda server, call: 3.0 if call.job_id == "slow" else 0.1,
+        )
+        slow = world.submit("a", fleet.make_request("slow", 1, timeout_s=1.0))
+        world.runtime.run(1.1)
+        after = world.submit("a", fleet.make_request("after", 1))
+        world.runtime.run(20)
+        self.assertEqual(slow.answer.ran, answer.Ran.UNKNOWN)
+        self.check(world, [after])
+        started = [t for t, _, name, _ in world.gateway.started if name == "after"]
+        self.assertGreater(started[0], 3.0)
+        self.assertLess(started[0], 6.0)
