--- a/rosedyke/configuration/check.py
+++ b/rosedyke/configuration/check.py
@@ -51,16 +51,7 @@
     found = []
 
     def warn(path: str, code: str, text: str) -> None:
-        found.append(
-            diagnostic.Diagnostic(
-                parsed.path,
-                parsed.line(path),
-                path,
-                code,
-                text,
-                diagnostic.Severity.WARNING,
-            )
-        )
+        found.append(diagnostic.Diagnostic(parsed.path, parsed.line(path), path, code, text))
 
     for index, service in enumerate(parsed.team.services):
         path = f"services[{index}]"
--- a/rosedyke/configuration/file.py
+++ b/rosedyke/configuration/file.py
@@ -120,6 +120,12 @@
         self.definitions: list[Definition] = []
         # A line that could not be read may hold what seems to be missing.
         self.tells_missing = not read.diagnostics
+        self.is_incomplete = bool(read.diagnostics)
+
+    @property
+    def is_faulty(self) -> bool:
+        """Whether records can't be made any more."""
+        return self.is_incomplete or bool(self.diagnostics)
 
     def fault(self, path: str, code: str, text: str) -> None:
         line = position.nearest(self.lines, path)
@@ -137,7 +143,7 @@
         )
         if "team" in found:
             self.define("team", found["team"], "team")
-        if self.diagnostics or "team" not in found:
+        if self.is_faulty or "team" not in found:
             return None
         return intent.Team(found["team"], found["quota"], services)
 
@@ -157,7 +163,7 @@
             for place, table in self.children("services.servers", f"{path}.servers", values)
             for server in self.servers(place, table)
         )
-        if self.diagnostics:
+        if self.is_faulty:
             return None
         return intent.Service(
             name, team, tasks, servers, intent.Limits(**limits), intent.Objective(**objective)
@@ -167,7 +173,7 @@
         found = self.table("services.tasks", path, values)
         if "name" in found:
             self.define("task", found["name"], f"{path}.name", scope)
-        if self.diagnostics:
+        if self.is_faulty:
             return None
         return intent.TaskType(found["name"], found["run_time_s"], _size(found), found["timeout_s"])
 
@@ -200,7 +206,7 @@
             self.define("server", name, f"{path}.name")
         if address:
             self.define("address", address, f"{path}.address")
-        if self.diagnostics:
+        if self.is_faulty:
             return None
         return intent.BackendServer(
             name,
