--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -90,6 +90,7 @@
         self.order = itertools.count()
         self.timers: list[tuple[float, int, greenlet.greenlet, int]] = []
         self.queue: list[greenlet.greenlet] = []
+        self.queued: set[greenlet.greenlet] = set()
         self.epochs: dict[greenlet.greenlet, int] = {}
         self.cancelled: set[greenlet.greenlet] = set()
         self.errors: list[BaseException] = []
@@ -140,7 +141,8 @@
         """Let a task run at the present time."""
         # A task that was woken twice must not run twice: the second wake would end a later wait.
         self.epochs[waiter] = self.epochs.get(waiter, 0) + 1
-        if waiter not in self.queue:
+        if waiter not in self.queued:
+            self.queued.add(waiter)
             self.queue.append(waiter)
 
     def switch_out(self) -> None:
@@ -162,8 +164,8 @@
                 return True
             self.time = max(self.time, due)
             self.ready(waiter)
-        index = self.generator.randrange(len(self.queue)) if self.shuffle else 0
-        chosen = self.queue.pop(index)
+        chosen = self.queue.pop(self.choose(len(self.queue)))
+        self.queued.discard(chosen)
         # A greenlet returns to its parent, by default the task that spawned it; it must be this
         # loop, or the spawner would be woken in the middle of an unrelated wait.
         chosen.parent = self.hub
@@ -174,6 +176,10 @@
             chosen.switch()
         return True
 
+    def choose(self, count: int) -> int:
+        """Return which of the ready tasks runs next."""
+        return self.generator.randrange(count) if self.shuffle else 0
+
     def run(self, until_s: float) -> None:
         """Run until the virtual time ``until_s``; raise the first error of any task."""
         while self.queue or (self.timers and self.timers[0][0] <= until_s):
@@ -227,6 +233,15 @@
     log: list[tuple[float, str, str, Any]] = attrs.Factory(list)
     nodes: dict[str, "VirtualPeers"] = attrs.Factory(dict)
 
+    def find(self, target: peer.Peer) -> "VirtualPeers | None":
+        """Return the node that a message to ``target`` arrives at."""
+        if not peer.is_anyone(target):
+            return self.nodes.get(target.name)
+        for node in self.nodes.values():
+            if node.own.address == target.address:
+                return node
+        return None
+
     def partition(self, left, right) -> None:
         """Cut both directions between two groups of names."""
         for a in left:
@@ -270,6 +285,14 @@
         """Stop sending and receiving for ever."""
         self.is_down = True
 
+    def new_incarnation(self, after: int = 0) -> peer.Peer:
+        """Begin a new life at the same address."""
+        self.own = attrs.evolve(self.own, incarnation=max(self.own.incarnation, after) + 1)
+        return self.own
+
+    def forget(self, target: peer.Peer) -> None:
+        """Do nothing: there are no connections."""
+
     def send(self, target: peer.Peer, message: Any) -> None:
         """Send a message that needs no reply."""
         self._post(target, message, lambda reply: None)
@@ -290,13 +313,15 @@
         if self.is_down:
             return
         source = self.own
+        node = self.network.find(target)
+        if node is None:
+            return
         copy = codec.decode(codec.name_of(message), codec.encode(message))
 
         def receive():
-            node = self.network.nodes.get(target.name)
-            if node is None or node.is_down:
+            if node.is_down:
                 return
-            if node.own.incarnation != target.incarnation:
+            if not peer.is_anyone(target) and node.own.incarnation != target.incarnation:
                 reply = peer.PeerGone(target.name)
             else:
                 reply = node.handlers[type(copy)](source, copy)
@@ -305,7 +330,7 @@
                     node.own, source, reply, lambda: self._replied(on_reply, reply)
                 )
 
-        self.network.deliver(source, target, message, receive)
+        self.network.deliver(source, node.own, message, receive)
 
     def _replied(self, on_reply, reply):
         if not self.is_down:
--- a/rosedyke/wire/peer.py
+++ b/rosedyke/wire/peer.py
@@ -35,6 +35,24 @@
     code = "peer_refused"
 
 
+class PeerOutdated(PeerRefused):
+    """The peer knows a newer incarnation of this instance; the message was not acted on.
+
+    Happens when the clock of a replaced machine is behind: its incarnation is too low.
+
+    Attributes
+    ----------
+    newest : int
+        The incarnation that the peer knows.
+    """
+
+    code = "peer_outdated"
+
+    def __init__(self, detail: str, newest: int):
+        super().__init__(detail)
+        self.newest = newest
+
+
 class PeerGone(PeerError):
     """The peer's incarnation is not the one addressed; the message was not acted on."""
 
@@ -67,6 +85,16 @@
 Handler = Callable[[Peer, Any], Any]
 
 
+def at_address(address: str) -> Peer:
+    """Return a peer that stands for whichever instance has the address, in any incarnation."""
+    return Peer("", 0, "", address)
+
+
+def is_anyone(target: Peer) -> bool:
+    """Return whether ``target`` is only an address, as made by ``at_address``."""
+    return not target.name
+
+
 class Peers(Protocol):
     """Sends typed messages to peers and dispatches those that arrive.
 
@@ -102,3 +130,9 @@
         PeerError
             One of the subclasses above says what is known.
         """
+
+    def new_incarnation(self, after: int = 0) -> Peer:
+        """Begin a new life, higher than ``after``; messages to the old one get ``PeerGone``."""
+
+    def forget(self, peer: Peer) -> None:
+        """Release what is held for a peer that is gone."""
