--- a/rosedyke/configuration/key_page.py
+++ b/rosedyke/configuration/key_page.py
@@ -1,20 +1,26 @@
-"""The tables of docs/CONFIGURATION.md, made from the table of keys.
+"""The tables of docs/CONFIGURATION.md, made from the code's own tables.
 
     python -m rosedyke.configuration.key_page
 
 prints them; a test compares the page with them.
 """
 
-from rosedyke.configuration import key
+from rosedyke.configuration import diagnostic, key
 
 HEADER = (
     "| key | type | unit | default | bounds | meaning | example |\n" "|---|---|---|---|---|---|---|"
 )
 
 
-def render() -> str:
-    """Return the section of the page from the first table to the last."""
-    return "\n\n".join(_table(table) for table in key.TABLES) + "\n"
+def render_keys() -> str:
+    """Return the page's section on keys."""
+    return "\n\n".join(_table(table) for table in key.TABLES)
+
+
+def render_codes(causes: dict[str, str]) -> str:
+    """Return a table of codes with their causes."""
+    rows = (f"| `{code}` | {cause} |" for code, cause in causes.items())
+    return "\n".join(("| code | cause |", "|---|---|", *rows))
 
 
 def _table(table: key.Table) -> str:
@@ -58,4 +64,6 @@
 
 
 if __name__ == "__main__":
-    print(render(), end="")
+    print(render_keys())
+    print(render_codes(diagnostic.ERRORS))
+    print(render_codes(diagnostic.WARNINGS))
