Refuse jobs that can't be whole by their timeout, before they are claimed

Reports carry the room left before the last job in the queue would be late and how much work goes before a job of some sizes, so a small job is taken while large ones wait. A holder counts what it asked for until the next report. The queue itself has a bound of twice its limit for when many instances decide by the same old report; what it refuses ends overloaded, not run.

--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -9,6 +9,7 @@
 
 import collections
 import json
+import logging
 import pathlib
 import statistics
 import subprocess
@@ -26,7 +27,7 @@
 from rosedyke.standins import fleet
 
 RESULTS = pathlib.Path(__file__).parent / "results"
-TIMEOUT_S = 60.0
+DRAIN_S = 60.0  # how long the model goes on after the last arrival
 
 
 @attrs.frozen
@@ -56,7 +57,7 @@
     return intent.Service(scenario.name, "team", tasks, servers)
 
 
-def play(scenario, jobs, speeds, options, seed, instances=2) -> Played:
+def play(scenario, jobs, speeds, options, seed, timeout_s=60.0, instances=2) -> Played:
     """Run the arrivals through real dispatchers and return what happened."""
     true_s = {}
 
@@ -87,15 +88,15 @@
         name = f"j{index}"
         true_s[name] = arrival.run_s
         request = submission.Submission(
-            scenario.name, name, 1, 0.0, TIMEOUT_S, (call,) * len(arrival.run_s)
+            scenario.name, name, 1, 0.0, timeout_s, (call,) * len(arrival.run_s)
         )
         node = world.nodes[entries[index % len(entries)]]
         refusal = node.dispatcher.check(request)
         if refusal is not None:
-            codes[refusal.code.value] += 1
+            codes["refused " + refusal.code.value] += 1
             responses[index] = None
             return
-        running = job.Job(request, world.runtime.now() + TIMEOUT_S)
+        running = job.Job(request, world.runtime.now() + timeout_s)
         node.dispatcher.run(running)
         codes[running.answer.code.value] += 1
         done = world.runtime.now() - arrival.due_s
@@ -109,7 +110,7 @@
 
     started = time.perf_counter()
     world.runtime.spawn(arrive)
-    world.runtime.run(jobs[-1].due_s + TIMEOUT_S)
+    world.runtime.run(jobs[-1].due_s + DRAIN_S)
     tasks = sum(len(arrival.run_s) for arrival in jobs)
     between = sum(1 for _, source, target, _ in world.network.log if source != target)
     return Played(
@@ -150,6 +151,15 @@
     }
 
 
+def whole_work(jobs, responses) -> float:
+    """Return the work at speed 1 of the jobs that were answered whole."""
+    return sum(
+        sum(arrival.run_s)
+        for arrival, response in zip(jobs, responses, strict=True)
+        if response is not None
+    )
+
+
 def main(
     scenario: str = "weighbridge",
     load: list[float] | None = None,
@@ -157,6 +167,7 @@
     seed: int = 1,
     aging: float = settings.DispatchSettings().aging,
     baselines: bool = True,
+    timeout: float = 60.0,
     save: bool = False,
 ):
     """Print the model's figures.
@@ -175,9 +186,12 @@
         See ``DispatchSettings``.
     baselines : bool
         Play the baselines too.
+    timeout : float
+        Seconds that each job may take.
     save : bool
         Keep the figures under benchmarks/results.
     """
+    logging.disable(logging.CRITICAL)  # thousands of timeouts are part of an overload
     chosen = arrivals.SCENARIOS[scenario]
     speeds = arrivals.speeds_of(chosen, seed)
     capacity = sum(speeds) * chosen.slots
@@ -186,11 +200,12 @@
         jobs = arrivals.draw(chosen, share * capacity / chosen.work_s(), length, seed)
         warm = len(jobs) // 4
         reference = ideal.central_greedy(jobs, speeds, chosen.slots)
-        played = play(chosen, jobs, speeds, settings.DispatchSettings(aging=aging), seed)
+        played = play(chosen, jobs, speeds, settings.DispatchSettings(aging=aging), seed, timeout)
         row = {"rosedyke": compare(played.responses, reference, warm)}
         row["rosedyke"] |= {
             "failed": played.failed,
             "codes": played.codes,
+            "whole_work_share": round(whole_work(jobs, played.responses) / (capacity * length), 3),
             "messages_per_task": round(played.messages_per_task, 3),
             "refused": played.refused,
             "excess": played.excess,
--- /dev/null
+++ b/rosedyke/dispatch/admission.py
@@ -0,0 +1,97 @@
+"""Which jobs are refused before anything of them runs, and when they may come again.
+
+A job that can't be whole by its timeout would still use slots and delay jobs that can.  So it is
+refused at once, truthfully not run, by what the pools' reports say about the time it would take and
+the room that is left before jobs already taken would miss their deadlines.
+"""
+
+import attrs
+
+from rosedyke.configuration import intent
+from rosedyke.dispatch import message, settings, speed
+from rosedyke.job import code, submission
+from rosedyke.job import ports as job_ports
+
+
+@attrs.frozen
+class Work:
+    """What a job needs.
+
+    Attributes
+    ----------
+    total_s : float
+        Reference seconds of all tasks.
+    longest_s : float
+        Of the longest task.
+    tasks : int
+        How many.
+    """
+
+    total_s: float
+    longest_s: float
+    tasks: int
+
+
+def declared_s(service: intent.Service, call: submission.TaskCall) -> float:
+    """Return a task's declared run time."""
+    return call.run_time_s or service.task(call.name).run_time_s
+
+
+def work_of(
+    service: intent.Service, request: submission.Submission, speeds: speed.SpeedTable
+) -> Work:
+    """Return what a job needs by what was learned."""
+    times = [speeds.reference_s(call.name, declared_s(service, call)) for call in request.tasks]
+    return Work(sum(times), max(times, default=0.0), len(times))
+
+
+def refuse_forever(
+    service: intent.Service, request: submission.Submission
+) -> job_ports.Refusal | None:
+    """Return why a job can never run as it is."""
+    for call in request.tasks:
+        declared = service.task(call.name)
+        if declared is None:
+            return job_ports.Refusal(
+                code.Code.UNKNOWN_TASK, f"{service.name} has no task {call.name}"
+            )
+        size = call.size or declared.size
+        if service.servers and not any(size.fits(one.size) for one in service.servers):
+            return job_ports.Refusal(
+                code.Code.CAN_NEVER_RUN, f"{call.name} fits on no server of {service.name}"
+            )
+    return None
+
+
+def refuse_now(
+    needed: Work,
+    timeout_s: float,
+    reports: list[message.PoolReport],
+    limits: intent.Limits,
+    options: settings.DispatchSettings,
+) -> job_ports.Refusal | None:
+    """Return why a job can't be taken now, by the reports of the pools that it could use."""
+    rate = sum(report.rate for report in reports)
+    if rate <= 0:
+        return None  # nothing is known yet; the pools themselves will tell
+    if all(report.queued_tasks >= limits.queue for report in reports):
+        return overloaded("the queues are full", options.refusal_retry_s)
+    ahead_s = sum(report.ahead_s(needed.total_s) for report in reports)
+    fastest = min((report.free[0][0] for report in reports if report.free), default=0.0)
+    finish_s = max((ahead_s + needed.total_s) / rate, needed.longest_s * fastest)
+    allowed_s = options.timeout_share * timeout_s
+    if finish_s > allowed_s:
+        return overloaded(
+            f"expected to take {finish_s:.1f} s, longer than its timeout", finish_s - allowed_s
+        )
+    room_s = sum(report.room_s for report in reports)
+    if ahead_s > 0 and needed.total_s > room_s:
+        return overloaded(
+            "jobs already taken would miss their timeouts", (needed.total_s - room_s) / rate
+        )
+    return None
+
+
+def overloaded(detail: str, retry_after_s: float) -> job_ports.Refusal:
+    """Return a refusal for lack of room or time."""
+    return job_ports.Refusal(code.Code.OVERLOADED, detail, max(0.1, round(retry_after_s, 1)))
--- a/rosedyke/dispatch/backlog.py
+++ b/rosedyke/dispatch/backlog.py
@@ -67,6 +67,29 @@
         """Take in a report from the pool's owner itself."""
         self.known[key] = Known(report, self.runtime.now())
 
+    def expect(self, key: str, work_s: float, tasks: int) -> None:
+        """Count work that was just asked of a pool, until its owner's next report.
+
+        Without it all jobs that arrive between two reports would go to the same idle pool.
+        """
+        known = self.known.get(key)
+        if known is None:
+            return
+        free = list(known.report.free)
+        while tasks and free:
+            slowness, count = free[0]
+            used = min(tasks, count)
+            tasks -= used
+            free[0] = (slowness, count - used)
+            if not free[0][1]:
+                free.pop(0)
+        known.report = attrs.evolve(
+            known.report,
+            free=tuple(free),
+            queued_s=known.report.queued_s + work_s,
+            room_s=known.report.room_s - work_s,
+        )
+
     def avoid(self, key: str) -> None:
         """Keep new work away from a pool whose owner does not answer."""
         known = self.known.setdefault(key, Known(message.PoolReport(), self.runtime.now()))
@@ -118,4 +141,7 @@
         round(report.running_s, 2),
         round(report.rate, 1),
         report.slots,
+        report.queued_tasks,
+        round(report.room_s, 1),
+        tuple((round(size_s, 2), round(ahead_s, 2)) for size_s, ahead_s in report.ahead[::2]),
     )
--- a/rosedyke/dispatch/dispatcher.py
+++ b/rosedyke/dispatch/dispatcher.py
@@ -3,9 +3,11 @@
 from rosedyke.configuration import intent
 from rosedyke.configuration import ports as configuration_ports
 from rosedyke.dispatch import (
+    admission,
     backlog,
     holder,
     message,
+    metrics,
     owner,
     ports,
     routing,
@@ -17,6 +19,7 @@
 from rosedyke.job import ports as job_ports
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
+from rosedyke.observe import metric
 from rosedyke.runtime import Runtime
 from rosedyke.wire import peer
 
@@ -103,15 +106,22 @@
         service = configuration.service(request.service)
         if service is None:
             return job_ports.Refusal(code.Code.UNKNOWN_SERVICE, f"no service {request.service}")
-        for call in request.tasks:
-            declared = service.task(call.name)
-            if declared is None:
-                return job_ports.Refusal(code.Code.UNKNOWN_TASK, f"no task {call.name}")
-            if not owner.fits_somewhere(service, call.size or declared.size):
-                return job_ports.Refusal(
-                    code.Code.CAN_NEVER_RUN, f"{call.name} fits on no server of {service.name}"
-                )
-        return None
+        refusal = admission.refuse_forever(service, request)
+        if refusal is not None:
+            return refusal
+        usable = self._usable(service)
+        if not usable:
+            return job_ports.Refusal(
+                code.Code.NO_SERVER, f"no backend server of {service.name} in reach", 1.0
+            )
+        needed = admission.work_of(service, request, self.speeds_of(service.name))
+        reports = [self._report(one) for one in usable]
+        refusal = admission.refuse_now(
+            needed, request.timeout_s, reports, service.limits, self.options
+        )
+        if refusal is not None:
+            metric.count(metrics.JOBS_REFUSED)
+        return refusal
 
     def run(self, running: job.Job) -> None:
         """Block until the job is closed, by its last task, a failure or its deadline."""
@@ -154,29 +164,35 @@
         usable = [one for one in reachable if not self.board.is_avoided(one.key)] or reachable
         return sorted(usable, key=lambda one: (one.data_centre != own, one.key))
 
+    def _report(self, target: shard.Shard) -> message.PoolReport:
+        return self.board.report(target) or unknown_report(target)
+
     def _split(self, running, service, indices, usable) -> dict[str, list[int]]:
+        speeds = self.speeds_of(service.name)
+        calls = running.request.tasks
+        tasks = []
+        for index in indices:
+            declared_s = admission.declared_s(service, calls[index])
+            tasks.append((speeds.reference_s(calls[index].name, declared_s), index))
+        work_s = sum(reference_s for reference_s, _ in tasks)
         own = self.membership.own.data_centre
         estimates = []
         for one in usable:
-            report = self.board.report(one)
-            if report is None:
-                report = unknown_report(one)
+            report = self._report(one)
             if report.rate > 0:
                 trip_s = 0.0 if one.data_centre == own else self.options.trip_s
-                estimates.append(routing.estimate(one.key, report, trip_s))
+                estimates.append(routing.estimate(one.key, report, trip_s, work_s))
         if len(estimates) < 2:
             key = estimates[0].key if estimates else usable[0].key
             return {key: list(indices)}
-        speeds = self.speeds_of(service.name)
-        tasks = []
-        for index in indices:
-            call = running.request.tasks[index]
-            declared_s = call.run_time_s or service.task(call.name).run_time_s
-            tasks.append((speeds.reference_s(call.name, declared_s), index))
-        return routing.split(tasks, estimates)
+        placed = routing.split(tasks, estimates)
+        times = dict((index, reference_s) for reference_s, index in tasks)
+        for key, part in placed.items():
+            self.board.expect(key, sum(times[index] for index in part), len(part))
+        return placed
 
 
 def unknown_report(target: shard.Shard) -> message.PoolReport:
     """Return what to assume of a pool that was never heard of: idle and of average speed."""
     slots = sum(server.slots for server in target.servers)
-    return message.PoolReport(((1.0, slots),), 0.0, 0.0, float(slots), slots)
+    return message.PoolReport(((1.0, slots),), 0.0, 0.0, float(slots), slots, room_s=float("inf"))
--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -190,6 +190,8 @@
             return False
         for asked in told.requests:
             to.asked.pop(asked.number, None)
+        for number in reply.refused:
+            self._refused(to, number)
         del to.releases[: len(told.releases)]
         del to.withdrawn[: len(told.withdrawn)]
         now = self.runtime.now()
@@ -198,6 +200,15 @@
         self._use(to, reply.grants, now - sent_at > self.options.request_timeout_s)
         return True
 
+    def _refused(self, to, number):
+        """End a job that the pool's full queue did not take in."""
+        request = to.requests.pop(number, None)
+        if request is not None:
+            metric.count(metrics.JOBS_REFUSED)
+            request.running.fail(
+                code.Code.OVERLOADED, "the queue is full", self.options.refusal_retry_s
+            )
+
     def _news(self, to) -> message.Exchange:
         """Return everything that the owner has not been told."""
         now = self.runtime.now()
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -126,6 +126,14 @@
         Reference seconds that the pool works off in a second; 0 when it can't serve.
     slots : int
         Slots that may be used.
+    queued_tasks : int
+        Tasks that wait.
+    room_s : float
+        Reference seconds of work that can be added before the job at the queue's end would miss
+        its deadline.
+    ahead : tuple of (float, float)
+        How much of the queued work goes before a new job: for some sizes of job, smallest first,
+        the reference seconds that wait in jobs of that size or smaller.
     """
 
     free: tuple[tuple[float, int], ...] = ()
@@ -133,6 +141,18 @@
     running_s: float = 0.0
     rate: float = 0.0
     slots: int = 0
+    queued_tasks: int = 0
+    room_s: float = 0.0
+    ahead: tuple[tuple[float, float], ...] = ()
+
+    def ahead_s(self, work_s: float) -> float:
+        """Return how much queued work goes before a new job of ``work_s`` reference seconds."""
+        found = self.queued_s
+        for size_s, ahead_s in reversed(self.ahead):
+            if work_s > size_s:
+                break
+            found = ahead_s
+        return found
 
 
 @codec.message("dispatch.exchange")
@@ -151,11 +171,13 @@
 class ExchangeReply:
     """The owner's answer; ``ballot`` is None when it doesn't own the pool.
 
-    ``sent_at`` is the owner's clock, from which the holder tells how late a later message is.
+    ``refused`` names requests that a full queue did not take in.  ``sent_at`` is the owner's clock,
+    from which the holder tells how late a later message is.
     """
 
     ballot: Ballot | None
     grants: tuple[Grant, ...] = ()
+    refused: tuple[int, ...] = ()
     report: PoolReport = PoolReport()
     sent_at: float = 0.0
 
--- a/rosedyke/dispatch/metrics.py
+++ b/rosedyke/dispatch/metrics.py
@@ -38,3 +38,6 @@
     "counter",
     "Slots whose holder died or never got an answer; used again once the server shows them free.",
 )
+JOBS_REFUSED = metric.define(
+    "dispatch.jobs_refused", "counter", "Jobs refused for lack of room or time; not run."
+)
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from rosedyke.configuration import intent
 from rosedyke.configuration import ports as configuration_ports
 from rosedyke.dispatch import (
     backlog,
@@ -126,10 +125,16 @@
         for released in told.releases:
             owned.pool.release(sender, released, now)
         again: list[lease.Lease] = []
+        refused: list[int] = []
         for asked in told.requests:
-            again.extend(owned.pool.add(sender, asked, now))
+            if owned.pool.is_full(asked):
+                refused.append(asked.number)
+            else:
+                again.extend(owned.pool.add(sender, asked, now))
         grants = tuple(grant_of(held) for held in again) + self._assign(owned, sender)
-        return message.ExchangeReply(owned.ballot, grants, self.report_of(owned), now)
+        return message.ExchangeReply(
+            owned.ballot, grants, tuple(refused), self.report_of(owned), now
+        )
 
     def report_of(self, owned: Owned) -> message.PoolReport:
         """Return how busy a pool is now."""
@@ -168,6 +173,7 @@
             if key not in self.owned:
                 self._take_over(target)
             self.owned[key].shard = target
+            self.owned[key].pool.bound(configuration.service(target.service).limits)
             self.owned[key].pool.declare(target.servers, self.shards.limit(target), now)
 
     def _take_over(self, target):
@@ -281,8 +287,3 @@
 def grant_of(held: lease.Lease) -> message.Grant:
     """Return a lease as its holder is told of it."""
     return message.Grant(held.request, held.index, held.server)
-
-
-def fits_somewhere(service: intent.Service, size: intent.Size) -> bool:
-    """Return whether any server of a service has room for a task."""
-    return any(size.fits(server.size) for server in service.servers)
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -24,6 +24,11 @@
 from rosedyke.observe import event
 from rosedyke.wire import peer
 
+# Points of the queue's profile that a report carries.
+PROFILE_STEPS = 4
+# The queue takes this many times its limit before it refuses a claimed job.
+QUEUE_HEADROOM = 2
+
 
 @attrs.define(eq=False)
 class Server:
@@ -114,7 +119,25 @@
         self.newest_request: dict[tuple[str, int], int] = {}
         self.limit: int | None = None
         self.is_granting = False
+        self.max_timeout_s = intent.Limits().max_timeout_s
+        self.queue_limit = intent.Limits().queue
         self.waiting = queue.RequestQueue(1, options.aging)
+        self.profile: tuple[tuple[float, float], ...] = ()
+        self.profiled_at = float("-inf")
+
+    def bound(self, limits: intent.Limits) -> None:
+        """Take in the service's limits of a new configuration."""
+        self.max_timeout_s = limits.max_timeout_s
+        self.queue_limit = limits.queue
+
+    def is_full(self, asked: message.SlotRequest) -> bool:
+        """Return whether a request would overfill the queue.
+
+        Jobs are refused earlier, before they are claimed, by what reports say.  This bound holds
+        the memory when many instances decide by the same old report.
+        """
+        tasks = sum(len(group.indices) for group in asked.groups)
+        return self.waiting.tasks + tasks > QUEUE_HEADROOM * self.queue_limit
 
     def declare(
         self, servers: tuple[intent.BackendServer, ...], limit: int | None, now: float
@@ -278,7 +301,30 @@
             slots = self.limit
             if len(self.leases) >= self.limit:
                 free.clear()
-        return message.PoolReport(tuple(free), self.waiting.work_s, running_s, rate, slots)
+        return message.PoolReport(
+            tuple(free),
+            self.waiting.work_s,
+            running_s,
+            rate,
+            slots,
+            self.waiting.tasks,
+            self._room_s(now, rate),
+            self._ahead(now),
+        )
+
+    def _room_s(self, now, rate):
+        """Return how much work can be added before the last in the queue misses its deadline."""
+        if not self.waiting:
+            return rate * self.max_timeout_s
+        left_s = self.waiting.ordered[-1].deadline - now
+        return max(0.0, rate * left_s - self.waiting.work_s)
+
+    def _ahead(self, now):
+        """Return the queue's profile; it changes slowly and is worked out now and then."""
+        if now >= self.profiled_at + self.options.advertise_s:
+            self.profiled_at = now
+            self.profile = self.waiting.ahead(now, PROFILE_STEPS)
+        return self.profile if self.waiting else ()
 
     def _usable(self, now, is_leaving):
         """Return the servers that may get new work."""
--- a/rosedyke/dispatch/queue.py
+++ b/rosedyke/dispatch/queue.py
@@ -159,6 +159,23 @@
                 self.work_s = 0.0  # no error of rounding may add up
         return index
 
+    def ahead(self, now: float, steps: int) -> tuple[tuple[float, float], ...]:
+        """Return for some sizes of a new job how much waiting work would go before it.
+
+        Each pair is reference seconds of a job and of the work that waits in front of it.
+        """
+        if not self.ordered:
+            return ()
+        pairs = []
+        ahead_s = 0.0
+        step = -(-len(self.ordered) // steps)
+        for number, item in enumerate(self.ordered, 1):
+            ahead_s += item.work_s()
+            if number % step == 0 or number == len(self.ordered):
+                size_s = (item.rank - self.aging * now) * self.slots
+                pairs.append((size_s, ahead_s))
+        return tuple(pairs)
+
     def expire(self, now: float) -> None:
         """Forget requests whose job has ended."""
         for item in [item for item in self.ordered if item.deadline <= now]:
--- a/rosedyke/dispatch/routing.py
+++ b/rosedyke/dispatch/routing.py
@@ -56,8 +56,10 @@
             self.free.pop(0)
 
 
-def estimate(key: str, report: message.PoolReport, trip_s: float) -> Estimate:
-    """Return a pool's estimate before any task of the job is added."""
+def estimate(
+    key: str, report: message.PoolReport, trip_s: float, work_s: float = float("inf")
+) -> Estimate:
+    """Return a pool's estimate before any task of a job of ``work_s`` reference seconds."""
     slots = max(1, report.slots)
     rate = max(report.rate, 1e-6)
     slowness = slots / rate
@@ -66,7 +68,7 @@
         key,
         trip_s,
         [list(one) for one in report.free],
-        report.queued_s,
+        report.ahead_s(work_s),
         rate,
         busy_s / slots,
         slowness,
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -40,6 +40,10 @@
         What running in another data centre is taken to cost.
     advertise_s : float
         How often an owner renews the reports that the membership carries.
+    refusal_retry_s : float
+        The least time after which a refused job may be tried again.
+    timeout_share : float
+        A job is refused when it is expected to take more than this share of its timeout.
     late_s : float
         A grant that took longer from its owner is not used.
     settle_s : float
@@ -74,6 +78,8 @@
     avoid_s: float = 2.0
     trip_s: float = 0.004
     advertise_s: float = 0.1
+    refusal_retry_s: float = 0.5
+    timeout_share: float = 0.9
     late_s: float = 0.4
     settle_s: float = 0.5
     started_s: float = 0.1
