--- a/rosedyke/command/apply.py
+++ b/rosedyke/command/apply.py
@@ -4,7 +4,7 @@
 
 import cyclopts
 
-from rosedyke.command import exit_codes, in_force, options, outcome, store
+from rosedyke.command import exit_codes, fetch, in_force, options, store, terminal
 from rosedyke.configuration import change
 
 Wait = Annotated[
@@ -58,11 +58,11 @@
     - `rosedyke apply weighbridge.toml --wait --instances 10.0.0.1:8080 10.0.0.2:8080`
     """
     if not files:
-        store.print_error("apply needs at least one file")
-        return exit_codes.USAGE
-    if wait and not instances:
-        store.print_error("--wait needs --instances")
+        terminal.warn("apply needs at least one file")
         return exit_codes.USAGE
+    addresses = fetch.addresses(instances)
+    if wait and not addresses:
+        return terminal.warn_no_instances()
     access = store.connect(store_urls, store_prefix)
     proposal = change.Proposal(
         store.parse_files(files),
@@ -72,9 +72,7 @@
         seen_generation=expect,
     )
     result = change.apply(access.store, access.keys, access.runtime, proposal)
-    return in_force.show_and_wait(
-        result, outcome.report(result), wait, instances, wait_timeout_s, as_json
-    )
+    return in_force.show_and_wait(result, wait, addresses, wait_timeout_s, as_json)
 
 
 def register(app: cyclopts.App) -> None:
--- a/rosedyke/command/check.py
+++ b/rosedyke/command/check.py
@@ -2,7 +2,7 @@
 
 import cyclopts
 
-from rosedyke.command import exit_codes, options, store
+from rosedyke.command import exit_codes, options, store, terminal
 from rosedyke.configuration import check as set_check
 from rosedyke.configuration import diagnostic
 
@@ -20,12 +20,12 @@
     - `rosedyke check weighbridge.toml press-line.toml`
     """
     if not files:
-        store.print_error("check needs at least one file")
+        terminal.warn("check needs at least one file")
         return exit_codes.USAGE
     found = set_check.check(store.parse_files(files))
     has_errors = diagnostic.has_errors(found)
     if as_json:
-        store.print_json({"ok": not has_errors, "faults": found})
+        terminal.print_json({"ok": not has_errors, "faults": found})
     else:
         for each in found:
             print(each)
--- a/rosedyke/command/diff.py
+++ b/rosedyke/command/diff.py
@@ -2,7 +2,7 @@
 
 import cyclopts
 
-from rosedyke.command import exit_codes, options, store
+from rosedyke.command import exit_codes, options, store, terminal
 from rosedyke.configuration import change, diagnostic, ports, stored
 
 
@@ -26,7 +26,7 @@
     - `rosedyke diff weighbridge.toml`
     """
     if not files:
-        store.print_error("diff needs at least one file")
+        terminal.warn("diff needs at least one file")
         return exit_codes.USAGE
     access = store.connect(store_urls, store_prefix)
     proposal = change.Proposal(store.parse_files(files), (), "", "")
@@ -39,7 +39,7 @@
     lines = () if is_wrong else change.difference(seen, proposal)
     if as_json:
         generation = seen.head.generation
-        store.print_json({"generation": generation, "difference": lines, "faults": found})
+        terminal.print_json({"generation": generation, "difference": lines, "faults": found})
     else:
         for line in (*map(str, found), *lines):
             print(line)
--- a/rosedyke/command/history.py
+++ b/rosedyke/command/history.py
@@ -4,7 +4,7 @@
 
 import cyclopts
 
-from rosedyke.command import exit_codes, options, store
+from rosedyke.command import exit_codes, options, store, terminal
 from rosedyke.configuration import change, ports, settle, stored
 
 Limit = Annotated[int, cyclopts.Parameter(name="--limit", help="How many changes at most.")]
@@ -47,7 +47,7 @@
     except ports.StoreError as error:
         return store.fail(error, as_json)
     if as_json:
-        store.print_json({"generation": generation, "changes": records})
+        terminal.print_json({"generation": generation, "changes": records})
         return exit_codes.OK
     for record in reversed(records):
         what = ", ".join(f"{each.action} {each.team}" for each in record.changes)
@@ -71,7 +71,7 @@
         ),
     }[found.state]
     if as_json:
-        store.print_json({"outcome": word, "generation": found.generation, "by": found.record})
+        terminal.print_json({"outcome": word, "generation": found.generation, "by": found.record})
         return exit_code
     print(f"{word}: the change {change_id} {text} (generation {found.generation})")
     if found.state is settle.State.NEVER and found.record is not None:
--- a/rosedyke/command/show.py
+++ b/rosedyke/command/show.py
@@ -4,7 +4,7 @@
 
 import cyclopts
 
-from rosedyke.command import exit_codes, options, store
+from rosedyke.command import exit_codes, options, store, terminal
 from rosedyke.configuration import file, ports, stored
 
 Team = Annotated[
@@ -38,11 +38,11 @@
     except ports.StoreError as error:
         return store.fail(error, as_json)
     if team is not None and team not in seen.files:
-        store.print_error(f"there is no team {team!r}")
+        terminal.warn(f"there is no team {team!r}")
         return exit_codes.NOT_FOUND
     if as_json:
         files = [seen.files[name] for name in sorted(seen.files) if team in (None, name)]
-        store.print_json({"generation": seen.head.generation, "teams": files})
+        terminal.print_json({"generation": seen.head.generation, "teams": files})
     elif team is not None:
         print(seen.files[team].text, end="")
     else:
--- a/rosedyke/command/store.py
+++ b/rosedyke/command/store.py
@@ -1,16 +1,13 @@
-"""What the commands that talk to the store share: the client, files, outcomes as text."""
+"""What the commands that talk to the store share: the client, and files."""
 
 import datetime
-import json
 import pathlib
-import sys
-from typing import Annotated, Any
+from typing import Annotated
 
 import attrs
 import cyclopts
-import msgspec
 
-from rosedyke.command import exit_codes
+from rosedyke.command import exit_codes, fetch, terminal
 from rosedyke.configuration import diagnostic, file, ports, stored
 from rosedyke.daemon import green
 from rosedyke.gateways import etcd, settings
@@ -31,9 +28,12 @@
 
 
 def connect(endpoints: tuple[str, ...], prefix: str) -> Access:
-    """Return the store's client for one command; nothing is sent yet."""
+    """Return the store's client for one command; nothing is sent yet.
+
+    Endpoints may be separated by commas, as in an environment variable.
+    """
     runtime = green.GreenRuntime()
-    own = settings.StoreSettings(endpoints=endpoints, backoff_limit_s=1.0)
+    own = settings.StoreSettings(endpoints=fetch.addresses(endpoints), backoff_limit_s=1.0)
     return Access(etcd.EtcdStore(own, runtime), stored.Keys(prefix), runtime)
 
 
@@ -56,22 +56,11 @@
     return now.strftime("%Y-%m-%dT%H:%M:%SZ")
 
 
-def print_json(document: Any) -> None:
-    """Print one JSON document of records, lists and plain values."""
-    plain = msgspec.to_builtins(document)
-    print(json.dumps(plain, indent=2))
-
-
-def print_error(text: str) -> None:
-    """Print a line for the operator beside what a program may read."""
-    print(text, file=sys.stderr)
-
-
 def fail(error: ports.StoreError, as_json: bool) -> int:
     """Tell that the store could not be read and return the exit code."""
     detail = f"{error.code}: {error}"
     if as_json:
-        print_json({"outcome": "unreachable", "detail": detail})
+        terminal.print_json({"outcome": "unreachable", "detail": detail})
     else:
-        print_error(f"unreachable: nothing was changed; {detail}")
+        terminal.warn(f"unreachable: nothing was changed; {detail}")
     return exit_codes.UNREACHABLE
