--- a/rosedyke/command/apply.py
+++ b/rosedyke/command/apply.py
@@ -4,7 +4,7 @@
 
 import cyclopts
 
-from rosedyke.command import exit_codes, fetch, in_force, options, store, terminal
+from rosedyke.command import exit_codes, in_force, options, store, terminal
 from rosedyke.configuration import change
 
 Wait = Annotated[
@@ -27,7 +27,7 @@
 
 
 def apply(
-    files: store.Files,
+    files: options.Files,
     /,
     *,
     store_urls: options.Store = options.DEFAULT_STORE,
@@ -55,13 +55,12 @@
 
     - `rosedyke apply weighbridge.toml`
     - `rosedyke apply weighbridge.toml press-line.toml`
-    - `rosedyke apply weighbridge.toml --wait --instances 10.0.0.1:8080 10.0.0.2:8080`
+    - `rosedyke apply weighbridge.toml --wait --instances 10.0.0.1:8081 10.0.0.2:8081`
     """
     if not files:
         terminal.warn("apply needs at least one file")
         return exit_codes.USAGE
-    addresses = fetch.addresses(instances)
-    if wait and not addresses:
+    if wait and not instances:
         return terminal.warn_no_instances()
     access = store.connect(store_urls, store_prefix)
     proposal = change.Proposal(
@@ -72,7 +71,7 @@
         seen_generation=expect,
     )
     result = change.apply(access.store, access.keys, access.runtime, proposal)
-    return in_force.show_and_wait(result, wait, addresses, wait_timeout_s, as_json)
+    return in_force.show_and_wait(result, wait, instances, wait_timeout_s, as_json)
 
 
 def register(app: cyclopts.App) -> None:
--- a/rosedyke/command/check.py
+++ b/rosedyke/command/check.py
@@ -7,7 +7,7 @@
 from rosedyke.configuration import diagnostic
 
 
-def check(files: store.Files, /, *, as_json: options.Json = False) -> int:
+def check(files: options.Files, /, *, as_json: options.Json = False) -> int:
     """Check files offline, alone and together, and list every fault with its line.
 
     Warnings are for intent that is accepted but can hardly work, such as a task that fits no
--- a/rosedyke/command/diff.py
+++ b/rosedyke/command/diff.py
@@ -7,7 +7,7 @@
 
 
 def diff(
-    files: store.Files,
+    files: options.Files,
     /,
     *,
     store_urls: options.Store = options.DEFAULT_STORE,
--- a/rosedyke/command/remove.py
+++ b/rosedyke/command/remove.py
@@ -4,7 +4,7 @@
 
 import cyclopts
 
-from rosedyke.command import fetch, in_force, options, store, terminal
+from rosedyke.command import in_force, options, store, terminal
 from rosedyke.command.apply import Expect, Wait, WaitTimeout
 from rosedyke.configuration import change
 
@@ -32,15 +32,14 @@
 
     - `rosedyke remove press-line`
     """
-    addresses = fetch.addresses(instances)
-    if wait and not addresses:
+    if wait and not instances:
         return terminal.warn_no_instances()
     access = store.connect(store_urls, store_prefix)
     proposal = change.Proposal(
         (), (team,), options.operator_name(operator), store.now_text(), seen_generation=expect
     )
     result = change.apply(access.store, access.keys, access.runtime, proposal)
-    return in_force.show_and_wait(result, wait, addresses, wait_timeout_s, as_json)
+    return in_force.show_and_wait(result, wait, instances, wait_timeout_s, as_json)
 
 
 def register(app: cyclopts.App) -> None:
--- a/rosedyke/command/store.py
+++ b/rosedyke/command/store.py
@@ -2,21 +2,14 @@
 
 import datetime
 import pathlib
-from typing import Annotated
 
 import attrs
-import cyclopts
 
-from rosedyke.command import exit_codes, fetch, terminal
+from rosedyke.command import exit_codes, terminal
 from rosedyke.configuration import diagnostic, file, ports, stored
 from rosedyke.daemon import green
 from rosedyke.gateways import etcd, settings
 
-Files = Annotated[
-    tuple[pathlib.Path, ...],
-    cyclopts.Parameter(negative=(), help="Configuration files, one for each team."),
-]
-
 
 @attrs.frozen
 class Access:
@@ -28,12 +21,9 @@
 
 
 def connect(endpoints: tuple[str, ...], prefix: str) -> Access:
-    """Return the store's client for one command; nothing is sent yet.
-
-    Endpoints may be separated by commas, as in an environment variable.
-    """
+    """Return the store's client for one command; nothing is sent yet."""
     runtime = green.GreenRuntime()
-    own = settings.StoreSettings(endpoints=fetch.addresses(endpoints), backoff_limit_s=1.0)
+    own = settings.StoreSettings(endpoints=endpoints, backoff_limit_s=1.0)
     return Access(etcd.EtcdStore(own, runtime), stored.Keys(prefix), runtime)
 
 
