--- a/rosedyke/wire/events.py
+++ b/rosedyke/wire/events.py
@@ -26,19 +26,20 @@
     1003,
     "link_replaced",
     logging.INFO,
-    "Requests on a connection went unanswered, so it was closed and a new one is opened. Many of "
-    "these for one peer: the peer is down or the path to it loses connections.",
+    "Requests on a connection went unanswered, so it was closed and a new one is opened. Logged "
+    "at most once a minute; see the metric for the number.",
 )
 STRANGER_REFUSED = event.define(
     1004,
     "stranger_refused",
     logging.WARNING,
     "Something without the shared key tried to connect. If it is an instance of ours, its key "
-    "differs.",
+    "differs. Logged at most once a minute.",
 )
 VERSION_REFUSED = event.define(
     1005,
     "version_refused",
     logging.WARNING,
-    "A peer speaks another protocol version; its message was answered with a refusal.",
+    "A peer speaks another protocol version; its message was answered with a refusal. Logged at "
+    "most once a minute.",
 )
--- a/rosedyke/wire/monitor.py
+++ b/rosedyke/wire/monitor.py
@@ -3,8 +3,8 @@
 from eventlet.green import zmq
 from zmq.utils.monitor import parse_monitor_message
 
-from rosedyke.observe import event, metric
-from rosedyke.wire import events, metrics
+from rosedyke.observe import metric
+from rosedyke.wire import events, metrics, rare
 
 _FAILURES = (
     zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
@@ -16,8 +16,9 @@
 class HandshakeMonitor:
     """Watches one socket from a task of its own."""
 
-    def __init__(self, watched: zmq.Socket, runtime):
+    def __init__(self, watched: zmq.Socket, runtime, log: rare.RareLog):
         self.watched = watched
+        self.log = log
         endpoint = f"inproc://handshakes-{id(self)}"
         watched.monitor(endpoint, _FAILURES)
         self.socket = watched.context.socket(zmq.PAIR)
@@ -39,4 +40,4 @@
                     return
                 raise
             metric.count(metrics.REFUSED_STRANGERS)
-            event.log(events.STRANGER_REFUSED, error=failure["value"])
+            self.log.log(events.STRANGER_REFUSED, error=failure["value"])
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -23,6 +23,7 @@
     metrics,
     monitor,
     peer,
+    rare,
     secret,
     settings,
     window,
@@ -106,6 +107,7 @@
         self.pending: dict[int, Pending] = {}
         self.numbers = itertools.count(1)
         self.window = window.Window()
+        self.rare = rare.RareLog()
         self.traffic = Traffic()
         self.reported = Traffic()
         self.running_handlers = 0
@@ -131,7 +133,7 @@
         self.router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         secret.protect_server(self.router, self.keys)
         if self.keys is not None:
-            self.monitor = monitor.HandshakeMonitor(self.router, self.runtime)
+            self.monitor = monitor.HandshakeMonitor(self.router, self.runtime, self.rare)
         try:
             self.router.bind(f"tcp://{self.options.address}")
         except zmq.ZMQError as error:
@@ -145,6 +147,8 @@
 
     def stop(self) -> None:
         """Close every connection; waiting requests end with ``PeerTimeout``."""
+        if self.is_stopped:
+            return
         self.is_stopped = True
         for task in self.tasks:
             task.cancel()
@@ -245,7 +249,7 @@
         # the missing replies show it, so the next message gets a new connection.
         if used.is_silent() and self.links.get(used.address) is used:
             metric.count(metrics.LINKS_REPLACED)
-            event.log(events.LINK_REPLACED, address=used.address)
+            self.rare.log(events.LINK_REPLACED, address=used.address)
             self._close_link(used.address)
 
     def _keep_house(self):
@@ -326,7 +330,7 @@
 
     def _refuse_version(self, route, prefix):
         metric.count(metrics.REFUSED_VERSIONS)
-        event.log(events.VERSION_REFUSED, version=prefix.version, own=self.version)
+        self.rare.log(events.VERSION_REFUSED, version=prefix.version, own=self.version)
         if prefix.kind == envelope.Kind.REQUEST:
             self._send_back(route, envelope.encode_other_version(self.version, prefix.number))
 
