--- /dev/null
+++ b/rosedyke/dispatch/dispatcher.py
@@ -0,0 +1,182 @@
+"""Runs jobs on the region's backend servers: the part of dispatch that others see."""
+
+from rosedyke.configuration import intent
+from rosedyke.configuration import ports as configuration_ports
+from rosedyke.dispatch import (
+    backlog,
+    holder,
+    message,
+    owner,
+    ports,
+    routing,
+    settings,
+    shard,
+    speed,
+)
+from rosedyke.job import code, job, submission
+from rosedyke.job import ports as job_ports
+from rosedyke.membership import member
+from rosedyke.membership import ports as membership_ports
+from rosedyke.runtime import Runtime
+from rosedyke.wire import peer
+
+
+class FleetDispatcher:
+    """Implements ``job.ports.Dispatcher`` over all instances of the region.
+
+    Parameters
+    ----------
+    options : DispatchSettings
+        How to queue, place and retry.
+    runtime : Runtime
+        Time and tasks.
+    peers : Peers
+        The other instances.
+    membership : Membership
+        Who is alive and so who owns which pool.
+    current : Current
+        Services and servers.
+    gateway : BackendGateway
+        Sends tasks to backend servers.
+    """
+
+    def __init__(
+        self,
+        options: settings.DispatchSettings,
+        runtime: Runtime,
+        peers: peer.Peers,
+        membership: membership_ports.Membership,
+        current: configuration_ports.Current,
+        gateway: ports.BackendGateway,
+    ):
+        self.options = options
+        self.runtime = runtime
+        self.membership = membership
+        self.current = current
+        self.gateway = gateway
+        self.tables: dict[str, speed.SpeedTable] = {}
+        self.shards = shard.Catalogue(current, options.shard_servers)
+        self.board = backlog.Board(options, runtime, membership)
+        self.owner = owner.PoolOwner(
+            options,
+            runtime,
+            peers,
+            membership,
+            current,
+            gateway,
+            self.speeds_of,
+            self.board,
+            self.shards,
+        )
+        self.holder = holder.Holder(
+            options,
+            runtime,
+            peers,
+            membership,
+            gateway,
+            self.speeds_of,
+            self.board,
+            self.shards,
+            self.place,
+        )
+
+    def start(self) -> None:
+        """Begin the periodic work."""
+        self.membership.subscribe(self._on_view)
+        self._on_view(self.membership.view, self.membership.view)
+        self.holder.start()
+        self.owner.start()
+
+    def stop(self) -> None:
+        """End the periodic work; tasks that were sent go on."""
+        self.owner.stop()
+
+    def speeds_of(self, service: str) -> speed.SpeedTable:
+        """Return the learned run times of a service."""
+        return self.tables.setdefault(service, speed.SpeedTable())
+
+    def check(self, request: submission.Submission) -> job_ports.Refusal | None:
+        """Return why the job can't be taken now or ever; None if it may go on."""
+        configuration = self.current.configuration
+        if configuration is None:
+            return job_ports.Refusal(code.Code.NOT_READY, "no configuration yet", 1.0)
+        service = configuration.service(request.service)
+        if service is None:
+            return job_ports.Refusal(code.Code.UNKNOWN_SERVICE, f"no service {request.service}")
+        for call in request.tasks:
+            declared = service.task(call.name)
+            if declared is None:
+                return job_ports.Refusal(code.Code.UNKNOWN_TASK, f"no task {call.name}")
+            if not owner.fits_somewhere(service, call.size or declared.size):
+                return job_ports.Refusal(
+                    code.Code.CAN_NEVER_RUN, f"{call.name} fits on no server of {service.name}"
+                )
+        return None
+
+    def run(self, running: job.Job) -> None:
+        """Block until the job is closed, by its last task, a failure or its deadline."""
+        configuration = self.current.configuration
+        service = configuration and configuration.service(running.request.service)
+        if service is None:
+            running.fail(code.Code.UNKNOWN_SERVICE, f"no service {running.request.service}")
+            return
+        closed = self.runtime.signal()
+        running.on_close.append(lambda _: closed.set())
+        if not running.is_closed:
+            self.place(running, service, range(len(running.request.tasks)))
+            closed.wait(max(0.0, running.deadline - self.runtime.now()))
+        running.fail(code.Code.DEADLINE, "the timeout passed before the last task ended")
+        self.holder.withdraw(running)
+
+    def _on_view(self, _, new):
+        alive = [one for one in new.members if one.state is not member.State.DEAD]
+        self.gateway.share_with(len(alive))
+
+    def place(self, running: job.Job, service: intent.Service, indices) -> None:
+        """Ask the pools that are expected to finish the tasks first for slots."""
+        usable = self._usable(service)
+        if not usable:
+            running.fail(code.Code.NO_SERVER, f"no backend server of {service.name} in reach")
+            return
+        by_key = {one.key: one for one in usable}
+        for key, part in self._split(running, service, indices, usable).items():
+            self.holder.ask(running, service, by_key[key], part)
+
+    def _usable(self, service) -> list[shard.Shard]:
+        """Return the pools that can be asked, the own data centre's first."""
+        own = self.membership.own.data_centre
+        view = self.membership.view
+        reachable = [
+            one
+            for one in self.shards.of(service)
+            if shard.owner_of(one.key, one.data_centre, view) is not None
+        ]
+        usable = [one for one in reachable if not self.board.is_avoided(one.key)] or reachable
+        return sorted(usable, key=lambda one: (one.data_centre != own, one.key))
+
+    def _split(self, running, service, indices, usable) -> dict[str, list[int]]:
+        own = self.membership.own.data_centre
+        estimates = []
+        for one in usable:
+            report = self.board.report(one)
+            if report is None:
+                report = unknown_report(one)
+            if report.rate > 0:
+                trip_s = 0.0 if one.data_centre == own else self.options.trip_s
+                estimates.append(routing.estimate(one.key, report, trip_s))
+        if len(estimates) < 2:
+            key = estimates[0].key if estimates else usable[0].key
+            return {key: list(indices)}
+        speeds = self.speeds_of(service.name)
+        tasks = []
+        for index in indices:
+            call = running.request.tasks[index]
+            declared_s = call.run_time_s or service.task(call.name).run_time_s
+            tasks.append((speeds.reference_s(call.name, declared_s), index))
+        return routing.split(tasks, estimates)
+
+
+def unknown_report(target: shard.Shard) -> message.PoolReport:
+    """Return what to assume of a pool that was never heard of: idle and of average speed."""
+    slots = sum(server.slots for server in target.servers)
+    return message.PoolReport(((1.0, slots),), 0.0, 0.0, float(slots), slots)
