--- a/rosedyke/configuration/distribution.py
+++ b/rosedyke/configuration/distribution.py
@@ -87,10 +87,7 @@
 
     def _run(self) -> None:
         self.puller.ask_first()
+        self.held.publish()
         self.tasks.append(self.runtime.spawn(self.reader.run))
         self.tasks.append(self.runtime.spawn(self.reader.run_watch))
-        if self.reader.is_watcher():
-            # The first reading counts before anyone sees what peers gave, for it may be newer.
-            self.reader.reading_done.wait(self.settings.join_wait_s)
-        self.held.publish()
         self.puller.run()
--- a/rosedyke/configuration/reader.py
+++ b/rosedyke/configuration/reader.py
@@ -43,7 +43,6 @@
         self.servers: dict[str, str] = {}  # state of each backend server that isn't live
         self.full_read_at = 0.0
         self.wake = runtime.signal()
-        self.reading_done = runtime.signal()
         self.failures = 0
 
     def is_watcher(self) -> bool:
@@ -114,8 +113,6 @@
         self.revision = reading.revision
         if is_full:
             self.full_read_at = now
-        if not self.reading_done.is_set():
-            self.reading_done.set()
 
     def _take_head(self, head: stored.Head) -> None:
         if head.generation < self.held.generation:
