Assemble the entry instance and serve the whole path with real processes

Mismatches found on the way: a lookup gives a job's state, not an answer, so a running job is 202 and an unreachable holder a problem of its own; a refusal at the entrance could not be made true for delayed copies, so every well-formed job now goes to the manager, which closes the attempt at its registrars, and the gate only tells the balancer; what a drain returns also tells of an incomplete hand-over, which is no cut request, so the exit code follows the jobs that were failed for the stop; options are separated by commas in variables.

--- a/rosedyke/callers/application.py
+++ b/rosedyke/callers/application.py
@@ -11,7 +11,7 @@
 
 from rosedyke import runtime
 from rosedyke.callers import body, events, metrics, ports, problem, reader, settings
-from rosedyke.job import answer, code
+from rosedyke.job import answer, code, status
 from rosedyke.observe import event, metric
 
 RETRY_AFTER_S = 1.0
@@ -19,6 +19,8 @@
 _JOBS_PATH = re.compile(r"/v1/services/([^/]+)/jobs")
 _JOB_PATH = re.compile(r"/v1/jobs/([^/]+)")
 
+_OF_THIS_INSTANCE = frozenset({code.Code.CALLER_TOO_SLOW, code.Code.OVERLOADED})
+
 StartResponse = Callable[..., Any]
 
 
@@ -34,7 +36,8 @@
     manager : Manager
         Runs the jobs.
     gate : Gate
-        Says whether new jobs are taken.
+        Says whether the balancer should send callers here.  A job that comes all the same goes to
+        the manager, which alone can make a refusal's "not run" true for delayed copies as well.
     recorder : Recorder
         Counts answers against the objectives.
     """
@@ -54,6 +57,7 @@
         self.recorder = recorder
         self.reader = reader.BodyReader(limits)
         self.in_progress = 0
+        self.stopped = 0
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Serve one request."""
@@ -71,7 +75,7 @@
                 answer.Answer(
                     "",
                     error.reason,
-                    _ran_before_claim(environ),
+                    _ran_before_claim(error.reason, environ),
                     detail=error.detail,
                     retry_after_s=retry_after_s,
                 ),
@@ -123,19 +127,11 @@
             metric.timing(metrics.RESPONSE, seconds * 1000)
             return _complete(start_response, final)
         metric.count(metrics.FAILED)
+        if final.code is code.Code.STOPPED:
+            self.stopped += 1
         return _failed(start_response, final)
 
     def _run(self, request):
-        refusal = self.gate.refusal()
-        if refusal is not None:
-            ran = answer.Ran.NO if request.is_first else answer.Ran.UNKNOWN
-            return answer.Answer(
-                request.job_id,
-                refusal.code,
-                ran,
-                detail=refusal.detail,
-                retry_after_s=refusal.retry_after_s,
-            )
         final = self.manager.submit(request)
         if final.job_id != request.job_id:
             event.log(events.FOREIGN_ANSWER, asked=request.job_id, got=final.job_id)
@@ -145,19 +141,33 @@
     def _job(self, job_id, method, start_response):
         if not body.JOB_ID.fullmatch(job_id):
             raise body.BadRequest(code.Code.INVALID_FIELD, "the path has no valid job id")
-        final = self.manager.cancel(job_id) if method == "DELETE" else self.manager.find(job_id)
-        if final is None:
-            final = answer.Answer(
-                job_id,
-                code.Code.UNKNOWN_JOB,
-                answer.Ran.UNKNOWN,
-                detail="no instance asked knows an answer; the job may be running or long gone",
-            )
+        found = self.manager.cancel(job_id) if method == "DELETE" else self.manager.find(job_id)
+        if found.state is status.State.RUNNING:
+            return _running(start_response, found)
+        final = found.answer or _no_answer(found)
         if final.is_complete:
             return _complete(start_response, final)
         return _failed(start_response, final)
 
 
+def _no_answer(found: status.Status) -> answer.Answer:
+    """Return the answer for a job whose own answer nobody could give."""
+    if found.state is status.State.UNREACHABLE:
+        return answer.Answer(
+            found.job_id,
+            code.Code.DATA_CENTRE_UNREACHABLE,
+            answer.Ran.UNKNOWN,
+            detail="an instance that may know the job did not answer",
+            retry_after_s=RETRY_AFTER_S,
+        )
+    return answer.Answer(
+        found.job_id,
+        code.Code.UNKNOWN_JOB,
+        answer.Ran.UNKNOWN,
+        detail="no instance knows the job; it may be long gone",
+    )
+
+
 def _ignore() -> None:
     """Stand in for the server's hook where there is no server."""
 
@@ -167,9 +177,15 @@
         raise body.BadRequest(code.Code.METHOD_NOT_ALLOWED, f"use {' or '.join(allowed)}")
 
 
-def _ran_before_claim(environ: dict[str, Any]) -> answer.Ran:
-    """Return what a refusal before the claim may say: an earlier attempt may have run."""
-    if environ.get("HTTP_ROSEDYKE_ATTEMPT") == "1":
+def _ran_before_claim(reason: code.Code, environ: dict[str, Any]) -> answer.Ran:
+    """Return what a refusal before the claim may say.
+
+    An earlier attempt may have run.  Of a first attempt there may be a copy, made by a balancer
+    that repeats requests; what is wrong with the bytes themselves is wrong with the copy too, but
+    being slow or having no memory left is a matter of this one instance.
+    """
+    is_first = environ.get("HTTP_ROSEDYKE_ATTEMPT") == "1"
+    if is_first and reason not in _OF_THIS_INSTANCE:
         return answer.Ran.NO
     return answer.Ran.UNKNOWN
 
@@ -190,6 +206,18 @@
     return [content]
 
 
+def _running(start_response: StartResponse, found: status.Status) -> list[bytes]:
+    content = b'{"job_id":"%s","outcome":"running","holder":"%s"}\n' % (
+        found.job_id.encode(),
+        found.holder.encode(),
+    )
+    start_response(
+        "202 Accepted",
+        [("Content-Type", "application/json"), ("Content-Length", str(len(content)))],
+    )
+    return [content]
+
+
 def _failed(start_response: StartResponse, final: answer.Answer) -> list[bytes]:
     content = problem.document(final)
     fields = [*problem.headers(final), ("Content-Length", str(len(content)))]
--- a/rosedyke/callers/application_test.py
+++ b/rosedyke/callers/application_test.py
@@ -7,7 +7,7 @@
 
 from rosedyke.callers import application, fakes, settings
 from rosedyke.daemon import green
-from rosedyke.job import answer, code, ports
+from rosedyke.job import answer, code
 
 API_PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "API.md"
 EXAMPLE = re.compile(r"```sh\n(curl .*?)```\n\n```(json|text)\n(.*?)```", re.DOTALL)
@@ -117,7 +117,9 @@
         self.assertEqual(self.recorder.records, [])
 
     def test_refusal_is_recorded_and_its_body_is_released(self):
-        self.gate.closed = ports.Refusal(code.Code.DRAINING, "shutting down", 1.0)
+        self.manager.answers["a"] = answer.Answer(
+            "a", code.Code.OVERLOADED, answer.Ran.NO, retry_after_s=1.0
+        )
         headers = [("Rosedyke-Attempt", "1")]
         status, fields, _ = call(self.application, "POST", self.PATH, headers, self.BODY)
         self.assertEqual((status, fields["Retry-After"]), (503, "1"))
--- a/rosedyke/callers/ports.py
+++ b/rosedyke/callers/ports.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from rosedyke.job import answer, ports, submission
+from rosedyke.job import answer, ports, status, submission
 
 
 class Manager(Protocol):
@@ -11,18 +11,18 @@
     def submit(self, request: submission.Submission) -> answer.Answer:
         """Block until the job's final answer, at the latest until its deadline."""
 
-    def cancel(self, job_id: str) -> answer.Answer | None:
-        """Cancel a job anywhere in the region and return its answer; None if nobody knows it."""
+    def cancel(self, job_id: str) -> status.Status:
+        """Cancel a job anywhere in the region and return what it came to."""
 
-    def find(self, job_id: str) -> answer.Answer | None:
-        """Return the answer of a finished job; None if this instance knows no answer."""
+    def find(self, job_id: str) -> status.Status:
+        """Return a job's state or kept answer, wherever it is."""
 
 
 class Gate(Protocol):
-    """Whether the instance takes callers."""
+    """Whether the balancer should send callers here."""
 
     def refusal(self) -> ports.Refusal | None:
-        """Return why new jobs can't be taken now, None while they can."""
+        """Return why not, None while it should."""
 
 
 class Recorder(Protocol):
--- a/rosedyke/callers/reader.py
+++ b/rosedyke/callers/reader.py
@@ -61,8 +61,10 @@
                 code.Code.CALLER_TOO_SLOW,
                 f"the body did not arrive within {self.limits.body_timeout_s} s",
             ) from error
-        except (OSError, ValueError) as error:
-            raise body.BadRequest(code.Code.MALFORMED, "the body was cut short") from error
+        except OSError as error:
+            raise _cut_short() from error
+        except ValueError as error:
+            raise body.BadRequest(code.Code.MALFORMED, "the chunks have no length") from error
         finally:
             timeout.cancel()
 
@@ -70,7 +72,7 @@
         if expected is not None:
             data = stream.read(expected)
             if len(data) < expected:
-                raise body.BadRequest(code.Code.MALFORMED, "the body was cut short")
+                raise _cut_short()
             return data
         pieces = []
         size = 0
@@ -95,3 +97,8 @@
         return body.BadRequest(
             code.Code.TOO_LARGE, f"the body may have {self.limits.max_body_bytes} bytes at most"
         )
+
+
+def _cut_short() -> body.BadRequest:
+    # Not "malformed": a copy of the request may have arrived whole elsewhere.
+    return body.BadRequest(code.Code.CALLER_TOO_SLOW, "the body was cut short")
--- a/rosedyke/command/apply.py
+++ b/rosedyke/command/apply.py
@@ -54,7 +54,7 @@
     For example:
 
     - `rosedyke apply weighbridge.toml`
-    - `rosedyke apply weighbridge.toml --wait --instances 10.0.0.1:8080 10.0.0.2:8080`
+    - `rosedyke apply weighbridge.toml --wait --instances 10.0.0.1:8081 10.0.0.2:8081`
     """
     if not files:
         store.print_error("apply needs at least one file")
--- a/rosedyke/command/burn.py
+++ b/rosedyke/command/burn.py
@@ -47,10 +47,9 @@
     Instances keep their counts in memory. What an instance counted is lost with it; the metrics
     sent by statsd keep the long view.
     """
-    addresses = fetch.addresses(instances)
-    if not addresses:
+    if not instances:
         return terminal.warn_no_instances()
-    fetched = fetch.fetch_all(addresses, PATH, operator.decode_burn)
+    fetched = fetch.fetch_all(instances, PATH, operator.decode_burn)
     counts = list(fetched.values.values())
     report = Report(
         burn_module.merge(counts),
--- a/rosedyke/command/cancel.py
+++ b/rosedyke/command/cancel.py
@@ -5,7 +5,7 @@
 import cyclopts
 
 from rosedyke.callers import client
-from rosedyke.command import exit_codes, fetch, options, terminal
+from rosedyke.command import exit_codes, options, terminal
 from rosedyke.command import submit as submit_command
 from rosedyke.job import code
 
@@ -26,10 +26,9 @@
     No task of a cancelled job starts any more; one that runs is not stopped. A job that had
     finished keeps its answer.
     """
-    addresses = fetch.addresses(instances)
-    if not addresses:
+    if not instances:
         return terminal.warn_no_instances()
-    caller = client.Client(client.ClientSettings(addresses))
+    caller = client.Client(client.ClientSettings(instances))
     codes = []
     for job_id in job_ids:
         try:
--- a/rosedyke/command/fetch.py
+++ b/rosedyke/command/fetch.py
@@ -36,12 +36,6 @@
     unreachable: dict[str, str]
 
 
-def addresses(given: tuple[str, ...]) -> tuple[str, ...]:
-    """Return the addresses of an option, which may be separated by commas as in a variable."""
-    parts = (part.strip() for text in given for part in text.split(","))
-    return tuple(dict.fromkeys(part for part in parts if part))
-
-
 def request(
     method: str, address: str, path: str, decode: Callable[[bytes], Any], timeout_s: float
 ) -> Any:
--- a/rosedyke/command/main.py
+++ b/rosedyke/command/main.py
@@ -2,10 +2,12 @@
 
 import importlib
 import sys
+import warnings
 
 import cyclopts
 
 from rosedyke.command import exit_codes
+from rosedyke.observe import log
 
 HELP = """Operate rosedyke, a dispatcher for sub-second tasks.
 
@@ -21,6 +23,12 @@
 
 # In the order of the help.
 COMMANDS = (
+    "check",
+    "apply",
+    "show",
+    "diff",
+    "history",
+    "remove",
     "submit",
     "cancel",
     "status",
@@ -64,6 +72,10 @@
 
 def main() -> None:
     """Run the command line's words."""
+    # Some commands share code with the daemon, which runs on eventlet.
+    warnings.filterwarnings("ignore", message=r"[\s\S]*Eventlet is deprecated")
+    # What a command came to is its output; a warning on the way to it is not.
+    log.configure("error", log.Format.TEXT)
     sys.exit(run(sys.argv[1:]))
 
 
--- a/rosedyke/command/options.py
+++ b/rosedyke/command/options.py
@@ -3,16 +3,25 @@
 import getpass
 import pathlib
 import socket
+from collections.abc import Sequence
 from typing import Annotated
 
 import cyclopts
 
+
+def split_commas(kind: type, tokens: Sequence[cyclopts.Token]) -> tuple[str, ...]:
+    """Return the parts of an option's values, which a variable separates by commas."""
+    parts = (part.strip() for token in tokens for part in token.value.split(","))
+    return tuple(dict.fromkeys(part for part in parts if part))
+
+
 Store = Annotated[
     tuple[str, ...],
     cyclopts.Parameter(
         name="--store",
         env_var="ROSEDYKE_STORE",
         consume_multiple=True,
+        converter=split_commas,
         negative=(),
         help="Endpoints of the platform's key-value service, as URLs.",
     ),
@@ -33,8 +42,9 @@
         name="--instances",
         env_var="ROSEDYKE_INSTANCES",
         consume_multiple=True,
+        converter=split_commas,
         negative=(),
-        help="Entry instances as ip:port of their HTTP interface.",
+        help="Operator addresses of entry instances, ip:port.",
     ),
 ]
 
--- a/rosedyke/command/status.py
+++ b/rosedyke/command/status.py
@@ -59,10 +59,9 @@
     An instance that is not ready says why. A generation that is behind the others is still on its
     way there; what an instance does not see as live it does not send jobs to.
     """
-    addresses = fetch.addresses(instances)
-    if not addresses:
+    if not instances:
         return terminal.warn_no_instances()
-    fetched = fetch.fetch_all(addresses, PATH, operator.decode_status)
+    fetched = fetch.fetch_all(instances, PATH, operator.decode_status)
     fleet = FleetStatus(
         fetched.values, summarise_servers(list(fetched.values.values())), fetched.unreachable
     )
--- a/rosedyke/command/submit.py
+++ b/rosedyke/command/submit.py
@@ -12,7 +12,7 @@
 import rich.progress
 
 from rosedyke.callers import client
-from rosedyke.command import exit_codes, fetch, job_file, options, terminal
+from rosedyke.command import exit_codes, job_file, options, terminal
 from rosedyke.job import answer
 
 
@@ -71,8 +71,7 @@
     "job_id" may be submitted again, at any instance, and gets the answer of its first run; ids are
     remembered for about a minute. With --json each job prints a line with its results.
     """
-    addresses = fetch.addresses(instances)
-    if not addresses:
+    if not instances:
         return terminal.warn_no_instances()
     try:
         content = sys.stdin.buffer.read() if file == "-" else pathlib.Path(file).read_bytes()
@@ -84,7 +83,7 @@
         for each in error.faults:
             terminal.warn(f"{file}: {each}")
         return exit_codes.REJECTED
-    outcomes = run(client.Client(client.ClientSettings(addresses)), jobs, parallel, timeout_s, json)
+    outcomes = run(client.Client(client.ClientSettings(instances)), jobs, parallel, timeout_s, json)
     failed = sum(one.outcome != "complete" for one in outcomes)
     if not json:
         print(f"{len(outcomes) - failed} complete, {failed} failed")
--- a/rosedyke/daemon/events.py
+++ b/rosedyke/daemon/events.py
@@ -46,6 +46,13 @@
     logging.ERROR,
     "The instance could not start, for example because an address is in use.",
 )
+HANDOVER_INCOMPLETE = event.define(
+    7009,
+    "handover_incomplete",
+    logging.WARNING,
+    "Not every claim and kept answer found another instance, for example because this was the last "
+    "one of its data centre. A resubmission of such a job is told that nobody can tell any more.",
+)
 STATSD_OFF = event.define(
     7008,
     "statsd_off",
--- /dev/null
+++ b/rosedyke/daemon/loads.py
@@ -0,0 +1,40 @@
+"""What this instance knows about the use of backend servers: those of the pools that it owns."""
+
+from rosedyke.dispatch import dispatcher, shard
+
+
+class OwnerLoads:
+    """Implements ``operator.ServerLoads``.
+
+    Parameters
+    ----------
+    fleet : FleetDispatcher
+        Owns some of the region's pools.
+    """
+
+    def __init__(self, fleet: dispatcher.FleetDispatcher):
+        self.fleet = fleet
+
+    def in_use(self, server_name: str) -> int | None:
+        """Return the granted slots of a server, None if another instance grants them."""
+        server = self._find(server_name)
+        return None if server is None else len(server.leases)
+
+    def state(self, server_name: str) -> str:
+        """Return ``ok``, ``ejected`` or ``unknown``."""
+        server = self._find(server_name)
+        if server is None:
+            return "unknown"
+        return "ejected" if server.health.is_held(self.fleet.runtime.now()) else "ok"
+
+    def _find(self, server_name):
+        # A pool that has gone to another owner is kept here for a while.
+        view = self.fleet.membership.view
+        own = self.fleet.membership.own.peer
+        for pool in self.fleet.owner.pools.values():
+            server = pool.servers.get(server_name)
+            if server is None:
+                continue
+            owner = shard.owner_of(pool.key, server.declared.data_centre, view)
+            return server if owner is not None and owner.peer == own else None
+        return None
--- a/rosedyke/daemon/shutdown.py
+++ b/rosedyke/daemon/shutdown.py
@@ -1,5 +1,6 @@
 """A graceful shutdown: cuts off no request in progress and hands over what others need to know."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from rosedyke import runtime
@@ -38,6 +39,8 @@
         The HTTP servers.
     jobs : Jobs
         The job manager.
+    stopped : callable
+        Returns how many jobs have been failed because the instance stopped.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         entrance: gate.Gate,
         servers: tuple[server.Server, ...],
         jobs: Jobs,
+        stopped: Callable[[], int],
     ):
         self.notice_s = notice_s
         self.timeout_s = timeout_s
@@ -55,6 +59,7 @@
         self.entrance = entrance
         self.servers = servers
         self.jobs = jobs
+        self.stopped = stopped
         self.begun = clock.signal()
         self.forced = clock.signal()
 
@@ -66,31 +71,39 @@
             self.begun.set()
 
     def run(self) -> bool:
-        """Block until asked, then until every job has ended; return whether none was forced."""
+        """Block until asked, then until every job has ended.
+
+        Returns
+        -------
+        bool
+            Whether every request in progress went on to its own end.
+        """
         self.begun.wait()
-        event.log(events.SHUTDOWN_BEGUN, requests=sum(len(s.protocols) for s in self.servers))
+        event.log(events.SHUTDOWN_BEGUN, connections=sum(len(s.protocols) for s in self.servers))
+        stopped_before = self.stopped()
         self.entrance.is_draining = True
         for each in self.servers:
             each.drain()
         self.forced.wait(self.notice_s)
-        is_whole = self._drain_jobs()
+        self._drain_jobs()
+        is_closed = all([each.stop(CLOSE_S) for each in self.servers])
+        is_whole = is_closed and self.stopped() == stopped_before
         if not is_whole:
-            event.log(events.SHUTDOWN_FORCED)
-            self.jobs.stop()
-        for each in self.servers:
-            is_whole = each.stop(CLOSE_S) and is_whole
+            event.log(events.SHUTDOWN_FORCED, jobs=self.stopped() - stopped_before)
         return is_whole
 
-    def _drain_jobs(self) -> bool:
+    def _drain_jobs(self):
         ended = self.clock.signal()
+        first = self.clock.signal()
         self.clock.spawn(lambda: ended.set(self.jobs.drain(self.timeout_s)))
-        # Whichever comes first; the drain has its own bound, the margin is for its last step.
-        give_up = self.clock.now() + self.timeout_s + CLOSE_S
-        any_end = self.clock.signal()
         for one in (ended, self.forced):
-            self.clock.spawn(self._pass_on, one, any_end)
-        any_end.wait(max(0.0, give_up - self.clock.now()))
-        return bool(ended.is_set() and ended.value)
+            self.clock.spawn(self._pass_on, one, first)
+        # The drain has this bound itself; the margin is for its last messages.
+        first.wait(self.timeout_s + CLOSE_S)
+        if not ended.is_set():
+            self.jobs.stop()
+        elif not ended.value:
+            event.log(events.HANDOVER_INCOMPLETE)
 
     @staticmethod
     def _pass_on(source: runtime.Signal, target: runtime.Signal) -> None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import itertools
 import os
 import pathlib
 import signal
@@ -108,6 +109,20 @@
             one.stop()
 
 
+_blocks = itertools.count()
+
+
+def own_loopback() -> str:
+    """Return a loopback address that nothing else on this machine uses.
+
+    A port that the kernel gave out as free can be taken before the process that it is meant for
+    has bound it: by another call, or as the source of any connection from 127.0.0.1.  Its instance
+    then doesn't start, or talks to the wrong one.  On an address of its own nobody else binds.
+    """
+    number = os.getpid() * 64 + next(_blocks) % 64
+    return f"127.{1 + number // 65536 % 254}.{number // 256 % 256}.{number % 256}"
+
+
 def free_port(address: str = "127.0.0.1") -> int:
     """Return a port that the kernel gives out as free on a loopback address."""
     with socket.socket() as probe:
