--- a/rosedyke/callers/application.py
+++ b/rosedyke/callers/application.py
@@ -99,7 +99,7 @@
             return self._job(match[1], method, start_response)
         if path == "/healthz":
             _require(method, "GET")
-            return _plain(start_response, "200 OK", b"ok\n")
+            return plain(start_response, "200 OK", b"ok\n")
         if path == "/readyz":
             _require(method, "GET")
             return self._ready(start_response)
@@ -108,8 +108,8 @@
     def _ready(self, start_response):
         refusal = self.gate.refusal()
         if refusal is None:
-            return _plain(start_response, "200 OK", b"ready\n")
-        return _plain(start_response, "503 Service Unavailable", refusal.detail.encode() + b"\n")
+            return plain(start_response, "200 OK", b"ready\n")
+        return plain(start_response, "503 Service Unavailable", refusal.detail.encode() + b"\n")
 
     def _submit(self, service, environ, start_response):
         arrival = self.clock.now()
@@ -190,7 +190,8 @@
     return answer.Ran.UNKNOWN
 
 
-def _plain(start_response: StartResponse, status: str, content: bytes) -> list[bytes]:
+def plain(start_response: StartResponse, status: str, content: bytes) -> list[bytes]:
+    """Answer with text for a person or a balancer."""
     start_response(status, [("Content-Type", "text/plain"), ("Content-Length", str(len(content)))])
     return [content]
 
--- a/rosedyke/configuration/check.py
+++ b/rosedyke/configuration/check.py
@@ -29,10 +29,10 @@
 def _duplicates(files: tuple[file.Parsed, ...]) -> list[diagnostic.Diagnostic]:
     """Return a fault for each definition of a name that another one took before."""
     found = []
-    first: dict[tuple[str, str], file.Definition] = {}
+    first: dict[tuple[str, str, str], file.Definition] = {}
     for parsed in files:
         for definition in parsed.definitions:
-            name = (definition.kind, definition.name)
+            name = (definition.kind, definition.scope, definition.name)
             earlier = first.setdefault(name, definition)
             if earlier is not definition:
                 found.append(_duplicate(definition, earlier))
@@ -51,16 +51,7 @@
     found = []
 
     def warn(path: str, code: str, text: str) -> None:
-        found.append(
-            diagnostic.Diagnostic(
-                parsed.path,
-                parsed.line(path),
-                path,
-                code,
-                text,
-                diagnostic.Severity.WARNING,
-            )
-        )
+        found.append(diagnostic.Diagnostic(parsed.path, parsed.line(path), path, code, text))
 
     for index, service in enumerate(parsed.team.services):
         path = f"services[{index}]"
--- a/rosedyke/configuration/file.py
+++ b/rosedyke/configuration/file.py
@@ -24,9 +24,11 @@
     kind : str
         ``team``, ``service``, ``task``, ``server`` or ``address``.
     name : str
-        The name; a task's is preceded by its service's.
+        The name.
     file, line, key
         Where it is defined.
+    scope : str
+        Where the name must be unique; empty for all files.
     """
 
     kind: str
@@ -34,6 +36,7 @@
     file: str
     line: int
     key: str
+    scope: str = ""
 
 
 @attrs.frozen
@@ -117,14 +120,20 @@
         self.definitions: list[Definition] = []
         # A line that could not be read may hold what seems to be missing.
         self.tells_missing = not read.diagnostics
+        self.is_incomplete = bool(read.diagnostics)
+
+    @property
+    def is_faulty(self) -> bool:
+        """Whether records can't be made any more."""
+        return self.is_incomplete or bool(self.diagnostics)
 
     def fault(self, path: str, code: str, text: str) -> None:
         line = position.nearest(self.lines, path)
         self.diagnostics.append(diagnostic.Diagnostic(self.path, line, path, code, text))
 
-    def define(self, kind: str, name: str, path: str) -> None:
+    def define(self, kind: str, name: str, path: str, scope: str = "") -> None:
         line = position.nearest(self.lines, path)
-        self.definitions.append(Definition(kind, name, self.path, line, path))
+        self.definitions.append(Definition(kind, name, self.path, line, path, scope))
 
     def team(self, values: dict[str, Any]) -> intent.Team | None:
         found = self.table("", "", values)
@@ -134,7 +143,7 @@
         )
         if "team" in found:
             self.define("team", found["team"], "team")
-        if self.diagnostics or "team" not in found:
+        if self.is_faulty or "team" not in found:
             return None
         return intent.Team(found["team"], found["quota"], services)
 
@@ -146,7 +155,7 @@
         limits = self.single("services.limits", path, values)
         objective = self.single("services.objective", path, values)
         tasks = tuple(
-            self.task(place, table, name)
+            self.task(place, table, scope=f"{self.path} {path}")
             for place, table in self.children("services.tasks", f"{path}.tasks", values)
         )
         servers = tuple(
@@ -154,17 +163,17 @@
             for place, table in self.children("services.servers", f"{path}.servers", values)
             for server in self.servers(place, table)
         )
-        if self.diagnostics:
+        if self.is_faulty:
             return None
         return intent.Service(
             name, team, tasks, servers, intent.Limits(**limits), intent.Objective(**objective)
         )
 
-    def task(self, path: str, values: dict[str, Any], service: str) -> intent.TaskType | None:
+    def task(self, path: str, values: dict[str, Any], scope: str) -> intent.TaskType | None:
         found = self.table("services.tasks", path, values)
         if "name" in found:
-            self.define("task", f"{service}/{found['name']}", f"{path}.name")
-        if self.diagnostics:
+            self.define("task", found["name"], f"{path}.name", scope)
+        if self.is_faulty:
             return None
         return intent.TaskType(found["name"], found["run_time_s"], _size(found), found["timeout_s"])
 
@@ -197,7 +206,7 @@
             self.define("server", name, f"{path}.name")
         if address:
             self.define("address", address, f"{path}.address")
-        if self.diagnostics:
+        if self.is_faulty:
             return None
         return intent.BackendServer(
             name,
--- a/rosedyke/daemon/events.py
+++ b/rosedyke/daemon/events.py
@@ -59,3 +59,10 @@
     logging.INFO,
     "No statsd address is set. Metrics are kept in memory only and are lost with the instance.",
 )
+OPERATOR_REQUEST_FAILED = event.define(
+    7010,
+    "operator_request_failed",
+    logging.ERROR,
+    "A request of an operator ended in an unexpected error; jobs go on. Please report it with the "
+    "traceback that follows.",
+)
