--- a/rosedyke/configuration/puller.py
+++ b/rosedyke/configuration/puller.py
@@ -11,11 +11,12 @@
     reader,
     settings,
     snapshot,
+    steps,
     stored,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 from rosedyke.wire import codec, peer
 
 TOPIC = "generation"
@@ -66,6 +67,7 @@
 
         An announcement that is lost costs time only: the advertised number tells the same.
         """
+        step.reach(steps.SPREAD_IN_FORCE, self.membership.own.name)
         for each in self.near():
             try:
                 self.peers.send(each.peer, own)
@@ -169,6 +171,7 @@
     def pull(self, target: member.Member) -> bool:
         """Get what is newer from a member; return whether this instance moved forward."""
         metric.count(metrics.PULLS)
+        step.reach(steps.SPREAD_PULLING, self.membership.own.name)
         try:
             return self._pull(target)
         except (peer.PeerError, codec.CodecError, snapshot.SnapshotError) as error:
--- a/rosedyke/configuration/reader.py
+++ b/rosedyke/configuration/reader.py
@@ -10,11 +10,12 @@
     ports,
     settings,
     snapshot,
+    steps,
     stored,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 
 WATCHER_KEY = "configuration"
 FILES_PER_READ = 16  # bounds an answer to 16 MB even when every file is as large as it may be
@@ -129,6 +130,7 @@
                 each = stored.decode(entry.value, stored.TeamFile)
                 received[each.team] = each
         # A change between the two reads shows as another digest; the next try reads it anew.
+        step.reach(steps.SPREAD_READ, self.membership.own.name)
         if self.held.take(head, received, holding.SOURCE_STORE):
             metric.count(metrics.FROM_STORE)
 
--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -15,11 +15,12 @@
     retry,
     settings,
     shard,
+    steps,
 )
 from rosedyke.job import answer, code, job
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 from rosedyke.runtime import Runtime
 from rosedyke.wire import peer
 
@@ -175,6 +176,7 @@
             self._leave(to)
             return False
         told = self._news(to)
+        step.reach(steps.SLOTS_ASKING, self.peers.own.name)
         renewals = to.renewals
         sent_at = self.runtime.now()
         try:
@@ -260,6 +262,7 @@
 
     def _run_task(self, to, request, grant):
         """Send one task and record what came of it."""
+        step.reach(steps.SLOTS_RECEIVED, self.peers.own.name)
         running = request.running
         try:
             running.mark_sent(grant.index)
@@ -267,6 +270,7 @@
             self._release(to, grant, lease.Outcome.UNUSED)
             return
         metric.count(metrics.TASKS_SENT)
+        step.reach(steps.TASK_SENDING, self.peers.own.name)
         self.budget.sent()
         call = running.request.tasks[grant.index]
         started = self.runtime.now()
@@ -289,6 +293,7 @@
             running.fail(code.Code.SERVER_LOST, f"no answer from {grant.server}: {error}")
         else:
             run_s = self.runtime.now() - started
+            step.reach(steps.TASK_ANSWERED, self.peers.own.name)
             self._learn(to, request, grant, run_s)
             self._release(to, grant, lease.Outcome.DONE, run_s)
             running.mark_finished(grant.index, reply.result)
@@ -308,6 +313,7 @@
     def _not_started(self, to, request, grant, error):
         """Put the task back and, within the budget, ask for another slot."""
         metric.count(metrics.TASKS_NOT_STARTED)
+        step.reach(steps.TASK_NOT_STARTED, self.peers.own.name)
         running = request.running
         running.mark_not_started(grant.index)
         outcome = lease.Outcome.REFUSED if error.is_reached else lease.Outcome.UNREACHED
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -15,10 +15,11 @@
     recovery,
     settings,
     shard,
+    steps,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 from rosedyke.runtime import Runtime
 from rosedyke.wire import peer
 
@@ -190,6 +191,7 @@
     def _recover(self, owned):
         if owned.recovery.run(lambda: self._is_current(owned)):
             metric.count(metrics.TAKEOVERS)
+            step.reach(steps.POOL_TAKEN_OVER, self.peers.own.name)
             event.log(events.POOL_TAKEN_OVER, pool=owned.shard.key, term=owned.ballot.term)
             self._use_freed(owned)
 
@@ -212,6 +214,8 @@
         by_holder: dict[peer.Peer, list[message.Grant]] = {}
         for held in owned.pool.assign(self.runtime.now(), self.current.is_leaving):
             by_holder.setdefault(held.holder, []).append(grant_of(held))
+        if by_holder:
+            step.reach(steps.SLOTS_GRANTED, self.peers.own.name)
         own_grants = tuple(by_holder.pop(asker, ()))
         for holder, grants in by_holder.items():
             self._send(owned, holder, tuple(grants))
--- a/rosedyke/dispatch/recovery.py
+++ b/rosedyke/dispatch/recovery.py
@@ -11,9 +11,10 @@
 each get the answers of half the members last, and both would grant the same slots.
 """
 
-from rosedyke.dispatch import message, pool, settings
+from rosedyke.dispatch import message, pool, settings, steps
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
+from rosedyke.observe import step
 from rosedyke.runtime import Runtime
 from rosedyke.wire import peer
 
@@ -54,6 +55,7 @@
 
     def run(self, is_wanted) -> bool:
         """Block until the pool may grant; false if ``is_wanted()`` turns false before."""
+        step.reach(steps.POOL_RECOVERING, self.peers.own.name)
         while is_wanted():
             missing = [one for one in self._members() if one not in self.answered]
             if not missing and self.membership.is_confirmed():
--- a/rosedyke/membership/join.py
+++ b/rosedyke/membership/join.py
@@ -6,8 +6,8 @@
 
 import contextlib
 
-from rosedyke.membership import core, events, member, messages, record, synchronise
-from rosedyke.observe import event
+from rosedyke.membership import core, events, member, messages, record, steps, synchronise
+from rosedyke.observe import event, step
 from rosedyke.wire import peer
 
 UNCONFIRMED_TICK_S = 0.02
@@ -57,6 +57,7 @@
         if announce.known_incarnation == self.core.own.peer.incarnation:
             about = announce.record.peer
             self._note(about.name, about.incarnation, announce.known_counter)
+        step.reach(steps.JOIN_ACKNOWLEDGING, self.core.own.name)
         return messages.Acknowledged(self.core.table.of(self.core.data_centre))
 
     def on_forward(self, sender: peer.Peer, forward: messages.Forward):
@@ -73,6 +74,7 @@
         last_words = self.core.own.raised(member.State.DEAD)
         self.core.own = last_words
         waiting = {target.name for target in targets}
+        step.reach(steps.LEAVE_ANNOUNCING, last_words.name)
         ended = self.core.runtime.signal()
 
         def tell(target):
@@ -128,6 +130,7 @@
         if self.core.own.state is member.State.JOINING and not self._missing():
             self.core.change_own(member.State.LIVE)
         if self.is_confirmed() and not self._was_confirmed():
+            step.reach(steps.JOIN_CONFIRMED, self.core.own.name)
             if self.confirmed_counter is None:
                 event.log(events.JOINED, name=self.core.own.name)
             self.confirmed_counter = self.core.state_counter
@@ -143,6 +146,7 @@
     def _announce_to(self, target):
         own = self.core.own
         announce = messages.Announce(own, target.peer.incarnation, target.counter)
+        step.reach(steps.JOIN_ANNOUNCING, own.name)
         try:
             reply = self._request(target, announce)
         except peer.PeerGone:
--- a/rosedyke/membership/suspicion.py
+++ b/rosedyke/membership/suspicion.py
@@ -1,7 +1,7 @@
 """From suspicion to death: a suspected member gets time and further probes to be heard."""
 
-from rosedyke.membership import core, events, messages, metrics, probe, record
-from rosedyke.observe import event, metric
+from rosedyke.membership import core, events, messages, metrics, probe, record, steps
+from rosedyke.observe import event, metric, step
 
 # How much longer a member waits that only heard of a suspicion; usually the death that the first
 # suspector declares arrives before.
@@ -52,6 +52,7 @@
             return
         metric.count(metrics.DEATHS)
         event.log(events.MEMBER_DEAD, name=suspected.name)
+        step.reach(steps.DEATH_DECLARED, own.name)
         self._declare_dead(suspected.dead())
 
     def _declare_dead(self, dead):
