--- a/rosedyke/configuration/change.py
+++ b/rosedyke/configuration/change.py
@@ -10,7 +10,8 @@
 import attrs
 
 from rosedyke import runtime as runtime_module
-from rosedyke.configuration import check, diagnostic, file, ports, stored
+from rosedyke.configuration import check, diagnostic, file, ports, steps, stored
+from rosedyke.observe import step
 
 MAX_FILES = 100  # with the head and the record, below the store's 128 operations a transaction
 MAX_CHANGE_BYTES = 1_400_000  # the store's bound on a whole request is 1.5 MiB
@@ -182,6 +183,7 @@
         """Send the change until it is answered; None when the set moved on and is read anew."""
         record = record_of(self.seen, self.proposal)
         compares, operations = transaction(self.keys, self.seen, self.proposal, record)
+        step.reach(steps.APPLY_SENDING, self.proposal.operator)
         # The same transaction may be sent again: its condition on the head lets at most one of
         # the copies take effect, also when an earlier one is still on its way.
         while True:
@@ -191,6 +193,7 @@
                 return self.lost_the_race(record.generation)
             except ports.StoreOutcomeUnknown as error:
                 self.is_uncertain = True
+                step.reach(steps.APPLY_UNANSWERED, self.proposal.operator)
                 failure = error
             except ports.StoreRefused as error:
                 return self.give_up(error)
@@ -303,10 +306,7 @@
     generation = record.generation
     changed = {change.team: change.action for change in record.changes}
     entries = {entry.team: entry for entry in seen.head.entries if entry.team not in changed}
-    compares = [
-        ports.Compare(keys.head, seen.head_revision),
-        ports.Compare(keys.change(generation), 0),
-    ]
+    compares = [ports.Compare(keys.head, seen.head_revision)]
     operations: list[ports.Put | ports.Delete] = []
     texts = {parsed.team.name: parsed.text for parsed in proposal.files}
     for team, action in changed.items():
--- a/rosedyke/configuration/distribution_test.py
+++ b/rosedyke/configuration/distribution_test.py
@@ -225,11 +225,28 @@
             region.start(f"i{number}")
         region.apply(text("a"))
         region.run(20)
-        # Another key of the store changes, which raises its revision.
+        sent = len(region.network.log)
+        for _ in range(10):
+            # Another key of the store changes, which raises its revision.
+            region.runtime.call(region.operator.write, (), (ports.Put("/other", b""),))
+            region.run(3)
+        self.assertEqual(len(region.network.log), sent)
+
+    def test_watchers_that_first_read_at_different_revisions_come_to_rest(self):
+        """The list of leaving servers has the revision of its reading as its version.
+
+        Two watchers read the same list at two revisions; the one with the lower must not go on
+        thinking that the other has something newer.
+        """
+        region = Region()
+        early, late = virtual_store.Faults(delay_s=0.001), virtual_store.Faults(delay_s=0.5)
+        region.start("i0", faults=early)
+        region.start("i1", faults=late)
+        region.run(1.2)
         region.runtime.call(region.operator.write, (), (ports.Put("/other", b""),))
         region.run(10)
         sent = len(region.network.log)
-        region.run(30)
+        region.run(20)
         self.assertEqual(len(region.network.log), sent)
 
 
@@ -277,6 +294,7 @@
         region.apply(text("a", servers=2))
         region.run(3)
         region.faults.stale_revision = stale
+        region.network.delay_s = lambda source, target, message: 0.05  # slower than the store
         late = region.start("i1")
         region.run(20)
         self.assertEqual(late.history, [2])
--- a/rosedyke/configuration/puller.py
+++ b/rosedyke/configuration/puller.py
@@ -11,11 +11,12 @@
     reader,
     settings,
     snapshot,
+    steps,
     stored,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 from rosedyke.wire import codec, peer
 
 TOPIC = "generation"
@@ -66,6 +67,7 @@
 
         An announcement that is lost costs time only: the advertised number tells the same.
         """
+        step.reach(steps.ANNOUNCING, self.membership.own.name)
         for each in self.near():
             try:
                 self.peers.send(each.peer, own)
@@ -81,6 +83,7 @@
 
     def on_pull(self, sender: peer.Peer, pull: messages.Pull) -> messages.Delta:
         """Return what the asker hasn't, as much as fits in one reply."""
+        step.reach(steps.PULL_ANSWERING, self.membership.own.name)
         held = self.held.snapshot if self.held.is_published else snapshot.Snapshot()
         leaving = self.held.leaving
         list_of_leaving = ()
@@ -187,6 +190,8 @@
             self._take_leaving(delta)
             if delta.generation <= self.held.generation:
                 break
+            step.reach(steps.PULL_ANSWERED, self.membership.own.name)
+            before_round = len(received)
             received |= {each.team: each for each in messages.unpack(delta.content)}
             head = self._head(delta, base)
             if head is None:
@@ -202,6 +207,9 @@
             if not wanted:
                 self._take(target, head, received)
                 break
+            # A peer that can't give what its own entries name would be asked for ever.
+            if len(received) == before_round:
+                raise snapshot.SnapshotError(f"no file of {', '.join(wanted[:5])}")
         return _is_ahead(self.position(), before)
 
     def _head(self, delta: messages.Delta, base: int) -> stored.Head | None:
--- a/rosedyke/configuration/reader.py
+++ b/rosedyke/configuration/reader.py
@@ -10,11 +10,12 @@
     ports,
     settings,
     snapshot,
+    steps,
     stored,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 
 WATCHER_KEY = "configuration"
 FILES_PER_READ = 16  # bounds an answer to 16 MB even when every file is as large as it may be
@@ -119,6 +120,7 @@
             event.log(events.STORE_BEHIND, generation=head.generation, held=self.held.generation)
         if not self.held.is_newer(head):
             return
+        step.reach(steps.HEAD_READ, self.membership.own.name)
         names = snapshot.missing(self.held.snapshot, head)
         received = {}
         for start in range(0, len(names), FILES_PER_READ):
@@ -168,14 +170,12 @@
                         self.full_read_at -= self.settings.full_read_s * any(
                             change.value is None for change in changes
                         )
+                        step.reach(steps.WATCH_CHANGED, self.membership.own.name)
                         self.wake.set()
                     if not self.is_watcher():
                         return False
-        except ports.StoreCompacted:
-            # The changes in between can't be had one by one; a read gives the present state.
-            self.wake.set()
-            return False
         except ports.StoreError as error:
+            # Cut, or what lies between was compacted: a read gives the present state at once.
             metric.count(metrics.STORE_FAILURES)
             event.log(events.STORE_FAILED, code=error.code, detail=error, watch=True)
             self.wake.set()
