--- a/rosedyke/configuration/distribution_test.py
+++ b/rosedyke/configuration/distribution_test.py
@@ -1,9 +1,20 @@
+import collections
 import unittest
 import zlib
 
 import attrs
 
-from rosedyke.configuration import change, distribution, file, messages, ports, settings, stored
+from rosedyke.configuration import (
+    change,
+    distribution,
+    file,
+    intent,
+    messages,
+    ports,
+    puller,
+    settings,
+    stored,
+)
 from rosedyke.membership import member
 from rosedyke.standins import keyvalue, virtual, virtual_store
 from rosedyke.wire import peer
@@ -159,6 +170,32 @@
         readers = [n for n, each in region.instances.items() if each.store.calls > before[n]]
         self.assertEqual(len(readers), 2)
 
+    def test_no_instance_serves_all_others(self):
+        """One change in a data centre of 50: if everyone pulled from the watcher that read it, its
+        traffic would grow with the data centre.
+        """
+        region = Region()
+        for number in range(50):
+            region.start(f"i{number}")
+        region.apply(text("a"))
+        region.run(10)
+        region.network.log.clear()
+        region.apply(text("a", servers=2))
+        region.run(1)
+        self.assertEqual(set(region.generations().values()), {2})
+        replies = collections.Counter(
+            source
+            for _, source, _, message in region.network.log
+            if isinstance(message, messages.Delta)
+        )
+        announcements = collections.Counter(
+            source
+            for _, source, _, message in region.network.log
+            if isinstance(message, messages.Announce)
+        )
+        self.assertLessEqual(max(replies.values()), 2 * puller.FANOUT + 2)
+        self.assertLessEqual(max(announcements.values()), 2 * puller.FANOUT)
+
     def test_change_is_in_force_within_a_second(self):
         region = Region()
         for number in range(12):
@@ -225,11 +262,28 @@
             region.start(f"i{number}")
         region.apply(text("a"))
         region.run(20)
-        # Another key of the store changes, which raises its revision.
+        sent = len(region.network.log)
+        for _ in range(10):
+            # Another key of the store changes, which raises its revision.
+            region.runtime.call(region.operator.write, (), (ports.Put("/other", b""),))
+            region.run(3)
+        self.assertEqual(len(region.network.log), sent)
+
+    def test_watchers_that_first_read_at_different_revisions_come_to_rest(self):
+        """The list of leaving servers has the revision of its reading as its version.
+
+        Two watchers read the same list at two revisions; the one with the lower must not go on
+        thinking that the other has something newer.
+        """
+        region = Region()
+        early, late = virtual_store.Faults(delay_s=0.001), virtual_store.Faults(delay_s=0.5)
+        region.start("i0", faults=early)
+        region.start("i1", faults=late)
+        region.run(1.2)
         region.runtime.call(region.operator.write, (), (ports.Put("/other", b""),))
         region.run(10)
         sent = len(region.network.log)
-        region.run(30)
+        region.run(20)
         self.assertEqual(len(region.network.log), sent)
 
 
@@ -277,6 +331,7 @@
         region.apply(text("a", servers=2))
         region.run(3)
         region.faults.stale_revision = stale
+        region.network.delay_s = lambda source, target, message: 0.05  # slower than the store
         late = region.start("i1")
         region.run(20)
         self.assertEqual(late.history, [2])
@@ -441,15 +496,15 @@
         self.offer(messages.Delta(9, "id", "", (), zlib.compress(bytes(50_000_000))))
 
     def test_file_that_is_not_the_one_of_the_head(self):
-        forged = stored.TeamFile("x", 9, "eve", "", text("x"))
-        entry = stored.HeadEntry("x", 9, stored.digest("another text"))
+        forged = stored.TeamIntent("x", 9, stored.encode(intent.Team("x")))
+        entry = stored.HeadEntry("x", 9, stored.digest(b"another"))
         head = stored.Head(9, "id", (entry,))
         self.offer(messages.Delta(9, "id", head.digest(), (entry,), messages.pack([forged])))
 
     def test_file_that_this_version_cannot_read(self):
-        unread = stored.TeamFile("x", 9, "eve", "", text("x") + "later_key = 1\n")
+        unread = stored.TeamIntent("x", 9, stored.encode(intent.Team("x")), stored.FORMAT + 1)
         entry = stored.HeadEntry("x", 9, unread.digest)
-        mine = stored.TeamFile("a", 1, "ana", "", text("a"))
+        mine = stored.TeamIntent("a", 1, stored.encode(file.loads(text("a"))))
         entries = (stored.HeadEntry("a", 1, mine.digest), entry)
         digest = stored.Head(9, "id", entries).digest()
         self.offer(messages.Delta(9, "id", digest, entries, messages.pack([unread, mine])))
--- a/rosedyke/configuration/reader.py
+++ b/rosedyke/configuration/reader.py
@@ -120,6 +120,7 @@
             event.log(events.STORE_BEHIND, generation=head.generation, held=self.held.generation)
         if not self.held.is_newer(head):
             return
+        step.reach(steps.HEAD_READ, self.membership.own.name)
         names = snapshot.missing(self.held.snapshot, head)
         received = {}
         for start in range(0, len(names), FILES_PER_READ):
@@ -127,10 +128,9 @@
                 ports.Span(self.keys.team(name)) for name in names[start : start + FILES_PER_READ]
             ]
             for entry in self.store.read(*spans).entries:
-                each = stored.decode(entry.value, stored.TeamFile)
+                each = stored.decode(entry.value, stored.TeamFile).as_intent()
                 received[each.team] = each
         # A change between the two reads shows as another digest; the next try reads it anew.
-        step.reach(steps.SPREAD_READ, self.membership.own.name)
         if self.held.take(head, received, holding.SOURCE_STORE):
             metric.count(metrics.FROM_STORE)
 
@@ -170,14 +170,12 @@
                         self.full_read_at -= self.settings.full_read_s * any(
                             change.value is None for change in changes
                         )
+                        step.reach(steps.WATCH_CHANGED, self.membership.own.name)
                         self.wake.set()
                     if not self.is_watcher():
                         return False
-        except ports.StoreCompacted:
-            # The changes in between can't be had one by one; a read gives the present state.
-            self.wake.set()
-            return False
         except ports.StoreError as error:
+            # Cut, or what lies between was compacted: a read gives the present state at once.
             metric.count(metrics.STORE_FAILURES)
             event.log(events.STORE_FAILED, code=error.code, detail=error, watch=True)
             self.wake.set()
