--- a/rosedyke/job/loss_test.py
+++ b/rosedyke/job/loss_test.py
@@ -1,7 +1,8 @@
 import contextlib
 import unittest
 
-from rosedyke.job import answer, code, steps
+from rosedyke.job import answer, code, messages, steps
+from rosedyke.job.claiming_test import job_with
 from rosedyke.membership import member
 from rosedyke.observe import step
 from rosedyke.standins import explore_region as region
@@ -192,6 +193,78 @@
         self.assertEqual(built.faults(), [])
         self.assertEqual([call.answer for call in again], [call.answer for call in calls])
 
+    def test_dead_holders_claim_is_brought_to_new_registrars_by_the_old_ones(self):
+        # The holder dies with a started job. Then two instances join and become the job's only
+        # registrars. The former ones must tell them; a resubmission must not run the job again.
+        names = ("dc1a", "dc1b", "dc1c")
+        built = settled({"dc1": 3, "dc2": 1})
+        job_id = job_with(("dc1b", "dc1c"), names, ("dc1x", "dc1y"))
+        built.submit("dc1a", region.request_of(job_id))
+        built.settle(0.03)
+        crash_and_detect(built, "dc1a")
+        built.settle(DETECTION_S + 0.5)
+        built.join("dc1x", "dc1")
+        built.join("dc1y", "dc1")
+        built.settle(0.5)
+        call = built.submit("dc2a", region.request_of(job_id, attempt=2, age_s=2.5))
+        built.settle(6)
+        self.assertEqual(built.faults(), [])
+        self.assertIs(call.answer.code, code.Code.HOLDER_LOST)
+
+    def test_living_holder_brings_its_claim_when_joins_replace_both_registrars(self):
+        names = ("dc1a", "dc1b", "dc1c")
+        built = settled({"dc1": 3, "dc2": 1})
+        job_id = job_with(("dc1b", "dc1c"), names, ("dc1x", "dc1y"))
+        built.nodes["dc1a"].dispatcher.task_s = 2.0
+        first = built.submit("dc1a", region.request_of(job_id))
+        built.settle(0.03)
+        built.join("dc1x", "dc1")
+        built.join("dc1y", "dc1")
+        built.settle(0.5)
+        call = built.submit("dc2a", region.request_of(job_id, attempt=2, age_s=0.5))
+        built.settle(6)
+        self.assertEqual(built.faults(), [])
+        self.assertEqual(call.answer, first.answer)
+
+    def test_new_registrars_grant_nothing_before_every_member_has_brought_its_claims(self):
+        # The holder runs a job while two instances join and become its registrars; the holder's
+        # messages to them are delayed. A resubmission that is quicker must wait.
+        names = ("dc1a", "dc1b", "dc1c")
+        built = settled({"dc1": 3, "dc2": 1})
+        job_id = job_with(("dc1b", "dc1c"), names, ("dc1x", "dc1y"))
+        built.nodes["dc1a"].dispatcher.task_s = 2.0
+        first = built.submit("dc1a", region.request_of(job_id))
+        built.settle(0.03)
+        built.network.cut |= {("dc1a", "dc1x"), ("dc1a", "dc1y")}
+        built.join("dc1x", "dc1")
+        built.join("dc1y", "dc1")
+        built.settle(0.5)
+        call = built.submit("dc2a", region.request_of(job_id, attempt=2, age_s=0.5))
+        built.settle(0.5)
+        built.network.heal()
+        built.settle(6)
+        self.assertEqual(built.faults(), [])
+        self.assertEqual(call.answer, first.answer)
+
+    def test_claim_that_is_still_being_taken_moves_with_a_join(self):
+        # Two instances join and become the job's registrars just while the former ones grant its
+        # claim. The holder starts the job on those grants, so it must have told the new ones.
+        names = ("dc1a", "dc1b", "dc1c")
+        built = settled({"dc1": 3, "dc2": 1})
+        job_id = job_with(("dc1b", "dc1c"), names, ("dc1x", "dc1y"))
+        slow_reply = messages.ClaimReply
+        built.network.delay_s = lambda s, t, m: 0.025 if isinstance(m, slow_reply) else 0.0005
+        built.nodes["dc1a"].dispatcher.task_s = 2.0
+        first = built.submit("dc1a", region.request_of(job_id))
+        built.settle(0.005)
+        built.join("dc1x", "dc1")
+        built.join("dc1y", "dc1")
+        built.settle(0.5)
+        call = built.submit("dc2a", region.request_of(job_id, attempt=2, age_s=0.5))
+        built.settle(6)
+        self.assertEqual(built.faults(), [])
+        self.assertEqual(call.answer, first.answer)
+
     def test_new_registrar_that_was_told_nothing_yet_grants_nothing(self):
         # An instance joins, but one member's acknowledgement is lost for a while. A
         # resubmission must wait for it: that member may hold the job's claim.
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -179,7 +179,7 @@
             final = self._wait_with(held, request)
             if final is not None:
                 return final
-            node.runtime.sleep(0)
+            node.runtime.sleep(node.settings.retry_delay_s / 10)
             held = node.held.get(request.job_id)
         entry = node.kept.find(request.job_id)
         if entry is None:
