Schedule a service's servers of all data centres by one owner

Cause: with a pool for each data centre, a job's tasks were split between pools by reports that lag, and small jobs often missed the region's fastest free slot.

When data centres are cut off, the views differ and each side has an owner for the servers of the data centres of which it sees an instance; after the cut one owner takes all over, by the same take-over as after a death. Concurrency limits are split by the slots that each side reaches.

Price: while the owner's data centre is cut off and not yet seen as dead, the others' jobs wait; an owner's death concerns the whole service, but one of six instances is it rather than each being it for a third.

Also: an owner that another had superseded while it did not see it granted under a ballot that everyone ignored, for ever; holders now tell which ballot they obey. After a pause a holder in a new incarnation asks anew for what waits.

--- a/rosedyke/dispatch/backlog.py
+++ b/rosedyke/dispatch/backlog.py
@@ -2,7 +2,7 @@
 
 Reports ride on the replies of owners; for pools that this instance does not talk to they come with
 the membership's probes and so cost no message.  A report that lags by a heartbeat still tells a
-busy data centre from an idle one.
+busy pool from an idle one.
 """
 
 import attrs
@@ -102,7 +102,7 @@
 
     def report(self, target: shard.Shard) -> message.PoolReport | None:
         """Return what is known of a pool, None when nothing is."""
-        owner = shard.owner_of(target.key, target.data_centre, self.membership.view)
+        owner = shard.owner_of(target.key, self.membership.view)
         if owner is None:
             return None
         self._hear(owner.name)
--- a/rosedyke/dispatch/dispatcher.py
+++ b/rosedyke/dispatch/dispatcher.py
@@ -153,16 +153,14 @@
             self.holder.ask(running, service, by_key[key], part)
 
     def _usable(self, service) -> list[shard.Shard]:
-        """Return the pools that can be asked, the own data centre's first."""
-        own = self.membership.own.data_centre
+        """Return the pools that can be asked."""
         view = self.membership.view
         reachable = [
             one
             for one in self.shards.of(service)
-            if shard.owner_of(one.key, one.data_centre, view) is not None
+            if one.in_reach(view) and shard.owner_of(one.key, view) is not None
         ]
-        usable = [one for one in reachable if not self.board.is_avoided(one.key)] or reachable
-        return sorted(usable, key=lambda one: (one.data_centre != own, one.key))
+        return [one for one in reachable if not self.board.is_avoided(one.key)] or reachable
 
     def _report(self, target: shard.Shard) -> message.PoolReport:
         return self.board.report(target) or unknown_report(target)
@@ -175,13 +173,12 @@
             declared_s = admission.declared_s(service, calls[index])
             tasks.append((speeds.reference_s(calls[index].name, declared_s), index))
         work_s = sum(reference_s for reference_s, _ in tasks)
-        own = self.membership.own.data_centre
-        estimates = []
-        for one in usable:
-            report = self._report(one)
-            if report.rate > 0:
-                trip_s = 0.0 if one.data_centre == own else self.options.trip_s
-                estimates.append(routing.estimate(one.key, report, trip_s, work_s))
+        reports = {one.key: self._report(one) for one in usable}
+        estimates = [
+            routing.estimate(key, report, work_s)
+            for key, report in reports.items()
+            if report.rate > 0
+        ]
         if len(estimates) < 2:
             key = estimates[0].key if estimates else usable[0].key
             return {key: list(indices)}
--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -73,6 +73,7 @@
         self.links: dict[str, link.Link] = {}
         self.by_job: dict[job.Job, list[link.Request]] = {}
         self.numbers = itertools.count(1)
+        self.own = peers.own
         self.lateness = lateness.Lateness()
         self.budget = retry.Budget(options.retry_share, options.retry_burst)
         peers.handle(message.Grants, self.on_grants)
@@ -139,14 +140,17 @@
         return found
 
     def _owner(self, to) -> peer.Peer | None:
-        owner = shard.owner_of(to.shard.key, to.shard.data_centre, self.membership.view)
+        owner = shard.owner_of(to.shard.key, self.membership.view)
         return None if owner is None else owner.peer
 
     def _on_view(self, old: member.View, new: member.View):
         peers = {one.peer for one in new.members if one.state is not member.State.DEAD}
         self.lateness.forget(lambda sender: sender not in peers)
+        # In a new incarnation of this instance the owners know none of its requests.
+        is_new = self.own != self.peers.own
+        self.own = self.peers.own
         for to in self.links.values():
-            if to.requests and self._owner(to) != to.owner:
+            if to.requests and (is_new or self._owner(to) != to.owner):
                 to.renew(self._owner(to))
                 self._flush_soon(to)
 
@@ -220,7 +224,9 @@
             )
             for request in to.asked.values()
         )
-        return message.Exchange(to.shard.key, requests, tuple(to.releases), tuple(to.withdrawn))
+        return message.Exchange(
+            to.shard.key, to.ballot, requests, tuple(to.releases), tuple(to.withdrawn)
+        )
 
     def _leave(self, to):
         """Ask other pools for what waits at an owner that does not answer.
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -158,9 +158,13 @@
 @codec.message("dispatch.exchange")
 @attrs.frozen
 class Exchange:
-    """Everything that a holder has to tell a pool's owner at one moment."""
+    """Everything that a holder has to tell a pool's owner at one moment.
+
+    ``obeys`` is the newest ballot that the holder knows for the pool.
+    """
 
     pool: str
+    obeys: Ballot | None = None
     requests: tuple[SlotRequest, ...] = ()
     releases: tuple[Release, ...] = ()
     withdrawn: tuple[int, ...] = ()
--- a/rosedyke/dispatch/orphans.py
+++ b/rosedyke/dispatch/orphans.py
@@ -38,7 +38,7 @@
     def look_after(self, owned: pool.Pool, on_free) -> None:
         """Ask each server of a pool that has orphans; call ``on_free(pool)`` for each gain."""
         for name, server in owned.servers.items():
-            if server.orphans and (owned.key, name) not in self.asked:
+            if server.orphans and server.is_ready and (owned.key, name) not in self.asked:
                 self.asked.add((owned.key, name))
                 self.runtime.spawn(self._ask_until_settled, owned, server, on_free)
 
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -33,21 +33,26 @@
         Its declaration.
     pool : Pool
         The aggregate.
-    recovery : Recovery
-        The take-over, also the source of the ballot.
+    owner : Peer
+        This instance in the incarnation that owns it.
     audited_at : float
         When holders were last asked for old grants.
+    ballot : Ballot
+        Under which it grants; raised while servers are taken over.
+    takeover : Recovery or None
+        The take-over in progress.
     """
 
     shard: shard.Shard
     pool: pool.Pool
-    recovery: recovery.Recovery
+    owner: peer.Peer
     audited_at: float
+    ballot: message.Ballot
+    takeover: recovery.Recovery | None = None
 
-    @property
-    def ballot(self) -> message.Ballot:
-        """The ballot under which it grants."""
-        return self.recovery.ballot
+    def present_ballot(self) -> message.Ballot:
+        """Return the newest ballot, which members may obey already during a take-over."""
+        return self.ballot if self.takeover is None else self.takeover.ballot
 
 
 class PoolOwner:
@@ -119,6 +124,9 @@
         owned = self.owned.get(told.pool)
         if owned is None or not self.is_owner(owned.shard) or not self._is_member(sender):
             return message.ExchangeReply(None)
+        if told.obeys is not None and told.obeys.key() > owned.present_ballot().key():
+            self._was_superseded(owned, told.obeys)
+            return message.ExchangeReply(None)
         now = self.runtime.now()
         for request in told.withdrawn:
             owned.pool.withdraw(sender, request)
@@ -133,7 +141,7 @@
                 again.extend(owned.pool.add(sender, asked, now))
         grants = tuple(grant_of(held) for held in again) + self._assign(owned, sender)
         return message.ExchangeReply(
-            owned.ballot, grants, tuple(refused), self.report_of(owned), now
+            owned.present_ballot(), grants, tuple(refused), self.report_of(owned), now
         )
 
     def report_of(self, owned: Owned) -> message.PoolReport:
@@ -142,7 +150,7 @@
 
     def is_owner(self, target: shard.Shard) -> bool:
         """Return whether the present view makes this instance the pool's owner."""
-        owner = shard.owner_of(target.key, target.data_centre, self.membership.view)
+        owner = shard.owner_of(target.key, self.membership.view)
         return owner is not None and owner.peer == self.peers.own
 
     def _is_member(self, sender):
@@ -155,43 +163,74 @@
         return found is not None and found.peer == sender and found.state is not member.State.DEAD
 
     def follow(self) -> None:
-        """Begin to own the pools that are this instance's now, and drop those that aren't."""
+        """Begin to own the pools that are this instance's now, and drop those that aren't.
+
+        A pool of an earlier incarnation is dropped too: while this instance was taken for dead,
+        another may have granted its slots.
+        """
         configuration = self.current.configuration
-        services = (
-            [s for team in configuration.teams for s in team.services] if configuration else []
-        )
+        teams = configuration.teams if configuration else ()
         declared = {
             one.key: one
-            for service in services
+            for team in teams
+            for service in team.services
             for one in self.shards.of(service)
-            if one.data_centre == self.peers.own.data_centre and self.is_owner(one)
+            if self.is_owner(one)
         }
-        for key in [key for key in self.owned if key not in declared]:
-            del self.owned[key]
+        for key, owned in list(self.owned.items()):
+            if key not in declared or owned.owner != self.peers.own:
+                del self.owned[key]
+        for target in declared.values():
+            self._declare(target, configuration.service(target.service).limits)
+
+    def _declare(self, target, limits, ballot=None):
+        """Bring one own pool in line with the configuration and the view."""
         now = self.runtime.now()
-        for key, target in declared.items():
-            if key not in self.owned:
-                self._take_over(target)
-            self.owned[key].shard = target
-            self.owned[key].pool.bound(configuration.service(target.service).limits)
-            self.owned[key].pool.declare(target.servers, self.shards.limit(target), now)
-
-    def _take_over(self, target):
-        taken = pool.Pool(target.key, self.speeds(target.service), self.options)
-        owned = Owned(
-            target,
-            taken,
-            recovery.Recovery(self.options, self.runtime, self.peers, self.membership, taken),
-            self.runtime.now(),
+        own = self.peers.own
+        if target.key not in self.owned:
+            made = pool.Pool(target.key, self.speeds(target.service), self.options)
+            ballot = ballot or message.Ballot(1, own.name, own.incarnation)
+            self.owned[target.key] = Owned(target, made, own, now, ballot)
+        owned = self.owned[target.key]
+        owned.shard = target
+        reached = target.in_reach(self.membership.view)
+        limit = self.shards.limit(target, sum(server.slots for server in reached))
+        owned.pool.bound(limits)
+        owned.pool.declare(reached, limit, now)
+        if owned.pool.unready() and owned.takeover is None:
+            self._start_recovery(owned)
+
+    def _was_superseded(self, owned, newer):
+        """Take a pool over anew that another instance took over while this one did not see it.
+
+        Views differed for a while, and the other has given the pool back since.  Members ignore
+        whatever comes under the old ballot, so nothing would be granted any more.
+        """
+        del self.owned[owned.shard.key]
+        own = self.peers.own
+        self._declare(
+            owned.shard,
+            self.current.configuration.service(owned.shard.service).limits,
+            message.Ballot(newer.term + 1, own.name, own.incarnation),
+        )
+
+    def _start_recovery(self, owned):
+        owned.takeover = recovery.Recovery(
+            self.options, self.runtime, self.peers, self.membership, owned.pool, owned.ballot
         )
-        self.owned[target.key] = owned
         self.runtime.spawn(self._recover, owned)
 
     def _recover(self, owned):
-        if owned.recovery.run(lambda: self._is_current(owned)):
-            metric.count(metrics.TAKEOVERS)
-            event.log(events.POOL_TAKEN_OVER, pool=owned.shard.key, term=owned.ballot.term)
-            self._use_freed(owned)
+        """Take over servers until the slots in use of each are known."""
+        if not owned.takeover.run(lambda: self._is_current(owned)):
+            return
+        owned.ballot = owned.takeover.ballot
+        owned.takeover = None
+        metric.count(metrics.TAKEOVERS)
+        event.log(events.POOL_TAKEN_OVER, pool=owned.shard.key, term=owned.ballot.term)
+        if owned.pool.unready():  # declared since
+            self._start_recovery(owned)
+        self._use_freed(owned)
 
     def _is_current(self, owned):
         return self.is_running and self.owned.get(owned.shard.key) is owned
@@ -219,7 +258,9 @@
 
     def _send(self, owned, holder, grants):
         now = self.runtime.now()
-        told = message.Grants(owned.shard.key, owned.ballot, grants, self.report_of(owned), now)
+        told = message.Grants(
+            owned.shard.key, owned.present_ballot(), grants, self.report_of(owned), now
+        )
         # A message that is lost here or on the way is found by the audit of old leases.
         try:
             if holder == self.peers.own:
@@ -240,18 +281,16 @@
             self.runtime.sleep(self.options.tick_s)
             now = self.runtime.now()
             for owned in list(self.owned.values()):
-                if owned.pool.is_granting:
-                    self._log_orphans(owned, owned.pool.expire(now))
-                    self._use_freed(owned)
-                    self._audit(owned, now)
+                self._log_orphans(owned, owned.pool.expire(now))
+                self._use_freed(owned)
+                self._audit(owned, now)
             self._advertise(now)
 
     def _advertise(self, now):
         if now < self.advertised_at + self.options.advertise_s:
             return
         self.advertised_at = now
-        granting = {key: owned for key, owned in self.owned.items() if owned.pool.is_granting}
-        self.board.advertise({key: self.report_of(owned) for key, owned in granting.items()})
+        self.board.advertise({key: self.report_of(owned) for key, owned in self.owned.items()})
         metric.gauge(
             metrics.QUEUE_TASKS, sum(owned.pool.waiting.tasks for owned in self.owned.values())
         )
@@ -269,7 +308,7 @@
             self.runtime.spawn(self._audit_holder, owned, holder, tuple(leases))
 
     def _audit_holder(self, owned, holder, leases):
-        told = message.Audit(owned.shard.key, owned.ballot, leases)
+        told = message.Audit(owned.shard.key, owned.present_ballot(), leases)
         try:
             reply = self.peers.request(holder, told, self.options.request_timeout_s)
         except peer.PeerError:
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -1,4 +1,4 @@
-"""A pool: the backend servers of one service in one data centre, as their owner sees them.
+"""A pool: backend servers of one service, as their owner sees them.
 
 The aggregate's rules:
 
@@ -52,6 +52,8 @@
         It is no longer declared and waits for its last lease to end.
     is_held : bool
         It is being asked how many tasks run and gets no other meanwhile.
+    is_ready : bool
+        Every member has told its slots here, or is dead.
     """
 
     declared: intent.BackendServer
@@ -62,10 +64,11 @@
     is_leaving: bool = False
     is_removed: bool = False
     is_held: bool = False
+    is_ready: bool = False
 
     def free(self) -> int:
         """Return how many slots may be granted."""
-        if self.is_held:
+        if self.is_held or not self.is_ready:
             return 0
         usable = self.declared.slots
         if self.health.allowance is not None:
@@ -118,7 +121,6 @@
         self.released_early: set[lease.Key] = set()
         self.newest_request: dict[tuple[str, int], int] = {}
         self.limit: int | None = None
-        self.is_granting = False
         self.max_timeout_s = intent.Limits().max_timeout_s
         self.queue_limit = intent.Limits().queue
         self.waiting = queue.RequestQueue(1, options.aging)
@@ -144,18 +146,19 @@
     ) -> None:
         """Take in the servers and the concurrency limit of a new configuration.
 
-        A server that is new here may still run tasks of an owner that went: each of its slots
-        is orphaned until the server has said what runs.
+        A server that is new here, or was out of reach for a while, may run tasks by the grants of
+        another owner: each slot without a lease is orphaned until the server has said what runs.
         """
         self.limit = limit
         names = {server.name for server in servers}
         for declared in servers:
-            server = self.servers.get(declared.name)
-            if server is None:
-                server = self.servers[declared.name] = Server(declared)
-                server.orphan(declared.slots, now - self.options.settle_s)
+            server = self.servers.setdefault(declared.name, Server(declared, is_removed=True))
             server.declared = declared
-            server.is_removed = False
+            if server.is_removed:
+                server.is_removed = False
+                server.is_ready = False
+                server.orphans = max(0, declared.slots - len(server.leases))
+                server.orphaned_at = now - self.options.settle_s
         for name, server in list(self.servers.items()):
             server.is_removed = name not in names
             if server.is_removed and not server.leases:
@@ -184,7 +187,7 @@
         key = lease.Key(holder.name, holder.incarnation, released.request, released.index)
         held = self.leases.get(key)
         if held is None:
-            if not self.is_granting:
+            if self.unready():
                 self.released_early.add(key)
             return
         outcome = lease.Outcome(released.outcome)
@@ -225,7 +228,7 @@
         """Take in the slots that a holder uses by grants of an earlier owner."""
         for slot in slots:
             server = self.servers.get(slot.server)
-            if server is None:
+            if server is None or server.is_ready:
                 continue
             expected_s = self.speeds.expected_s(slot.task, slot.server, slot.run_time_s)
             held = lease.Lease(
@@ -245,10 +248,16 @@
             # Until the server was asked, each slot without a lease counts as in use.
             server.orphans = max(0, server.orphans - 1)
 
-    def begin_granting(self) -> None:
-        """Trust the leases: every member has told its own, or is dead."""
-        self.is_granting = True
-        self.released_early.clear()
+    def unready(self) -> set[str]:
+        """Return the servers whose slots in use are not yet known."""
+        return {name for name, server in self.servers.items() if not server.is_ready}
+
+    def make_ready(self, names: set[str]) -> None:
+        """Trust the leases of servers: every member has told its own, or is dead."""
+        for name in names & self.servers.keys():
+            self.servers[name].is_ready = True
+        if not self.unready():
+            self.released_early.clear()
 
     def assign(self, now: float, is_leaving) -> list[lease.Lease]:
         """Grant free slots to waiting tasks and return the new leases.
@@ -261,14 +270,15 @@
             ``is_leaving(name)`` tells whether the platform lists a server as leaving.
         """
         granted: list[lease.Lease] = []
-        if not self.waiting or not self.is_granting:
+        if not self.waiting:
             return granted
         usable = self._usable(now, is_leaving)
         free = [server for server in usable if server.free() > 0]
         if not free:
             return granted
         horizon = placement.Horizon(self._busy_for(usable, now), self.speeds)
-        free.sort(key=lambda server: self.speeds.slowness(server.declared.name))
+        nearest = self.waiting.ordered[0].holder.data_centre
+        free.sort(key=lambda server: self._preference(server, nearest))
         for server in free:
             name = server.declared.name
             while server.free() > 0 and self.waiting and self._within_limit():
@@ -334,11 +344,17 @@
             if not (
                 server.is_leaving
                 or server.is_removed
+                or not server.is_ready
                 or server.health.is_held(now)
                 or is_leaving(name)
             )
         ]
 
+    def _preference(self, server, data_centre):
+        """Return the order in which free slots are given out: fast first, then near."""
+        slowness = round(self.speeds.slowness(server.declared.name), 1)
+        return (slowness, server.declared.data_centre != data_centre)
+
     def _within_limit(self):
         if self.limit is None:
             return True
--- a/rosedyke/dispatch/recovery.py
+++ b/rosedyke/dispatch/recovery.py
@@ -19,7 +19,7 @@
 
 
 class Recovery:
-    """One take-over of one pool.
+    """One take-over of servers of one pool.
 
     Parameters
     ----------
@@ -32,7 +32,9 @@
     membership : Membership
         Who they are.
     owned : Pool
-        The pool to take over.
+        The pool whose servers to take over.
+    ballot : Ballot
+        The first to try.
     """
 
     def __init__(
@@ -42,18 +44,20 @@
         peers: peer.Peers,
         membership: membership_ports.Membership,
         owned: pool.Pool,
+        ballot: message.Ballot,
     ):
         self.options = options
         self.runtime = runtime
         self.peers = peers
         self.membership = membership
         self.owned = owned
-        self.ballot = message.Ballot(1, peers.own.name, peers.own.incarnation)
+        self.names = owned.unready()
+        self.ballot = ballot
         self.answered: dict[peer.Peer, message.RecoverReply] = {}
         self.asked: set[peer.Peer] = set()
 
     def run(self, is_wanted) -> bool:
-        """Block until the pool may grant; false if ``is_wanted()`` turns false before."""
+        """Block until the servers may be used; false if ``is_wanted()`` turns false before."""
         while is_wanted():
             missing = [one for one in self._members() if one not in self.answered]
             if not missing and self.membership.is_confirmed():
@@ -99,4 +103,4 @@
         now = self.runtime.now()
         for holder in self._members():  # who died since it answered has only orphaned slots
             self.owned.restore(holder, self.answered[holder].held, now)
-        self.owned.begin_granting()
+        self.owned.make_ready(self.names)
--- a/rosedyke/dispatch/routing.py
+++ b/rosedyke/dispatch/routing.py
@@ -1,7 +1,4 @@
-"""Which pools a job's tasks go to: each to the one that is expected to finish it first.
-
-The own data centre's pools win a tie, and another data centre has to win by more than the trip.
-"""
+"""Which of a large service's pools a job's tasks go to: those expected to finish them first."""
 
 import attrs
 
@@ -16,8 +13,6 @@
     ----------
     key : str
         The pool's name.
-    trip_s : float
-        What another data centre costs on top.
     free : list of [float, int]
         Free slots by slowness, fastest first.
     queued_s : float
@@ -31,7 +26,6 @@
     """
 
     key: str
-    trip_s: float
     free: list[list]
     queued_s: float
     rate: float
@@ -40,7 +34,7 @@
 
     def finish_s(self, reference_s: float) -> float:
         """Return when one more task would be finished."""
-        waited = self.trip_s + self.queued_s / self.rate
+        waited = self.queued_s / self.rate
         queued = waited + self.next_free_s + reference_s * self.slowness
         if not self.free:
             return queued
@@ -56,9 +50,7 @@
             self.free.pop(0)
 
 
-def estimate(
-    key: str, report: message.PoolReport, trip_s: float, work_s: float = float("inf")
-) -> Estimate:
+def estimate(key: str, report: message.PoolReport, work_s: float = float("inf")) -> Estimate:
     """Return a pool's estimate before any task of a job of ``work_s`` reference seconds."""
     slots = max(1, report.slots)
     rate = max(report.rate, 1e-6)
@@ -66,7 +58,6 @@
     busy_s = report.running_s * slowness / slots
     return Estimate(
         key,
-        trip_s,
         [list(one) for one in report.free],
         report.ahead_s(work_s),
         rate,
@@ -83,7 +74,7 @@
     tasks : list of (float, int)
         Reference seconds and index of each task.
     estimates : list of Estimate
-        Usable pools, the own data centre's first.
+        Usable pools.
     """
     placed: dict[str, list[int]] = {}
     for reference_s, index in sorted(tasks, reverse=True):
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -36,8 +36,6 @@
         How long a server that did not start a task gets no other, doubled up to the limit.
     avoid_s : float
         How long a pool whose owner did not answer gets no new work from here.
-    trip_s : float
-        What running in another data centre is taken to cost.
     advertise_s : float
         How often an owner renews the reports that the membership carries.
     refusal_retry_s : float
@@ -76,7 +74,6 @@
     refused_s: float = 0.05
     refused_limit_s: float = 2.0
     avoid_s: float = 2.0
-    trip_s: float = 0.004
     advertise_s: float = 0.1
     refusal_retry_s: float = 0.5
     timeout_share: float = 0.9
--- a/rosedyke/dispatch/shard.py
+++ b/rosedyke/dispatch/shard.py
@@ -1,4 +1,9 @@
-"""Which pools a service has, and who owns each.
+"""Which pools a service has, who owns each, and which of its servers can be reached.
+
+A pool spans the region's data centres, so that its owner can put each task on the server that would
+finish it first wherever that stands.  Its owner is the first serving instance of the view in
+rendezvous order.  When data centres are cut off from each other, the views differ: each side has
+an owner of its own for the servers of those data centres that it still sees an instance of.
 
 Servers are split by a hash of their names, so that a change of one server moves no other between
 shards as long as the number of shards stays the same.
@@ -9,28 +14,25 @@
 
 from rosedyke.configuration import intent
 from rosedyke.configuration import ports as configuration_ports
-from rosedyke.membership import member
+from rosedyke.membership import member, rendezvous
 
 
 @attrs.frozen
 class Shard:
-    """One pool's part of a service.
+    """One pool of a service.
 
     Attributes
     ----------
     key : str
-        ``service/data centre/number``; decides the owner.
+        ``service/number``; decides the owner.
     service : str
         The service's name.
-    data_centre : str
-        Where its servers and its owner are.
     servers : tuple of BackendServer
         In name order.
     """
 
     key: str
     service: str
-    data_centre: str
     servers: tuple[intent.BackendServer, ...]
 
     @property
@@ -38,24 +40,26 @@
         """Slots of all its servers."""
         return sum(server.slots for server in self.servers)
 
+    def in_reach(self, view: member.View) -> tuple[intent.BackendServer, ...]:
+        """Return the servers whose data centre has an instance in the view.
+
+        The instances of a data centre that was cut off are dead in this view and alive in their
+        own, where one of them owns these servers.
+        """
+        data_centres = view.data_centres()
+        return tuple(server for server in self.servers if server.data_centre in data_centres)
+
 
 def shards_of(service: intent.Service, shard_servers: int) -> tuple[Shard, ...]:
-    """Return a service's pools over all data centres, in order of their keys."""
-    by_data_centre: dict[str, list[intent.BackendServer]] = {}
-    for server in service.servers:
-        by_data_centre.setdefault(server.data_centre, []).append(server)
-    shards = []
-    for data_centre, servers in sorted(by_data_centre.items()):
-        count = -(-len(servers) // shard_servers)
-        split: dict[int, list[intent.BackendServer]] = {}
-        for server in sorted(servers, key=lambda server: server.name):
-            split.setdefault(xxhash.xxh3_64_intdigest(server.name.encode()) % count, []).append(
-                server
-            )
-        for number, part in sorted(split.items()):
-            key = f"{service.name}/{data_centre}/{number}"
-            shards.append(Shard(key, service.name, data_centre, tuple(part)))
-    return tuple(shards)
+    """Return a service's pools, in order of their keys."""
+    count = max(1, -(-len(service.servers) // shard_servers))
+    split: dict[int, list[intent.BackendServer]] = {}
+    for server in sorted(service.servers, key=lambda server: server.name):
+        split.setdefault(xxhash.xxh3_64_intdigest(server.name.encode()) % count, []).append(server)
+    return tuple(
+        Shard(f"{service.name}/{number}", service.name, tuple(part))
+        for number, part in sorted(split.items())
+    )
 
 
 def share_of(target: Shard, total: int, pools: tuple[Shard, ...]) -> int:
@@ -97,11 +101,19 @@
             found = self.by_service[service.name] = shards_of(service, self.shard_servers)
         return found
 
-    def limit(self, target: Shard) -> int | None:
+    def limit(self, target: Shard, reached_slots: int) -> int | None:
         """Return how many tasks a pool may run at one time, None for as many as its slots.
 
-        A limit over several pools is split by their slots once for each generation.  So it is
-        held exactly without any message; what one pool leaves unused, another can't use.
+        A limit over several pools is split by their slots, and so is a pool's part between the
+        sides of a cut.  So it is held exactly without any message; what one pool leaves unused,
+        another can't use.
+
+        Parameters
+        ----------
+        target : Shard
+            The pool.
+        reached_slots : int
+            Slots of its servers that this side reaches.
         """
         configuration = self.current.configuration
         service = configuration.service(target.service)
@@ -112,7 +124,7 @@
         if team is not None and team.quota:
             pools = tuple(one for every in team.services for one in self.of(every))
             limits.append(share_of(target, team.quota, pools))
-        return min(limits) if limits else None
+        return min(limits) * reached_slots // target.slots if limits else None
 
     def find(self, key: str) -> Shard | None:
         """Return the pool of that key."""
@@ -123,7 +135,8 @@
         return next((one for one in self.of(service) if one.key == key), None)
 
 
-def owner_of(key: str, data_centre: str, view: member.View) -> member.Member | None:
+def owner_of(key: str, view: member.View) -> member.Member | None:
     """Return the serving instance that owns a pool."""
-    ranked = view.ranked(key, data_centre)
-    return ranked[0] if ranked else None
+    serving = {one.name: one for one in view.members if one.state in member.SERVING_STATES}
+    ranked = rendezvous.rank(key, serving)
+    return serving[ranked[0]] if ranked else None
--- a/rosedyke/standins/fleet.py
+++ b/rosedyke/standins/fleet.py
@@ -61,14 +61,121 @@
         return server_name in self.leaving
 
 
+class PausableSignal:
+    """A signal whose waiters don't go on while their instance is paused."""
+
+    def __init__(self, owner: "PausableRuntime"):
+        self.owner = owner
+        self.inner = owner.world.signal()
+
+    def set(self, value=None):
+        """Wake every waiter."""
+        self.inner.set(value)
+
+    def is_set(self):
+        """Return whether ``set`` was called."""
+        return self.inner.is_set()
+
+    def wait(self, timeout_s=None):
+        """Block until set or the timeout, and until the pause ends."""
+        done = self.inner.wait(timeout_s)
+        self.owner.hold()
+        return done
+
+    @property
+    def value(self):
+        """The value given to ``set``."""
+        return self.inner.value
+
+
+class PausableRuntime:
+    """One instance's runtime; a paused one runs nothing, as a stopped process."""
+
+    def __init__(self, world: virtual.VirtualRuntime):
+        self.world = world
+        self.resumed = None
+
+    def pause(self):
+        """Stop at every blocking call."""
+        self.resumed = self.world.signal()
+
+    def resume(self):
+        """Go on."""
+        resumed, self.resumed = self.resumed, None
+        resumed.set()
+
+    def hold(self):
+        """Block while paused."""
+        while self.resumed is not None:
+            self.resumed.wait()
+
+    def now(self):
+        """Return virtual seconds."""
+        return self.world.now()
+
+    def random(self):
+        """Return a seeded number."""
+        return self.world.random()
+
+    def sleep(self, seconds):
+        """Block for the time and until the pause ends."""
+        self.world.sleep(seconds)
+        self.hold()
+
+    def spawn(self, function, *arguments):
+        """Run a task, not before the pause ends."""
+
+        def body():
+            self.hold()
+            function(*arguments)
+
+        return self.world.spawn(body)
+
+    def signal(self):
+        """Return a new signal."""
+        return PausableSignal(self)
+
+
+class PausableGateway:
+    """One instance's gateway: servers go on while it is paused, but it reads no answer."""
+
+    def __init__(self, owner: PausableRuntime, inner: backend_fake.FakeGateway):
+        self.owner = owner
+        self.inner = inner
+
+    def share_with(self, instances):
+        """Nothing is pooled here."""
+
+    def run_task(self, server, call, timeout_s):
+        """Run a task; its answer is read after a pause."""
+        try:
+            return self.inner.run_task(server, call, timeout_s)
+        finally:
+            self.owner.hold()
+
+    def probe(self, server, timeout_s):
+        """Ask a server; its answer is read after a pause."""
+        try:
+            return self.inner.probe(server, timeout_s)
+        finally:
+            self.owner.hold()
+
+
 @attrs.define(eq=False)
 class Node:
     """One instance."""
 
+    runtime: PausableRuntime
     peers: virtual.VirtualPeers
     membership: FakeMembership
     dispatcher: dispatcher.FleetDispatcher
 
+    def renew(self) -> None:
+        """Begin a new incarnation, as an instance does that was taken for dead."""
+        own = self.peers.own
+        self.peers.own = attrs.evolve(own, incarnation=own.incarnation + 1)
+        self.membership.own = member.Member(self.peers.own, member.State.LIVE)
+
 
 class Fleet:
     """Instances and backend servers of one region.
@@ -115,10 +222,12 @@
         own = peer.Peer(name, incarnation, data_centre, f"virtual:{name}")
         peers = virtual.VirtualPeers(self.network, own)
         membership = FakeMembership(member.Member(own, member.State.LIVE), member.View())
+        runtime = PausableRuntime(self.runtime)
+        gateway = PausableGateway(runtime, self.gateway)
         part = dispatcher.FleetDispatcher(
-            self.options, self.runtime, peers, membership, self.current, self.gateway
+            self.options, runtime, peers, membership, self.current, gateway
         )
-        self.nodes[name] = Node(peers, membership, part)
+        self.nodes[name] = Node(runtime, peers, membership, part)
         self.states[name] = member.State.LIVE
         self.show()
         part.start()
@@ -136,6 +245,34 @@
             node.membership.others = {n: one.membership for n, one in self.nodes.items()}
             node.membership.change(view)
 
+    def cut(self, data_centre: str) -> None:
+        """Cut a data centre off; each side takes the other for dead at once."""
+        inside = [n for n, node in self.nodes.items() if node.peers.own.data_centre == data_centre]
+        outside = [name for name in self.nodes if name not in inside]
+        self.network.partition(inside, outside)
+        for side, others in ((inside, outside), (outside, inside)):
+            for name in side:
+                membership = self.nodes[name].membership
+                membership.change(
+                    member.View(
+                        tuple(
+                            (
+                                attrs.evolve(one, state=member.State.DEAD)
+                                if one.name in others
+                                else one
+                            )
+                            for one in membership.view.members
+                        )
+                    )
+                )
+
+    def heal(self) -> None:
+        """End the cut; who was taken for dead comes back in a new incarnation."""
+        self.network.heal()
+        for node in self.nodes.values():
+            node.renew()
+        self.show()
+
     def kill(self, name: str, seen: bool = True) -> None:
         """Let an instance die, seen at once by the others if ``seen``."""
         self.nodes[name].peers.crash()
@@ -147,7 +284,7 @@
     def submit(self, at: str, request: submission.Submission) -> job.Job:
         """Start a job at an instance and return it at once."""
         running = job.Job(request, self.runtime.now() + request.timeout_s)
-        self.runtime.spawn(self.nodes[at].dispatcher.run, running)
+        self.nodes[at].runtime.spawn(self.nodes[at].dispatcher.run, running)
         return running
 
 
