--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -15,10 +15,11 @@
     recovery,
     settings,
     shard,
+    steps,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 from rosedyke.runtime import Runtime
 from rosedyke.wire import peer
 
@@ -227,6 +228,7 @@
         owned.ballot = owned.takeover.ballot
         owned.takeover = None
         metric.count(metrics.TAKEOVERS)
+        step.reach(steps.POOL_TAKEN_OVER, self.peers.own.name)
         event.log(events.POOL_TAKEN_OVER, pool=owned.shard.key, term=owned.ballot.term)
         if owned.pool.unready():  # declared since
             self._start_recovery(owned)
@@ -251,6 +253,8 @@
         by_holder: dict[peer.Peer, list[message.Grant]] = {}
         for held in owned.pool.assign(self.runtime.now(), self.current.is_leaving):
             by_holder.setdefault(held.holder, []).append(grant_of(held))
+        if by_holder:
+            step.reach(steps.SLOTS_GRANTED, self.peers.own.name)
         own_grants = tuple(by_holder.pop(asker, ()))
         for holder, grants in by_holder.items():
             self._send(owned, holder, tuple(grants))
