--- a/rosedyke/dispatch/recovery.py
+++ b/rosedyke/dispatch/recovery.py
@@ -20,7 +20,7 @@
 
 
 class Recovery:
-    """One take-over of one pool.
+    """One take-over of servers of one pool.
 
     Parameters
     ----------
@@ -33,7 +33,9 @@
     membership : Membership
         Who they are.
     owned : Pool
-        The pool to take over.
+        The pool whose servers to take over.
+    ballot : Ballot
+        The first to try.
     """
 
     def __init__(
@@ -43,18 +45,20 @@
         peers: peer.Peers,
         membership: membership_ports.Membership,
         owned: pool.Pool,
+        ballot: message.Ballot,
     ):
         self.options = options
         self.runtime = runtime
         self.peers = peers
         self.membership = membership
         self.owned = owned
-        self.ballot = message.Ballot(1, peers.own.name, peers.own.incarnation)
+        self.names = owned.unready()
+        self.ballot = ballot
         self.answered: dict[peer.Peer, message.RecoverReply] = {}
         self.asked: set[peer.Peer] = set()
 
     def run(self, is_wanted) -> bool:
-        """Block until the pool may grant; false if ``is_wanted()`` turns false before."""
+        """Block until the servers may be used; false if ``is_wanted()`` turns false before."""
         step.reach(steps.POOL_RECOVERING, self.peers.own.name)
         while is_wanted():
             missing = [one for one in self._members() if one not in self.answered]
@@ -101,4 +105,4 @@
         now = self.runtime.now()
         for holder in self._members():  # who died since it answered has only orphaned slots
             self.owned.restore(holder, self.answered[holder].held, now)
-        self.owned.begin_granting()
+        self.owned.make_ready(self.names)
