--- a/rosedyke/command/burn.py
+++ b/rosedyke/command/burn.py
@@ -46,6 +46,13 @@
 
     Instances keep their counts in memory. What an instance counted is lost with it; the metrics
     sent by statsd keep the long view.
+
+    Exit codes: 0 at least one instance answered, 6 none did.
+
+    For example:
+
+    - `rosedyke burn`
+    - `rosedyke burn --json`
     """
     if not instances:
         return terminal.warn_no_instances()
--- a/rosedyke/command/cancel.py
+++ b/rosedyke/command/cancel.py
@@ -16,7 +16,8 @@
 
 
 def cancel(
-    job_ids: Annotated[tuple[str, ...], cyclopts.Parameter(help="The jobs.")],
+    job_ids: Annotated[tuple[str, ...], cyclopts.Parameter(help="The jobs.", negative=())],
+    /,
     *,
     instances: options.Instances = (),
     json: options.Json = False,
@@ -25,6 +26,13 @@
 
     No task of a cancelled job starts any more; one that runs is not stopped. A job that had
     finished keeps its answer.
+
+    Exit codes: 0 each job has its final answer, 6 an instance that may know a job did not answer,
+    9 nobody knows a job.
+
+    For example:
+
+    - `rosedyke cancel scale-3:8f1c scale-3:8f1d`
     """
     if not instances:
         return terminal.warn_no_instances()
--- a/rosedyke/command/drain.py
+++ b/rosedyke/command/drain.py
@@ -20,6 +20,7 @@
 
 def drain(
     instance: Annotated[str, cyclopts.Parameter(help="Operator address of the instance, ip:port.")],
+    /,
     *,
     wait: Annotated[
         bool, cyclopts.Parameter(help="Wait until the instance has ended.", negative="--no-wait")
@@ -30,11 +31,15 @@
 
     It stops being ready, finishes the jobs that it has, hands over what the others need to answer
     for them, leaves its data centre and ends. Drain one instance of a data centre at a time.
+
+    Exit codes: 0 ended (or begun, with --no-wait), 1 still draining, 6 not reached.
+
+    For example:
+
+    - `rosedyke drain 10.0.0.1:8081`
     """
     try:
-        status = fetch.request(
-            "POST", instance, PATH, operator.decode_status, status_command.fetch.TIMEOUT_S
-        )
+        status = fetch.request("POST", instance, PATH, operator.decode_status, fetch.TIMEOUT_S)
     except fetch.InstanceUnreachable as error:
         terminal.warn(f"{instance}: {error}")
         return exit_codes.UNREACHABLE
--- a/rosedyke/command/status.py
+++ b/rosedyke/command/status.py
@@ -28,7 +28,7 @@
     in_use : int or None
         Slots in use by the instances that know, None if none does.
     state : str
-        The worst that an instance says.
+        The worst that an instance says; ``unknown`` if none that was reached grants its slots.
     """
 
     name: str
@@ -57,7 +57,13 @@
     """Show instances, who sees whom, configurations in force, and backend servers.
 
     An instance that is not ready says why. A generation that is behind the others is still on its
-    way there; what an instance does not see as live it does not send jobs to.
+    way there. Instances that don't see each other can't answer for each other's jobs.
+
+    Exit codes: 0 at least one instance answered, 6 none did.
+
+    For example:
+
+    - `rosedyke status --instances 10.0.0.1:8081 10.0.0.2:8081`
     """
     if not instances:
         return terminal.warn_no_instances()
@@ -91,14 +97,15 @@
 
 def _summarise(server, seen):
     counts = [one.in_use for one in seen if one.in_use is not None]
-    states = [one.state for one in seen if one.state not in ("ok", "unknown")]
+    bad = [one.state for one in seen if one.state not in ("ok", "unknown")]
+    good = "ok" if any(one.state == "ok" for one in seen) else "unknown"
     return ServerSummary(
         server.name,
         server.service,
         server.data_centre,
         server.slots,
         sum(counts) if counts else None,
-        states[0] if states else "ok",
+        bad[0] if bad else good,
     )
 
 
--- a/rosedyke/command/submit.py
+++ b/rosedyke/command/submit.py
@@ -56,6 +56,7 @@
     file: Annotated[
         str, cyclopts.Parameter(help="JSON: a job, a list of jobs, or a job a line; - reads stdin.")
     ],
+    /,
     *,
     instances: options.Instances = (),
     parallel: Annotated[int, cyclopts.Parameter(help="Jobs submitted at one time.")] = 8,
@@ -68,8 +69,16 @@
 
     A job is an object with "service", "tasks" (each with "name" and, if wanted, "payload",
     "run_time_s" and "size") and, if wanted, "job_id", "timeout_s" and "idempotent". A job with a
-    "job_id" may be submitted again, at any instance, and gets the answer of its first run; ids are
-    remembered for about a minute. With --json each job prints a line with its results.
+    "job_id" may be submitted again within a minute, at any instance, and gets the answer of its
+    first run. With --json each job prints a line with its results.
+
+    Exit codes: 0 every job complete, 3 the file has faults and nothing was submitted, 10 a job
+    failed.
+
+    For example:
+
+    - `rosedyke submit jobs.json`
+    - `rosedyke submit jobs.jsonl --parallel 32 --json > answers.jsonl`
     """
     if not instances:
         return terminal.warn_no_instances()
