Take an unknown age as the oldest, and let idle connections make room

A job without headers was given the age 0. Seen by curl at a fleet that had just started: had the job been submitted before the start, "never seen" would have been believed and the job run once more.

A caller that kept connections open after a request each could keep all others out; the longest idle one now gives way. Readiness is logged when something changes instead of being polled ten times a second.

--- a/rosedyke/callers/application.py
+++ b/rosedyke/callers/application.py
@@ -98,10 +98,10 @@
             _require(method, "GET", "DELETE")
             return self._job(match[1], method, start_response)
         if path == "/healthz":
-            _require(method, "GET")
+            _require(method, "GET", "HEAD")
             return plain(start_response, "200 OK", b"ok\n")
         if path == "/readyz":
-            _require(method, "GET")
+            _require(method, "GET", "HEAD")
             return self._ready(start_response)
         raise body.BadRequest(code.Code.NOT_FOUND, "see docs/API.md for the paths")
 
--- a/rosedyke/callers/body.py
+++ b/rosedyke/callers/body.py
@@ -79,12 +79,12 @@
     ----------
     attempt : int or None
         None if not given.
-    age_s : float
-        Seconds since the first attempt.
+    age_s : float or None
+        Seconds since the first attempt, None if not given.
     """
 
     attempt: int | None
-    age_s: float
+    age_s: float | None
 
 
 _decoder = msgspec.json.Decoder(JobBody)
@@ -120,7 +120,7 @@
                 job_code.Code.INVALID_FIELD,
                 "Rosedyke-Age-Ms is required from the second attempt on",
             )
-        return Headers(number, 0.0)
+        return Headers(number, None if number is None else 0.0)
     return Headers(number, _whole_number("Rosedyke-Age-Ms", age_ms, 0, MAX_AGE_MS) / 1000)
 
 
@@ -152,7 +152,7 @@
         service=service,
         job_id=job.job_id,
         attempt=headers.attempt,
-        age_s=headers.age_s,
+        age_s=settings.unknown_age_s if headers.age_s is None else headers.age_s,
         timeout_s=timeout_s,
         tasks=tasks,
         idempotent=job.idempotent,
--- a/rosedyke/callers/body_test.py
+++ b/rosedyke/callers/body_test.py
@@ -22,6 +22,17 @@
         request = parse(b'{"job_id":"a","tasks":[{"name":"tag"}]}', attempt=None)
         self.assertFalse(request.is_first)
 
+    def test_absent_age_of_an_absent_attempt_is_the_oldest(self):
+        """A caller without headers may have submitted the job a minute ago.
+
+        Were its age taken as 0, an instance that began to remember after that would say "never
+        seen", and the job would run once more.
+        """
+        request = parse(b'{"job_id":"a","tasks":[{"name":"tag"}]}', attempt=None)
+        self.assertEqual(request.age_s, LIMITS.unknown_age_s)
+        request = parse(b'{"job_id":"a","tasks":[{"name":"tag"}]}', attempt="1")
+        self.assertEqual(request.age_s, 0.0)
+
     def test_later_attempt_without_age_is_refused(self):
         with self.assertRaises(body.BadRequest) as raised:
             parse(b'{"job_id":"a","tasks":[{"name":"tag"}]}', attempt="2")
--- a/rosedyke/callers/client.py
+++ b/rosedyke/callers/client.py
@@ -276,12 +276,11 @@
         if left_s <= 0:
             return None
         age_s = 0.0 if progress.first is None else now - progress.first
-        headers = {
-            "Content-Type": "application/json",
-            "Rosedyke-Age-Ms": str(int(age_s * 1000)),
-        }
+        headers = {"Content-Type": "application/json"}
         if progress.is_first:
+            # Of a job that may be older than this call neither is known.
             headers["Rosedyke-Attempt"] = str(progress.attempts + 1)
+            headers["Rosedyke-Age-Ms"] = str(int(age_s * 1000))
         content = b'{"job_id":%s,"timeout_s":%s,"idempotent":%s,"tasks":%s}' % (
             msgspec.json.encode(progress.job_id),
             msgspec.json.encode(left_s),
--- a/rosedyke/callers/client_test.py
+++ b/rosedyke/callers/client_test.py
@@ -199,6 +199,7 @@
         instance = self.instance(complete, complete)
         self.client(instance.address).submit("weighing", [client.Task("tag")], job_id="a")
         self.assertNotIn("rosedyke-attempt", instance.requests[0].headers)
+        self.assertNotIn("rosedyke-age-ms", instance.requests[0].headers)
         self.client(instance.address).submit("weighing", [client.Task("tag")])
         self.assertEqual(instance.requests[1].headers["rosedyke-attempt"], "1")
 
--- a/rosedyke/callers/server.py
+++ b/rosedyke/callers/server.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import functools
+import time
 
 import eventlet
 import eventlet.patcher
@@ -102,8 +103,10 @@
         self.owner = owner
         self.bounds = owner.limits
         self.requests = 0
+        self.idle_since = 0.0
         self.is_readable = False
         self.must_linger = False
+        self.is_ending = False
         owner.protocols.add(self)
         try:
             super().__init__(conn_state, server)
@@ -145,9 +148,14 @@
         if self.is_readable:
             self._serve()
 
+    def is_busy(self) -> bool:
+        """Return whether a request is being read or served."""
+        return self.is_ending or self.conn_state[2] != wsgi.STATE_IDLE
+
     def _wait_for_first_byte(self):
         """Return whether a request begins before the connection has been idle for too long."""
         wait_s = self.bounds.idle_timeout_s if self.requests else self.bounds.header_timeout_s
+        self.idle_since = time.monotonic()
         self.connection.settimeout(wait_s)
         try:
             return bool(self.rfile.peek(1))
@@ -229,6 +237,7 @@
         Closing a socket with unread input resets the connection, and the reset can overtake the
         refusal: the caller would see a lost connection instead of the reason.
         """
+        self.is_ending = True
         if self.must_linger:
             linger(self.connection)
         try:
@@ -237,6 +246,14 @@
             self.connection.close()
 
 
+def has_input(protocols: list[Protocol]) -> bool:
+    """Return whether bytes have arrived on any of the connections that nobody has read yet."""
+    poll = _select.poll()
+    for one in protocols:
+        poll.register(one.connection.fileno(), _select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def refusal_bytes(final: answer.Answer) -> bytes:
     """Return a whole HTTP response for a refusal that closes its connection."""
     content = problem.document(final)
@@ -259,16 +276,21 @@
 
 
 class _Connections:
-    """The pool of connections; one too many is told so instead of waiting in silence."""
+    """The pool of connections; one too many is told so instead of waiting in silence.
+
+    A connection that idles between two requests makes room for a new one.  Otherwise callers that
+    keep many open, or hold them on purpose, would keep all others out.
+    """
 
-    def __init__(self, limits: settings.CallersSettings):
-        self.served = eventlet.GreenPool(limits.max_connections)
+    def __init__(self, owner: "Server"):
+        self.owner = owner
+        self.served = eventlet.GreenPool(owner.limits.max_connections)
         self.refused = eventlet.GreenPool(MAX_REFUSALS)
 
     def spawn(self, function, connection):
         """Serve a connection, or refuse it if there are too many."""
         metric.gauge(metrics.CONNECTIONS, self.served.running())
-        if self.served.free() > 0:
+        if self.served.free() > 0 or self.owner.close_longest_idle():
             return self.served.spawn(function, connection)
         metric.count(metrics.CONNECTIONS_REFUSED)
         event.log(events.CONNECTIONS_FULL, connections=self.served.running())
@@ -332,7 +354,7 @@
             self.socket,
             self.application,
             protocol=functools.partial(Protocol, self),
-            custom_pool=_Connections(self.limits),
+            custom_pool=_Connections(self),
             log_output=False,
             debug=False,
             keepalive=True,
@@ -358,15 +380,17 @@
             return True
         return False
 
+    def close_longest_idle(self) -> bool:
+        """Close the connection that has waited longest for its next request, if there is one."""
+        idle = [one for one in self.protocols if one.requests and not one.is_busy()]
+        for one in sorted(idle, key=lambda one: one.idle_since):
+            if not has_input([one]):
+                greenio.shutdown_safe(one.connection)
+                return True
+        return False
+
     def _settle(self):
         """Let requests that have arrived on idle connections begin before those are closed."""
         with eventlet.Timeout(SETTLE_LIMIT_S, False):
-            while self._has_unread_request():
+            while has_input([one for one in self.protocols if not one.is_busy()]):
                 eventlet.sleep(SETTLE_S)
-
-    def _has_unread_request(self):
-        idle = [p.connection for p in self.protocols if p.conn_state[2] == wsgi.STATE_IDLE]
-        poll = _select.poll()
-        for connection in idle:
-            poll.register(connection.fileno(), _select.POLLIN)
-        return bool(poll.poll(0))
--- a/rosedyke/callers/settings.py
+++ b/rosedyke/callers/settings.py
@@ -32,6 +32,9 @@
         For a caller to take each piece of its answer.
     default_timeout_s : float
         A job's timeout where the caller names none.
+    unknown_age_s : float
+        The age of a job whose caller states none: the oldest that is looked up, so that no death
+        that could have taken its first run along is overlooked.
     """
 
     address: str = "127.0.0.1:8080"
@@ -44,3 +47,4 @@
     idle_timeout_s: float = 75.0
     write_timeout_s: float = 10.0
     default_timeout_s: float = 30.0
+    unknown_age_s: float = 60.0
--- a/rosedyke/command/job_file.py
+++ b/rosedyke/command/job_file.py
@@ -1,6 +1,5 @@
 """Jobs in a file: one JSON object, a list of them, or one on each line."""
 
-import attrs
 import msgspec
 
 from rosedyke import fault
@@ -22,8 +21,7 @@
         self.faults = faults
 
 
-@attrs.frozen
-class TaskEntry:
+class TaskEntry(msgspec.Struct, forbid_unknown_fields=True):
     """One task."""
 
     name: str
@@ -32,8 +30,7 @@
     size: dict[str, float] | None = None
 
 
-@attrs.frozen
-class JobEntry:
+class JobEntry(msgspec.Struct, forbid_unknown_fields=True):
     """One job; without a ``job_id`` it gets a new one each time the file is submitted."""
 
     service: str
--- a/rosedyke/command/job_file_test.py
+++ b/rosedyke/command/job_file_test.py
@@ -20,6 +20,7 @@
     def test_every_fault_is_named_with_its_position(self):
         cases = [
             (b'[{"service": 1}, {"tasks": []}]', ["job 1", "job 2"]),
+            (b'{"service": "weighing", "tasks": [], "timeout": 5}', ["job 1"]),
             (JOB + b"\n{\n" + JOB + b"\n[", ["line 2", "line 4"]),
             (b"", ["the file has no jobs"]),
         ]
--- a/rosedyke/command/submit.py
+++ b/rosedyke/command/submit.py
@@ -63,6 +63,14 @@
     timeout_s: Annotated[
         float, cyclopts.Parameter(help="Timeout in seconds of a job that names none.")
     ] = 30.0,
+    first: Annotated[
+        bool,
+        cyclopts.Parameter(
+            negative=(),
+            help="Vouch that no job of the file was submitted before; jobs without a job_id are "
+            "new in any case. Spares the question to every data centre.",
+        ),
+    ] = False,
     json: options.Json = False,
 ) -> int:
     """Run jobs from a file and wait for the whole answer of each.
@@ -70,7 +78,9 @@
     A job is an object with "service", "tasks" (each with "name" and, if wanted, "payload",
     "run_time_s" and "size") and, if wanted, "job_id", "timeout_s" and "idempotent". A job with a
     "job_id" may be submitted again within a minute, at any instance, and gets the answer of its
-    first run. With --json each job prints a line with its results.
+    first run. Instances that have not run for a minute yet can't tell whether such a job is new,
+    and fail it as "history_lost" unless --first vouches for it. With --json each job prints a line
+    with its results.
 
     Exit codes: 0 every job complete, 3 the file has faults and nothing was submitted, 10 a job
     failed.
@@ -92,7 +102,8 @@
         for each in error.faults:
             terminal.warn(f"{file}: {each}")
         return exit_codes.REJECTED
-    outcomes = run(client.Client(client.ClientSettings(instances)), jobs, parallel, timeout_s, json)
+    caller = client.Client(client.ClientSettings(instances))
+    outcomes = run(caller, jobs, parallel, timeout_s, first, json)
     failed = sum(one.outcome != "complete" for one in outcomes)
     if not json:
         print(f"{len(outcomes) - failed} complete, {failed} failed")
@@ -104,6 +115,7 @@
     jobs: list[job_file.JobEntry],
     parallel: int,
     timeout_s: float,
+    first: bool,
     json: bool,
 ) -> list[Outcome]:
     """Submit all jobs, print each outcome when it is there, and return them."""
@@ -115,7 +127,7 @@
         ) as progress,
     ):
         bar = progress.add_task("jobs", total=len(jobs))
-        waiting = [pool.submit(run_one, caller, job, timeout_s) for job in jobs]
+        waiting = [pool.submit(run_one, caller, job, timeout_s, first) for job in jobs]
         for future in concurrent.futures.as_completed(waiting):
             outcome = future.result()
             outcomes.append(outcome)
@@ -127,7 +139,9 @@
     return outcomes
 
 
-def run_one(caller: client.Client, job: job_file.JobEntry, timeout_s: float) -> Outcome:
+def run_one(
+    caller: client.Client, job: job_file.JobEntry, timeout_s: float, first: bool
+) -> Outcome:
     """Submit one job and return how it ended."""
     tasks = [client.Task(one.name, one.payload, one.run_time_s, one.size) for one in job.tasks]
     begun = time.monotonic()
@@ -138,6 +152,7 @@
             timeout_s if job.timeout_s is None else job.timeout_s,
             job.job_id,
             job.idempotent,
+            first or job.job_id is None,
         )
     except client.ClientError as error:
         final = error.answer
--- a/rosedyke/daemon/instance.py
+++ b/rosedyke/daemon/instance.py
@@ -1,5 +1,7 @@
 """An entry instance: builds its parts, starts them in order, and ends them in order."""
 
+import attrs
+
 from rosedyke import runtime as runtime_module
 from rosedyke.callers import application, server
 from rosedyke.configuration import distribution, stored
@@ -18,7 +20,6 @@
 from rosedyke.wire import settings as wire_settings
 from rosedyke.wire import transport
 
-WATCH_S = 0.1
 SEEDS_PERIOD_S = 10.0
 
 
@@ -42,6 +43,7 @@
         runtime: runtime_module.Runtime | None = None,
     ):
         self.settings = settings
+        self.job_limits = job_settings.JobSettings(data_centres=settings.data_centres)
         self.runtime = runtime or green.GreenRuntime()
         self.transport = transport.Transport(
             wire_settings.TransportSettings(
@@ -76,22 +78,24 @@
             self.gateway,
         )
         self.manager = manager.JobManager(
-            job_settings.JobSettings(data_centres=settings.data_centres),
+            self.job_limits,
             self.runtime,
             self.transport,
             self.membership,
             self.dispatcher,
         )
+        self.last_reason: str | None = None
         self._build_interfaces()
 
     def _build_interfaces(self):
         settings = self.settings
+        limits = attrs.evolve(settings.callers, unknown_age_s=self.job_limits.max_age_s)
         self.gate = gate.Gate(self.current, self.membership)
         self.recorder = recorder.Recorder(self.runtime, self.current)
         self.application = application.Application(
-            settings.callers, self.runtime, self.manager, self.gate, self.recorder
+            limits, self.runtime, self.manager, self.gate, self.recorder
         )
-        self.callers = server.Server(settings.callers.address, self.application, settings.callers)
+        self.callers = server.Server(limits.address, self.application, limits)
         self.operator = operator.OperatorApplication(
             settings.region,
             self.runtime,
@@ -103,7 +107,7 @@
             loads.OwnerLoads(self.dispatcher),
             lambda: self.shutdown.request(),
         )
-        self.operators = server.Server(settings.operator_address, self.operator, settings.callers)
+        self.operators = server.Server(settings.operator_address, self.operator, limits)
         self.shutdown = shutdown.Shutdown(
             settings.shutdown_notice_s,
             settings.shutdown_timeout_s,
@@ -130,7 +134,9 @@
         self.dispatcher.start()
         self.membership.start()
         self.current.start()
-        self.runtime.spawn(self._watch_readiness)
+        self.membership.subscribe(lambda old, new: self._note_readiness())
+        self.current.subscribe(lambda new: self._note_readiness())
+        self._note_readiness()
         self.runtime.spawn(self._learn_seeds)
         self.operators.start()
         self.callers.start()
@@ -155,19 +161,17 @@
         metric.use(sender)
         self.runtime.spawn(sender.run)
 
-    def _watch_readiness(self):
+    def _note_readiness(self):
         """Log each change of readiness, so that the log explains what the balancer saw."""
-        last = "the instance starts"
-        while True:
-            refusal = self.gate.refusal()
-            reason = refusal.detail if refusal else ""
-            if reason != last:
-                last = reason
-                if reason:
-                    event.log(events.NOT_READY, reason=reason)
-                else:
-                    event.log(events.READY, generation=self.current.generation)
-            self.runtime.sleep(WATCH_S)
+        refusal = self.gate.refusal()
+        reason = refusal.detail if refusal else ""
+        if reason == self.last_reason:
+            return
+        self.last_reason = reason
+        if reason:
+            event.log(events.NOT_READY, reason=reason)
+        else:
+            event.log(events.READY, generation=self.current.generation)
 
     def _learn_seeds(self):
         """Join by the platform's list where the seeds from the settings are gone."""
