--- a/rosedyke/configuration/reader.py
+++ b/rosedyke/configuration/reader.py
@@ -10,11 +10,12 @@
     ports,
     settings,
     snapshot,
+    steps,
     stored,
 )
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, step
 
 WATCHER_KEY = "configuration"
 FILES_PER_READ = 16  # bounds an answer to 16 MB even when every file is as large as it may be
@@ -43,7 +44,6 @@
         self.servers: dict[str, str] = {}  # state of each backend server that isn't live
         self.full_read_at = 0.0
         self.wake = runtime.signal()
-        self.reading_done = runtime.signal()
         self.failures = 0
 
     def is_watcher(self) -> bool:
@@ -114,8 +114,6 @@
         self.revision = reading.revision
         if is_full:
             self.full_read_at = now
-        if not self.reading_done.is_set():
-            self.reading_done.set()
 
     def _take_head(self, head: stored.Head) -> None:
         if head.generation < self.held.generation:
@@ -132,6 +130,7 @@
                 each = stored.decode(entry.value, stored.TeamFile)
                 received[each.team] = each
         # A change between the two reads shows as another digest; the next try reads it anew.
+        step.reach(steps.SPREAD_READ, self.membership.own.name)
         if self.held.take(head, received, holding.SOURCE_STORE):
             metric.count(metrics.FROM_STORE)
 
