--- a/rosedyke/callers/server_test.py
+++ b/rosedyke/callers/server_test.py
@@ -172,6 +172,18 @@
         response = self.ask(post(b" " * 10_001, "Rosedyke-Attempt: 1"))
         self.check(response, code.Code.TOO_LARGE, "no")
 
+    def test_caller_that_sends_an_oversized_body_to_its_end_still_reads_the_refusal(self):
+        """A caller sends far more than is taken before it looks for an answer.
+
+        The refusal is written at once.  Were the connection closed then, the input that nobody
+        read would reset it, and the caller would see a lost connection instead of the reason.
+        """
+        connection = self.connect()
+        for _ in range(8):
+            connection.sendall(post(b" " * 100_000)[:100_000])
+            eventlet.sleep(0.005)
+        self.check(Response(connection), code.Code.TOO_LARGE)
+
     def test_announced_size_beyond_the_bound_is_not_waited_for(self):
         head = b"POST /v1/services/weighing/jobs HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n"
         self.check(self.ask(head), code.Code.TOO_LARGE)
@@ -262,6 +274,25 @@
             eventlet.sleep(0.001)
         self.assertEqual(self.application.reader.held_bytes, 0)
 
+    def test_caller_that_reads_a_little_now_and_then_is_cut_off(self):
+        """A caller takes its large answer so slowly that it would take minutes.
+
+        Each read makes room for a few more bytes, so no single write ever waits long; only the
+        bound on the whole answer ends it.
+        """
+        payload = b'"' + b"x" * 9_000 + b'"'
+        self.manager.answers["a"] = answer.Answer(
+            "a", code.Code.COMPLETE, answer.Ran.YES, (payload,) * 3000
+        )
+        connection = self.connect()
+        connection.sendall(post(JOB))
+        while not self.manager.submitted:
+            eventlet.sleep(0.001)
+        while self.server.protocols:
+            connection.recv(50_000)
+            eventlet.sleep(0.01)
+        self.assertEqual(self.application.reader.held_bytes, 0)
+
     def test_header_flood(self):
         flood = b"".join(b"X-%d: %s\r\n" % (number, b"y" * 90) for number in range(60))
         self.check(self.ask(b"GET /healthz HTTP/1.1\r\n" + flood), code.Code.TOO_LARGE)
