--- a/rosedyke/standins/matrix.py
+++ b/rosedyke/standins/matrix.py
@@ -240,9 +240,10 @@
         visits += 1
         if visits != cell.visit:
             return
-        at = run.region.instances[name]
+        # An operator's command is no instance; the fault then hits the first one.
+        at = run.region.instances.get(name) or next(iter(run.region.instances.values()))
         FAULTS[cell.fault](run, at)
-        if run.clock.hub is not greenlet.getcurrent():
+        if name == at.name and run.clock.hub is not greenlet.getcurrent():
             at.runtime.check()
 
     step.use(hook)
--- a/rosedyke/standins/scenario.py
+++ b/rosedyke/standins/scenario.py
@@ -211,7 +211,7 @@
         """Apply the team's file with another limit."""
         parsed = file.parse("tea.toml", TEAM_FILE.format(queue=queue).encode())
         proposal = change.Proposal((parsed,), (), "operator", "now", change_id=f"change-{queue}")
-        store = self.region.operator_store()
+        store = self.region.operator_store(lost_answers=1)
         self.changes_begun += 1
 
         def body():
--- a/rosedyke/standins/whole.py
+++ b/rosedyke/standins/whole.py
@@ -303,9 +303,10 @@
         self.seeds: tuple[str, ...] = ()
         self.instances: dict[str, Instance] = {}
 
-    def operator_store(self) -> configuration_ports.Store:
-        """Return an operator's connection to the store."""
-        return virtual_store.VirtualStore(self.clock, self.store_state, virtual_store.Faults())
+    def operator_store(self, lost_answers: int = 0) -> configuration_ports.Store:
+        """Return an operator's connection to the store, which loses answers to some writes."""
+        faults = virtual_store.Faults(lost_answers=lost_answers)
+        return virtual_store.VirtualStore(self.clock, self.store_state, faults)
 
     def add(self, name: str, data_centre: str, incarnation: int = 1) -> Instance:
         """Build an instance; the first one is every other's seed."""
