--- a/rosedyke/membership/core.py
+++ b/rosedyke/membership/core.py
@@ -85,8 +85,17 @@
         """Take in one record."""
         self.put_all((new,))
 
-    def put_all(self, records: Iterable[record.Record]) -> None:
-        """Take in records and publish the view if it changed."""
+    def put_all(self, records: Iterable[record.Record], is_spread: bool = True) -> None:
+        """Take in records and publish the view if it changed.
+
+        Parameters
+        ----------
+        records : iterable of Record
+            What was heard.
+        is_spread : bool
+            Whether to pass on by gossip what is new; not needed for what its author tells
+            everyone itself.
+        """
         changed = []
         for new in records:
             if new.name == self.own.name:
@@ -97,7 +106,10 @@
             return
         members = len(self.table.records)
         for new in changed:
-            self.gossip.add_record(new, members)
+            # What is new to a newcomer is known to those who told it; passed on, every start
+            # of many instances would flood the probes with the whole table of each.
+            if is_spread and self.own.state is not member.State.JOINING:
+                self.gossip.add_record(new, members)
             if new.is_dead:
                 self.peers.forget(new.peer)
         self.publish()
--- a/rosedyke/membership/gossip.py
+++ b/rosedyke/membership/gossip.py
@@ -8,7 +8,7 @@
 
 # A record is sent this many times the logarithm of the members, which reaches all of them with
 # overwhelming likelihood; the rare miss is mended by the comparison of whole tables.
-RECORD_REPEATS = 3
+RECORD_REPEATS = 1.5
 # An advert is soon followed by a newer one, and the comparison of tables carries it as well.
 OWN_ADVERT_REPEATS = 6
 OTHER_ADVERT_REPEATS = 3
--- a/rosedyke/membership/join.py
+++ b/rosedyke/membership/join.py
@@ -61,7 +61,7 @@
         rejection = self.core.rejection(announce.record.peer)
         if rejection is not None:
             return rejection
-        self.core.put(announce.record)
+        self.core.put_all((announce.record,), is_spread=False)
         if announce.known_incarnation == self.core.own.peer.incarnation:
             about = announce.record.peer
             self._note(about.name, about.incarnation, announce.known_counter)
@@ -160,7 +160,7 @@
         else:
             if self.core.own.peer == own.peer:
                 self.missed.pop(target.name, None)
-                self.core.put_all(reply.records)
+                self.core.put_all(reply.records, is_spread=False)
                 self._note(target.name, target.peer.incarnation, own.counter)
         finally:
             if self.core.own.peer == own.peer:
