--- a/rosedyke/command/store.py
+++ b/rosedyke/command/store.py
@@ -1,25 +1,15 @@
-"""What the commands that talk to the store share: the client, files, outcomes as text."""
+"""What the commands that talk to the store share: the client, and files."""
 
 import datetime
-import json
 import pathlib
-import sys
-from typing import Annotated, Any
 
 import attrs
-import cyclopts
-import msgspec
 
-from rosedyke.command import exit_codes
+from rosedyke.command import exit_codes, terminal
 from rosedyke.configuration import diagnostic, file, ports, stored
 from rosedyke.daemon import green
 from rosedyke.gateways import etcd, settings
 
-Files = Annotated[
-    tuple[pathlib.Path, ...],
-    cyclopts.Parameter(negative=(), help="Configuration files, one for each team."),
-]
-
 
 @attrs.frozen
 class Access:
@@ -56,22 +46,11 @@
     return now.strftime("%Y-%m-%dT%H:%M:%SZ")
 
 
-def print_json(document: Any) -> None:
-    """Print one JSON document of records, lists and plain values."""
-    plain = msgspec.to_builtins(document)
-    print(json.dumps(plain, indent=2))
-
-
-def print_error(text: str) -> None:
-    """Print a line for the operator beside what a program may read."""
-    print(text, file=sys.stderr)
-
-
 def fail(error: ports.StoreError, as_json: bool) -> int:
     """Tell that the store could not be read and return the exit code."""
     detail = f"{error.code}: {error}"
     if as_json:
-        print_json({"outcome": "unreachable", "detail": detail})
+        terminal.print_json({"outcome": "unreachable", "detail": detail})
     else:
-        print_error(f"unreachable: nothing was changed; {detail}")
+        terminal.warn(f"unreachable: nothing was changed; {detail}")
     return exit_codes.UNREACHABLE
--- a/rosedyke/daemon/events.py
+++ b/rosedyke/daemon/events.py
@@ -46,9 +46,23 @@
     logging.ERROR,
     "The instance could not start, for example because an address is in use.",
 )
+HANDOVER_INCOMPLETE = event.define(
+    7009,
+    "handover_incomplete",
+    logging.WARNING,
+    "Not every claim and kept answer found another instance, for example because this was the last "
+    "one of its data centre. A resubmission of such a job is told that nobody can tell any more.",
+)
 STATSD_OFF = event.define(
     7008,
     "statsd_off",
     logging.INFO,
     "No statsd address is set. Metrics are kept in memory only and are lost with the instance.",
 )
+OPERATOR_REQUEST_FAILED = event.define(
+    7010,
+    "operator_request_failed",
+    logging.ERROR,
+    "A request of an operator ended in an unexpected error; jobs go on. Please report it with the "
+    "traceback that follows.",
+)
--- a/rosedyke/daemon/operator.py
+++ b/rosedyke/daemon/operator.py
@@ -13,9 +13,9 @@
 from rosedyke import runtime
 from rosedyke.callers import application
 from rosedyke.configuration import ports as configuration_ports
-from rosedyke.daemon import gate, recorder
+from rosedyke.daemon import events, gate, recorder
 from rosedyke.membership import ports as membership_ports
-from rosedyke.observe import burn, metric
+from rosedyke.observe import burn, event, metric
 
 PREFIX = "/v1/operator/"
 
@@ -155,6 +155,14 @@
         path = environ["PATH_INFO"]
         if not path.startswith(PREFIX):
             return self.callers(environ, start_response)
+        try:
+            return self._serve(path, environ, start_response)
+        except Exception:
+            event.log(events.OPERATOR_REQUEST_FAILED, exc_info=True, path=path)
+            content = b"the request failed; see event 7010 in the log\n"
+            return application.plain(start_response, "500 Internal Server Error", content)
+
+    def _serve(self, path, environ, start_response):
         method = environ["REQUEST_METHOD"]
         if (method, path) == ("GET", PREFIX + "status"):
             return _json(start_response, "200 OK", self.status())
