--- a/rosedyke/configuration/puller.py
+++ b/rosedyke/configuration/puller.py
@@ -71,7 +71,7 @@
         generation, so that none serves all others' pulls.  An announcement that is lost, or a
         dead instance in the tree, costs time only: the advertised number tells the same.
         """
-        step.reach(steps.ANNOUNCING, self.membership.own.name)
+        step.reach(steps.SPREAD_IN_FORCE, self.membership.own.name)
         by_name = {each.name: each for each in self.near()}
         own_name = self.membership.own.name
         order = rendezvous.rank(f"{own.generation} {own.leaving_version}", (*by_name, own_name))
@@ -90,7 +90,6 @@
 
     def on_pull(self, sender: peer.Peer, pull: messages.Pull) -> messages.Delta:
         """Return what the asker hasn't, as much as fits in one reply."""
-        step.reach(steps.PULL_ANSWERING, self.membership.own.name)
         held = self.held.snapshot if self.held.is_published else snapshot.Snapshot()
         leaving = self.held.leaving
         list_of_leaving = ()
@@ -179,6 +178,7 @@
     def pull(self, target: member.Member) -> bool:
         """Get what is newer from a member; return whether this instance moved forward."""
         metric.count(metrics.PULLS)
+        step.reach(steps.SPREAD_PULLING, self.membership.own.name)
         try:
             return self._pull(target)
         except (peer.PeerError, codec.CodecError, snapshot.SnapshotError) as error:
@@ -197,7 +197,6 @@
             self._take_leaving(delta)
             if delta.generation <= self.held.generation:
                 break
-            step.reach(steps.PULL_ANSWERED, self.membership.own.name)
             before_round = len(received)
             received |= {each.team: each for each in messages.unpack(delta.content)}
             head = self._head(delta, base)
--- a/rosedyke/configuration/steps.py
+++ b/rosedyke/configuration/steps.py
@@ -1,4 +1,4 @@
-"""Named points of the change protocol and the distribution, between which faults can be put."""
+"""Named points of changing the intent and of its spread, between which faults can be put."""
 
 from rosedyke.observe import step
 
@@ -8,16 +8,11 @@
 APPLY_UNANSWERED = step.define(
     "apply.unanswered", "The write's answer was lost; the same write is sent again next."
 )
-HEAD_READ = step.define(
-    "distribute.head_read", "A watcher has read a newer head; its files are read next."
-)
-ANNOUNCING = step.define(
-    "distribute.announcing", "A generation came from the store or afar; the others are told next."
-)
-PULL_ANSWERING = step.define(
-    "distribute.answering", "A peer asks for what is newer; the reply is made next."
+WATCH_CHANGED = step.define("watch.changed", "A watch tells of a change; the store is read next.")
+SPREAD_READ = step.define(
+    "spread.read", "A watcher has read a newer generation; it is put in force here next."
 )
-PULL_ANSWERED = step.define(
-    "distribute.answered", "A peer's reply has come; its files are checked next."
+SPREAD_IN_FORCE = step.define(
+    "spread.in_force", "A generation is in force here; the data centre is told next."
 )
-WATCH_CHANGED = step.define("watch.changed", "A watch tells of a change; the store is read next.")
+SPREAD_PULLING = step.define("spread.pulling", "A peer is seen to be ahead; it is asked next.")
