Drop all idle connections to the store when one has failed, and read gateway statuses with care

Where something between the ends forgets all open connections, every idle one in the pool cost a call its whole timeout; with three of them in parallel use a change could come into force only after three. A call that the gateway reports as cancelled or aborted may have taken effect; it was reported as refused.

--- a/rosedyke/gateways/etcd.py
+++ b/rosedyke/gateways/etcd.py
@@ -18,6 +18,8 @@
 CODE_OUT_OF_RANGE = 11  # gRPC's code for a compacted revision
 CHUNK_BYTES = 65_536
 
+# The gateway's statuses for a call that was cancelled or aborted inside the store.
+MAY_HAVE_ACTED = frozenset({408, 409, 499})
 # Nothing has left the process: the call may go to another endpoint, also when it writes.
 NOT_SENT = (exceptions.NewConnectionError, exceptions.ConnectTimeoutError)
 
@@ -172,13 +174,16 @@
         code, text = _error(data)
         if code == CODE_OUT_OF_RANGE and "compacted" in text:
             raise ports.StoreCompacted(text)
-        if 400 <= status < 500:
+        if 400 <= status < 500 and status not in MAY_HAVE_ACTED:
             raise ports.StoreRefused(f"{url}: {status} {text}")
         # A timeout inside the store ends here too: the write may have been proposed.
         self._failed(url, f"{status} {text}")
         raise _lost(url, f"{status} {text}", is_write)
 
     def _failed(self, url: str, error: object) -> None:
+        # What lost one open connection has often lost all of them: each idle one in the pool would
+        # cost a call its whole timeout.  New connections cost next to nothing.
+        self.pool.clear()
         self.breaker.failed(url)
         metric.count(etcd_metrics.FAILURES)
         event.log(etcd_events.ENDPOINT_FAILED, endpoint=url, detail=error)
