--- a/rosedyke/configuration/reader.py
+++ b/rosedyke/configuration/reader.py
@@ -120,7 +120,6 @@
             event.log(events.STORE_BEHIND, generation=head.generation, held=self.held.generation)
         if not self.held.is_newer(head):
             return
-        step.reach(steps.HEAD_READ, self.membership.own.name)
         names = snapshot.missing(self.held.snapshot, head)
         received = {}
         for start in range(0, len(names), FILES_PER_READ):
@@ -131,6 +130,7 @@
                 each = stored.decode(entry.value, stored.TeamFile).as_intent()
                 received[each.team] = each
         # A change between the two reads shows as another digest; the next try reads it anew.
+        step.reach(steps.SPREAD_READ, self.membership.own.name)
         if self.held.take(head, received, holding.SOURCE_STORE):
             metric.count(metrics.FROM_STORE)
 
