Leave before handing over, grant nothing afterwards, and end a pause nobody else noticed

A drained instance stayed a registrar for its peers until the daemon announced its leaving, after the drain. A claim granted in between was known to it alone: in the test the job's holder then died and a resubmission ran the tasks a second time. The drain now announces the leaving itself before it hands over, and grants nothing once it has begun to. The membership's port gains leave().

The fence and the membership measure a standstill each for itself. One just above the bound could close the fence without a new incarnation, and the instance then refused every job for ever. The fence now opens by itself when the membership has counted the instance alive for longer than a death takes to be declared.

--- a/rosedyke/job/drain_test.py
+++ b/rosedyke/job/drain_test.py
@@ -1,6 +1,7 @@
 import unittest
 
 from rosedyke.job import answer, code
+from rosedyke.job.claiming_test import job_with
 from rosedyke.membership import member
 from rosedyke.standins import explore_region as region
 
@@ -14,9 +15,7 @@
 
 
 def leave(built, name, timeout_s=5.0):
-    """Drain an instance as the daemon does: LEAVING is known first, it is gone at the end."""
-    built.set_state(name, member.State.LEAVING)
-    built.spread()
+    """Drain an instance as the daemon does; at the end it is gone."""
     whole = built.clock.call(built.nodes[name].jobs.drain, timeout_s)
     built.crash(name)
     del built.states[name]
@@ -74,6 +73,28 @@
             again = built.answer(name, region.request_of(attempt=3, age_s=5))
             self.assertEqual(again, first, name)
 
+    def test_claim_is_not_granted_by_a_registrar_that_has_handed_over(self):
+        # The first registrar has handed its claims over, but its leaving isn't known yet. A job
+        # is half-held by it alone, its holder dies, and it is gone. Nobody would know the job.
+        names = ("dc1a", "dc1b", "dc1c")
+        built = settled({"dc1": 3, "dc2": 1})
+        built.settle(5)
+        job_id = job_with(("dc1b", "dc1c"), names)
+        built.nodes["dc1b"].views.on_leave = lambda: None
+        self.assertTrue(built.clock.call(built.nodes["dc1b"].jobs.drain, 5.0))
+        built.network.partition(["dc1a"], ["dc1c"])
+        built.submit("dc1a", region.request_of(job_id))
+        built.settle(0.5)
+        for name, state in (("dc1b", member.State.LEAVING), ("dc1a", member.State.DEAD)):
+            built.crash(name)
+            built.set_state(name, state)
+        del built.states["dc1b"]
+        built.spread()
+        built.settle(1)
+        built.submit("dc2a", region.request_of(job_id, attempt=2, age_s=1.6))
+        built.settle(6)
+        self.assertEqual(built.faults(), [])
+
     def test_graceful_leave_is_no_death(self):
         built = settled({"dc1": 4, "dc2": 1})
         leave(built, "dc1a")
@@ -142,6 +163,16 @@
         self.assertEqual(again, first)
         self.assertEqual(built.faults(), [])
 
+    def test_pause_that_the_membership_did_not_notice_ends_by_itself(self):
+        # The loop stood still just long enough for the fence, and not for the membership, so
+        # there is no new incarnation to wait for. The instance must not refuse jobs for ever.
+        built = settled({"dc1": 2, "dc2": 1})
+        built.nodes["dc1a"].jobs.on_pause()
+        self.assertIs(built.answer("dc1a", region.request_of()).code, code.Code.NOT_READY)
+        built.settle(4)
+        after = built.answer("dc1a", region.request_of("second"))
+        self.assertIs(after.code, code.Code.COMPLETE)
+
     def test_beating_loop_is_not_taken_for_a_pause(self):
         built = settled({"dc1": 2, "dc2": 1})
         built.settle(30)
--- a/rosedyke/job/fence.py
+++ b/rosedyke/job/fence.py
@@ -22,14 +22,22 @@
         Monotonic time.
     on_pause : callable
         Called once for each pause that is found.
+    is_counted_alive : callable
+        Returns whether the membership has this incarnation as a serving member.
     """
 
     def __init__(
-        self, limits: settings.JobSettings, clock: runtime.Runtime, on_pause: Callable[[], None]
+        self,
+        limits: settings.JobSettings,
+        clock: runtime.Runtime,
+        on_pause: Callable[[], None],
+        is_counted_alive: Callable[[], bool],
     ):
         self.limits = limits
         self.clock = clock
         self.on_pause = on_pause
+        self.is_counted_alive = is_counted_alive
+        self.closed_at = 0.0
         self.last_beat = clock.now()
         self.is_closed = False
         self.is_stopped = False
@@ -40,6 +48,7 @@
             self.clock.sleep(self.limits.pulse_s)
             self.look()
             self.last_beat = self.clock.now()
+            self.reopen()
 
     def look(self) -> None:
         """Close the fence if the loop stood still since the last beat."""
@@ -50,8 +59,20 @@
     def close(self) -> None:
         """Let nothing be sent until ``open`` is called."""
         self.is_closed = True
+        self.closed_at = self.clock.now()
         self.on_pause()
 
+    def reopen(self) -> None:
+        """Open after a pause that was too short for the peers to declare a death.
+
+        Without this, an instance whose membership measured a little less than the bound would
+        refuse every job for ever.  What waited when the fence closed has been ended.
+        """
+        since = self.clock.now() - self.closed_at
+        is_clear = since > self.limits.pause_clear_s and self.is_counted_alive()
+        if self.is_closed and is_clear:
+            self.open()
+
     def open(self) -> None:
         """Let tasks be sent again: the instance has joined with a new incarnation."""
         self.is_closed = False
--- a/rosedyke/job/handover.py
+++ b/rosedyke/job/handover.py
@@ -122,6 +122,8 @@
     bool
         Whether everything was taken.
     """
+    # A claim granted after the others were told would be known here alone, and lost.
+    node.is_leaving = True
     others = others_of(node)
     if not others:
         return not node.kept.entries and not node.registrar.claims
--- a/rosedyke/job/instance.py
+++ b/rosedyke/job/instance.py
@@ -49,6 +49,8 @@
         Started jobs of which one registrar has not confirmed the claim.
     rounds : int
         Last round number given out.
+    is_leaving : bool
+        Claims are being handed over; as a registrar it grants no more.
     """
 
     settings: settings.JobSettings
@@ -62,6 +64,7 @@
     held: dict[str, Held] = attrs.Factory(dict)
     half_held: set[str] = attrs.Factory(set)
     rounds: int = 0
+    is_leaving: bool = False
 
     @property
     def own(self) -> peer.Peer:
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -33,6 +33,9 @@
 NO = answer.Ran.NO
 UNKNOWN = answer.Ran.UNKNOWN
 SWEEP_S = 1.0
+LEAVE_S = 2.0
+# Kept from the end of a drain for leaving and handing over.
+HANDOVER_S = 2.0
 RETRY_AFTER_S = 1.0
 
 
@@ -75,7 +78,7 @@
             registrar.Registrar(limits.claim_life_s, limits.max_claims),
             kept.KeptAnswers(limits.kept_answers_s, limits.kept_answer_bytes),
         )
-        self.fence = fence.Fence(limits, clock, self._end_paused)
+        self.fence = fence.Fence(limits, clock, self._end_paused, self._is_counted_alive)
 
     # Life
 
@@ -118,7 +121,7 @@
         node = self.node
         self.is_draining = True
         give_up = node.now() + timeout_s
-        job_limit = give_up - node.settings.transfer_timeout_s
+        job_limit = give_up - min(HANDOVER_S, timeout_s / 2)
         while node.held and node.now() < job_limit:
             first = next(iter(node.held.values()))
             first.ended.wait(max(0.0, job_limit - node.now()))
@@ -127,6 +130,8 @@
         for held in list(node.held.values()):
             held.job.fail(code.Code.STOPPED, "The instance was drained.")
         node.runtime.sleep(0)
+        # From here on no other instance takes this one for a registrar.
+        node.membership.leave(max(0.0, min(LEAVE_S, give_up - node.now())))
         is_whole = handover.hand_over(node, give_up) and is_whole
         if is_whole:
             self._say_farewell()
@@ -397,6 +402,12 @@
         for held in list(self.node.held.values()):
             held.job.fail(code.Code.STOPPED, "The instance stood still.", RETRY_AFTER_S)
 
+    def _is_counted_alive(self) -> bool:
+        own = self.node.membership.own
+        is_present_life = own.peer.incarnation == self.node.own.incarnation
+        is_serving = own.state in member.SERVING_STATES
+        return is_present_life and is_serving and self.node.membership.is_confirmed()
+
     def _say_farewell(self) -> None:
         node = self.node
         note = node.authority.registered(node.now(), is_final=True)
--- a/rosedyke/job/safeguards_test.py
+++ b/rosedyke/job/safeguards_test.py
@@ -63,6 +63,14 @@
     return is_pair and node.authority.is_settled_for(request.job_id)
 
 
+def grant_while_leaving(node, sender, request, real=claiming.may_grant):
+    was_leaving, node.is_leaving = node.is_leaving, False
+    try:
+        return real(node, sender, request)
+    finally:
+        node.is_leaving = was_leaving
+
+
 def bring_only_others_claims(node, members, record, real=handover.is_bringer):
     return record.holder != node.own and real(node, members, record)
 
@@ -169,6 +177,11 @@
         [(registrar.Registrar, "release", release_any_round)],
         registrar_test.Claims("test_late_release_of_an_earlier_round_ends_nothing"),
     ),
+    (
+        "a registrar that handed over grants nothing",
+        [(claiming, "may_grant", grant_while_leaving)],
+        drain_test.Drain("test_claim_is_not_granted_by_a_registrar_that_has_handed_over"),
+    ),
     (
         "a paused instance sends nothing",
         [(fence.Fence, "check", lambda one: None)],
--- a/rosedyke/job/settings.py
+++ b/rosedyke/job/settings.py
@@ -38,6 +38,9 @@
     pause_bound_s : float
         An instance whose loop stood still for longer may be dead to its peers.  Less than the
         time in which the membership declares a silent instance dead.
+    pause_clear_s : float
+        After a pause that the membership didn't notice, how long the instance must be counted
+        alive before it sends again.  Longer than it takes peers to declare it dead.
     pulse_s : float
         Interval in which the loop proves that it runs.
     transfer_batch : int
@@ -59,6 +62,7 @@
     kept_answer_bytes: int = 32 * 1024 * 1024
     answer_margin_s: float = 0.02
     pause_bound_s: float = 0.8
+    pause_clear_s: float = 3.0
     pulse_s: float = 0.1
     transfer_batch: int = 500
     transfer_timeout_s: float = 1.0
--- a/rosedyke/membership/ports.py
+++ b/rosedyke/membership/ports.py
@@ -31,3 +31,6 @@
 
         While false, a registrar or slot owner here may not know of state that another holds.
         """
+
+    def leave(self, timeout_s: float) -> bool:
+        """Enter LEAVING and return whether every member has acknowledged it in time."""
--- a/rosedyke/standins/explore_region.py
+++ b/rosedyke/standins/explore_region.py
@@ -26,6 +26,7 @@
         self.own_peer = own
         self.view = view
         self.callbacks: list = []
+        self.on_leave = lambda: None
 
     @property
     def own(self) -> member.Member:
@@ -45,6 +46,11 @@
         for callback in self.callbacks:
             callback(old, view)
 
+    def leave(self, timeout_s: float) -> bool:
+        """Let the region see this instance as leaving."""
+        self.on_leave()
+        return True
+
     def advertise(self, topic, value) -> None:
         """Do nothing."""
 
@@ -221,6 +227,7 @@
         dispatcher = CountingDispatcher(clock, self.starts, peers)
         jobs = manager.JobManager(self.limits, clock, peers, views, dispatcher)
         self.nodes[own.name] = Node(own, peers, views, dispatcher, jobs, standstill)
+        views.on_leave = lambda: self.leave(own.name)
         jobs.start()
         return self.nodes[own.name]
 
@@ -238,6 +245,11 @@
         """Change what the region will see of an instance; ``spread`` makes it known."""
         self.states[name] = member.Member(self.states[name].peer, state)
 
+    def leave(self, name: str) -> None:
+        """Let every instance learn that one is leaving."""
+        self.set_state(name, member.State.LEAVING)
+        self.spread()
+
     def crash(self, name: str) -> None:
         """End an instance without a word; the others still believe it alive."""
         node = self.nodes[name]
