Move many claims in slices, and answers in batches

After a change of members an instance ranked all its claims in one stretch. With 100,000 claims and 50 members that is about a second of processor time in which its loop stands still, which its peers take for a death.

A drain sent one message for each kept answer; it now sends up to 500 answers or 1 MiB in one.

--- a/benchmarks/claims_cost.py
+++ b/benchmarks/claims_cost.py
@@ -22,7 +22,17 @@
 sys.path.insert(0, str(ROOT))
 
 from rosedyke.daemon import green  # noqa: E402
-from rosedyke.job import answer, claim, code, manager, messages, registrar, settings  # noqa: E402
+from rosedyke.job import (  # noqa: E402
+    answer,
+    authority,
+    claim,
+    code,
+    handover,
+    manager,
+    messages,
+    registrar,
+    settings,
+)
 from rosedyke.membership import member  # noqa: E402
 from rosedyke.standins import explore_region  # noqa: E402
 from rosedyke.wire import peer, transport  # noqa: E402
@@ -171,6 +181,41 @@
     }
 
 
+def measure_change() -> dict:
+    """Return what a join costs an instance that holds many claims, one third of them its own."""
+    region = explore_region.Region({"dc1": 50})
+    region.settle(5.0)
+    node = region.nodes["dc1a"].jobs.node
+    others = [one.peer for one in region.nodes.values()][1:]
+    for number in range(CLAIMS_HELD):
+        holder = node.own if number % 3 == 0 else others[number % len(others)]
+        node.registrar.grant(holder, claim_request(number), node.now())
+    stretches = []
+    own_sleep = node.runtime.sleep
+    started = time.process_time()
+    last = [started]
+
+    def sleep(seconds):
+        stretches.append(time.process_time() - last[0])
+        own_sleep(seconds)
+        last[0] = time.process_time()
+
+    node.runtime.sleep = sleep
+    joined = region.new_peer("dc1x", "dc1", 1)
+    region.states["dc1x"] = member.Member(joined, member.State.LIVE)
+    view = region.view()
+    members = authority.members_of(view, "dc1")
+    node.authority.members = members
+    moves = region.clock.call(handover.plan, node, members)
+    return {
+        "members": 50,
+        "claims": CLAIMS_HELD,
+        "claims_to_move": sum(len(moved) for moved in moves.values()),
+        "processor_s": round(time.process_time() - started, 3),
+        "longest_stretch_ms": round(max(stretches) * 1000, 2),
+    }
+
+
 def run_wave() -> dict:
     """Return what 10,000 resubmissions get right after one of six instances died."""
     region = build(SHAPES["weighbridge, 3 data centres of 2"])
@@ -236,6 +281,7 @@
         "messages": {name: count_messages(counts) for name, counts in SHAPES.items()},
         "loopback, 6 instances in one process": time_on_loopback(),
         "memory": measure_memory(),
+        "join": measure_change(),
         "wave": run_wave(),
     }
     RESULTS.parent.mkdir(exist_ok=True)
--- a/rosedyke/job/handover.py
+++ b/rosedyke/job/handover.py
@@ -1,6 +1,18 @@
 """Moving claims and answers to the instances that answer for them next."""
 
-from rosedyke.job import authority, claim, events, instance, kept, messages, metrics, steps
+from collections.abc import Iterator
+
+from rosedyke.job import (
+    authority,
+    claim,
+    events,
+    instance,
+    kept,
+    messages,
+    metrics,
+    settings,
+    steps,
+)
 from rosedyke.observe import event, metric, step
 from rosedyke.wire import peer
 
@@ -12,7 +24,10 @@
     """
     members = node.authority.members
     step.reach(steps.TRANSFER_SENDING, node.own.name)
-    for target, moved in plan(node, members).items():
+    moves = plan(node, members)
+    if moves is None:
+        return False
+    for target, moved in moves.items():
         for start in range(0, len(moved), node.settings.transfer_batch):
             batch = tuple(moved[start : start + node.settings.transfer_batch])
             if not deliver(node, members, target, messages.TransferRequest(batch)):
@@ -60,26 +75,38 @@
     return False
 
 
-def plan(
-    node: instance.Instance, members: authority.Members
-) -> dict[peer.Peer, list[messages.TransferredClaim]]:
-    """Return which claims have to be told to which instance.
+Moves = dict[peer.Peer, list[messages.TransferredClaim]]
+
+
+def claims_in_slices(node: instance.Instance) -> Iterator[tuple[str, claim.Claim]]:
+    """Yield the claims known at the start that are still there, letting other tasks run."""
+    for number, job_id in enumerate(list(node.registrar.claims)):
+        if number and number % node.settings.transfer_slice == 0:
+            node.runtime.sleep(0)
+        record = node.registrar.find(job_id)
+        if record is not None and record.expires > node.now():
+            yield job_id, record
+
+
+def plan(node: instance.Instance, members: authority.Members) -> Moves | None:
+    """Return which claims have to be told to which instance; None once the members changed.
 
     Living holders of the own data centre bring their claims themselves.  Registrars bring the
     others: of dead holders, of other data centres, and closed attempts.  Both compare with the
     last settled members, at which the claims are known to be where they belong.
     """
-    moves: dict[peer.Peer, list[messages.TransferredClaim]] = {}
-    now = node.now()
+    moves: Moves = {}
     settled = node.authority.unsettled[0]
-    for job_id, record in list(node.registrar.claims.items()):
-        if record.expires <= now or not is_bringer(node, members, record):
+    for job_id, record in claims_in_slices(node):
+        if node.authority.members is not members:
+            return None
+        if not is_bringer(node, members, record):
             continue
         targets = set(members.registrars(job_id))
         if settled is not None and job_id not in node.half_held:
             targets -= set(settled.registrars(job_id))
         for target in targets - {node.own}:
-            moves.setdefault(target, []).append(transferred(job_id, record, now))
+            moves.setdefault(target, []).append(transferred(job_id, record, node.now()))
     return moves
 
 
@@ -147,24 +174,44 @@
 def hand_over_answers(node: instance.Instance, others: authority.Members, give_up: float) -> bool:
     """Let each job's first registrar keep its answer and hold its claim."""
     now = node.now()
-    batches: dict[peer.Peer, list[messages.HandedOverAnswer]] = {}
-    for job_id, entry in list(node.kept.entries.items()):
+    by_target: dict[peer.Peer, list[messages.HandedOverAnswer]] = {}
+    for number, (job_id, entry) in enumerate(list(node.kept.entries.items())):
+        if number and number % node.settings.transfer_slice == 0:
+            node.runtime.sleep(0)
         target = others.registrars(job_id)[0]
         answer = messages.HandedOverAnswer(
             entry.answer, entry.digest, entry.attempt, entry.expires - now
         )
-        batches.setdefault(target, []).append(answer)
+        by_target.setdefault(target, []).append(answer)
     is_whole = True
-    for target, answers in batches.items():
-        for one in answers:
-            message = messages.HandoverRequest((one,))
-            if not deliver_until(node, target, message, give_up):
+    for target, answers in by_target.items():
+        for batch in batches(answers, node.settings):
+            if deliver_until(node, target, messages.HandoverRequest(batch), give_up):
+                for one in batch:
+                    move_holder(node, one.answer.job_id, target)
+            else:
                 is_whole = False
-                continue
-            move_holder(node, one.answer.job_id, target)
     return is_whole
 
 
+def batches(
+    answers: list[messages.HandedOverAnswer], limits: settings.JobSettings
+) -> Iterator[tuple[messages.HandedOverAnswer, ...]]:
+    """Yield the answers in messages of bounded count and bytes; a large one goes alone."""
+    batch: list[messages.HandedOverAnswer] = []
+    size = 0
+    for one in answers:
+        own_size = kept.size_of(one.answer)
+        is_full = len(batch) >= limits.transfer_batch or size + own_size > limits.transfer_bytes
+        if batch and is_full:
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(one)
+        size += own_size
+    if batch:
+        yield tuple(batch)
+
+
 def move_holder(node: instance.Instance, job_id: str, target: peer.Peer) -> None:
     """Name the keeper of the answer in the own copy of the claim, which is handed over next."""
     record = node.registrar.find(job_id)
@@ -175,11 +222,10 @@
 
 def hand_over_claims(node: instance.Instance, others: authority.Members, give_up: float) -> bool:
     """Give every claim to its registrars among the others."""
-    now = node.now()
-    moves: dict[peer.Peer, list[messages.TransferredClaim]] = {}
-    for job_id, record in node.registrar.claims.items():
+    moves: Moves = {}
+    for job_id, record in claims_in_slices(node):
         for target in successors(node, others, job_id, record):
-            moves.setdefault(target, []).append(transferred(job_id, record, now))
+            moves.setdefault(target, []).append(transferred(job_id, record, node.now()))
     is_whole = True
     for target, moved in moves.items():
         for start in range(0, len(moved), node.settings.transfer_batch):
--- a/rosedyke/job/settings.py
+++ b/rosedyke/job/settings.py
@@ -45,6 +45,11 @@
         Interval in which the loop proves that it runs.
     transfer_batch : int
         Claims in one message to a new registrar.
+    transfer_bytes : int
+        Bytes of answers in one message to an instance that keeps them from now on.
+    transfer_slice : int
+        Claims looked at before other tasks get their turn.  Ranking all claims at once would
+        hold the loop for seconds, and the peers would take the instance for dead.
     transfer_timeout_s : float
         Time for one such message to be answered.
     """
@@ -65,4 +70,6 @@
     pause_clear_s: float = 3.0
     pulse_s: float = 0.1
     transfer_batch: int = 500
+    transfer_bytes: int = 1024 * 1024
+    transfer_slice: int = 200
     transfer_timeout_s: float = 1.0
