--- a/benchmarks/claims_cost.py
+++ b/benchmarks/claims_cost.py
@@ -45,6 +45,8 @@
 WAVE_JOBS = 10_000
 WAVE_TASKS = 2
 DETECTION_S = 1.5
+DEADLINE_S = 4.0
+DEADLINE_JOBS = 1000
 # One way between data centres, in seconds.
 WEIGHBRIDGE_DELAY_S = 0.0015
 LOCAL_DELAY_S = 0.00025
@@ -146,12 +148,41 @@
             "p99_ms": round(cuts[98], 3),
             "processor_ms_all_instances": round(processor / JOBS_TIMED * 1000, 3),
         }
+    figures["deadline"] = time_deadlines(nodes[0])
     for node in nodes:
         node.jobs.stop()
         node.transport.stop()
     return figures
 
 
+def time_deadlines(node) -> dict:
+    """Return how long before the caller's timeout the answers of jobs that never end are there."""
+    dispatcher = node.jobs.node.dispatcher
+    dispatcher.task_s = 60.0
+    left = []
+
+    def call(number):
+        request = explore_region.request_of(f"late-{number}", tasks=1, timeout_s=DEADLINE_S)
+        started = time.perf_counter()
+        final = node.jobs.submit(request)
+        assert final.code is code.Code.DEADLINE, final
+        left.append((started + DEADLINE_S - time.perf_counter()) * 1000)
+
+    tasks = []
+    for number in range(DEADLINE_JOBS):
+        tasks.append(node.clock.spawn(call, number))
+        node.clock.sleep(DEADLINE_S / DEADLINE_JOBS)
+    for task in tasks:
+        task.wait()
+    return {
+        "jobs": DEADLINE_JOBS,
+        "timeout_s": DEADLINE_S,
+        "median_ms_left": round(statistics.median(left), 2),
+        "least_ms_left": round(min(left), 2),
+        "answered_after_the_timeout": sum(one < 0 for one in left),
+    }
+
+
 def claim_request(number: int) -> messages.ClaimRequest:
     """Return a claim with an id of 36 characters and a digest of 16 bytes."""
     job_id = f"{number:08x}-0000-4000-8000-{number:012x}"
--- a/rosedyke/job/events.py
+++ b/rosedyke/job/events.py
@@ -18,7 +18,7 @@
     "Two instances hold a claim to one job. This breaks a promise of the product: keep the logs "
     "of both and report it.",
 )
-MESSAGE_REFUSED = event.define(
+REGISTRAR_FULL = event.define(
     3002,
     "registrar_full",
     logging.WARNING,
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -247,6 +247,8 @@
         node = self.node
         held.round = node.next_round()
         record = node.registrar.find(held.job.request.job_id)
+        if record is None and node.registrar.is_full(node.now()):
+            return claiming.Verdict(claim.Outcome.FULL)
         # A record of another body stays, so that the claim is refused like everywhere else.
         is_free = record is None or record.holder is None
         if is_free and (record is None or record.digest == held.job.request.digest):
@@ -420,6 +422,8 @@
             node.runtime.sleep(SWEEP_S)
             node.registrar.expire(node.now())
             node.kept.expire(node.now())
+            if len(node.registrar.claims) >= node.settings.max_claims:
+                event.log(events.REGISTRAR_FULL, claims=len(node.registrar.claims))
             metric.gauge(metrics.CLAIMS, len(node.registrar.claims))
 
     @staticmethod
--- a/rosedyke/job/manager_test.py
+++ b/rosedyke/job/manager_test.py
@@ -1,6 +1,6 @@
 import unittest
 
-from rosedyke.job import answer, code, ports
+from rosedyke.job import answer, code, ports, settings
 from rosedyke.standins import explore_region as region
 
 NO, YES, UNKNOWN = answer.Ran.NO, answer.Ran.YES, answer.Ran.UNKNOWN
@@ -160,3 +160,16 @@
             self.assertIs(final.ran, UNKNOWN)
             self.assertLessEqual(built.clock.now() - started, 0.8)
         self.assertEqual(built.starts.most(), 0)
+
+
+class FullRegistrar(unittest.TestCase):
+    def test_new_jobs_are_refused_and_the_operator_is_told(self):
+        limits = settings.JobSettings(data_centres=("dc1",), max_claims=3)
+        built = settled({"dc1": 1}, limits=limits)
+        calls = [built.submit("dc1a", region.request_of(f"job-{n}")) for n in range(6)]
+        with self.assertLogs("rosedyke", "WARNING") as logs:
+            built.settle(6)
+        self.assertIn("E3002", logs.output[0])
+        whole = [call for call in calls if call.answer.is_complete]
+        self.assertEqual(len(whole), 3)
+        self.assertEqual(built.faults(), [])
--- a/rosedyke/job/registrar.py
+++ b/rosedyke/job/registrar.py
@@ -39,15 +39,18 @@
         """Return the claim of a job."""
         return self.claims.get(job_id)
 
+    def is_full(self, now: float) -> bool:
+        """Return whether there is no room for another job's claim."""
+        self.expire(now)
+        return len(self.claims) >= self.max_claims
+
     def conflict(
         self, sender: peer.Peer, request: messages.ClaimRequest, now: float
     ) -> Decision | None:
         """Return why the request can't be granted by what is remembered; None if it can."""
         record = self.claims.get(request.job_id)
         if record is None:
-            self.expire(now)
-            is_full = len(self.claims) >= self.max_claims
-            return Decision(claim.Outcome.FULL) if is_full else None
+            return Decision(claim.Outcome.FULL) if self.is_full(now) else None
         if record.digest != request.digest:
             return Decision(claim.Outcome.OTHER_BODY, record.holder)
         if record.holder is not None and record.holder != sender:
