--- a/rosedyke/job/settings.py
+++ b/rosedyke/job/settings.py
@@ -38,10 +38,18 @@
     pause_bound_s : float
         An instance whose loop stood still for longer may be dead to its peers.  Less than the
         time in which the membership declares a silent instance dead.
+    pause_clear_s : float
+        After a pause that the membership didn't notice, how long the instance must be counted
+        alive before it sends again.  Longer than it takes peers to declare it dead.
     pulse_s : float
         Interval in which the loop proves that it runs.
     transfer_batch : int
         Claims in one message to a new registrar.
+    transfer_bytes : int
+        Bytes of answers in one message to an instance that keeps them from now on.
+    transfer_slice : int
+        Claims looked at before other tasks get their turn.  Ranking all claims at once would
+        hold the loop for seconds, and the peers would take the instance for dead.
     transfer_timeout_s : float
         Time for one such message to be answered.
     """
@@ -59,6 +67,9 @@
     kept_answer_bytes: int = 32 * 1024 * 1024
     answer_margin_s: float = 0.02
     pause_bound_s: float = 0.8
+    pause_clear_s: float = 3.0
     pulse_s: float = 0.1
     transfer_batch: int = 500
+    transfer_bytes: int = 1024 * 1024
+    transfer_slice: int = 200
     transfer_timeout_s: float = 1.0
