Cut the owner's work for each grant; don't eject servers for jobs that ran out of time

Slots of servers that can't matter are no longer worked out, a task left to faster servers once is not weighed again for slower ones, reports are repeated for 20 ms, owners are worked out once for each view.

In an overload, jobs that ran out of time ejected good servers, since a timeout counted as the server's failure. It counts only after three times the expected run time.

--- a/rosedyke/dispatch/backlog.py
+++ b/rosedyke/dispatch/backlog.py
@@ -49,6 +49,8 @@
         Time.
     membership : Membership
         Carries reports between owners and everyone else.
+    shards : Catalogue
+        Who owns which pool.
     """
 
     def __init__(
@@ -56,10 +58,12 @@
         options: settings.DispatchSettings,
         runtime: Runtime,
         membership: membership_ports.Membership,
+        shards: shard.Catalogue,
     ):
         self.options = options
         self.runtime = runtime
         self.membership = membership
+        self.shards = shards
         self.known: dict[str, Known] = {}
         self.heard: dict[str, bytes] = {}
 
@@ -102,7 +106,7 @@
 
     def report(self, target: shard.Shard) -> message.PoolReport | None:
         """Return what is known of a pool, None when nothing is."""
-        owner = shard.owner_of(target.key, self.membership.view)
+        owner = self.shards.owner(target.key, self.membership.view)
         if owner is None:
             return None
         self._hear(owner.name)
--- a/rosedyke/dispatch/dispatcher.py
+++ b/rosedyke/dispatch/dispatcher.py
@@ -59,7 +59,7 @@
         self.gateway = gateway
         self.tables: dict[str, speed.SpeedTable] = {}
         self.shards = shard.Catalogue(current, options.shard_servers)
-        self.board = backlog.Board(options, runtime, membership)
+        self.board = backlog.Board(options, runtime, membership, self.shards)
         self.owner = owner.PoolOwner(
             options,
             runtime,
@@ -158,7 +158,7 @@
         reachable = [
             one
             for one in self.shards.of(service)
-            if one.in_reach(view) and shard.owner_of(one.key, view) is not None
+            if one.in_reach(view) and self.shards.owner(one.key, view) is not None
         ]
         return [one for one in reachable if not self.board.is_avoided(one.key)] or reachable
 
--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -141,7 +141,7 @@
         return found
 
     def _owner(self, to) -> peer.Peer | None:
-        owner = shard.owner_of(to.shard.key, self.membership.view)
+        owner = self.shards.owner(to.shard.key, self.membership.view)
         return None if owner is None else owner.peer
 
     def _on_view(self, old: member.View, new: member.View):
@@ -295,7 +295,8 @@
         except ports.MayHaveRun as error:
             metric.count(metrics.TASKS_LOST)
             event.log(events.SERVER_LOST, server=grant.server, reason=error)
-            self._release(to, grant, lease.Outcome.LOST)
+            outcome = lease.Outcome.LATE if error.is_timeout else lease.Outcome.LOST
+            self._release(to, grant, outcome)
             running.fail(code.Code.SERVER_LOST, f"no answer from {grant.server}: {error}")
         else:
             run_s = self.runtime.now() - started
--- a/rosedyke/dispatch/lease.py
+++ b/rosedyke/dispatch/lease.py
@@ -17,7 +17,12 @@
     REFUSED = "refused"  # the server answered that it did not start the task
     UNREACHED = "unreached"  # no connection could be made
     LEAVING = "leaving"  # the server answered that it takes no new work
-    LOST = "lost"  # sent without an answer; the server may still run it
+    LOST = "lost"  # sent, and the connection broke; the server may still run it
+    LATE = "late"  # sent, and its time was over; the server may still run it
+
+
+# After these nobody but the server knows when the slot is free.
+UNKNOWN_OUTCOMES = frozenset({Outcome.LOST, Outcome.LATE})
 
 
 class Key(typing.NamedTuple):
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -151,7 +151,7 @@
 
     def is_owner(self, target: shard.Shard) -> bool:
         """Return whether the present view makes this instance the pool's owner."""
-        owner = shard.owner_of(target.key, self.membership.view)
+        owner = self.shards.owner(target.key, self.membership.view)
         return owner is not None and owner.peer == self.peers.own
 
     def _is_member(self, sender):
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -126,6 +126,8 @@
         self.waiting = queue.RequestQueue(1, options.aging)
         self.profile: tuple[tuple[float, float], ...] = ()
         self.profiled_at = float("-inf")
+        self.reported: message.PoolReport | None = None
+        self.reported_at = 0.0
 
     def bound(self, limits: intent.Limits) -> None:
         """Take in the service's limits of a new configuration."""
@@ -192,11 +194,11 @@
             return
         outcome = lease.Outcome(released.outcome)
         server = self.servers[held.server]
-        self._judge(server, outcome, now)
+        self._judge(server, held, outcome, now)
         if outcome is lease.Outcome.DONE:
             self.speeds.learn(held.task, held.server, held.run_time_s, released.run_s)
         self._end(held)
-        if outcome is lease.Outcome.LOST:
+        if outcome in lease.UNKNOWN_OUTCOMES:
             server.orphan(1, now)
 
     def expire(self, now: float) -> list[lease.Lease]:
@@ -276,7 +278,8 @@
         free = [server for server in usable if server.free() > 0]
         if not free:
             return granted
-        horizon = placement.Horizon(self._busy_for(usable, now), self.speeds)
+        names = [server.declared.name for server in usable]
+        horizon = placement.Horizon(names, lambda name: self._busy_for(name, now), self.speeds)
         nearest = self.waiting.ordered[0].holder.data_centre
         free.sort(key=lambda server: self._preference(server, nearest))
         for server in free:
@@ -286,14 +289,20 @@
                 if choice is None:
                     break
                 granted.append(self._grant(server, choice, now))
-                horizon.free_in[name].append(choice.expected_s)
+                horizon.slots(name).append(choice.expected_s)
             # Only now may slower servers leave tasks to these slots: were all free slots counted
             # from the start, two equal servers would each leave the task to the other for ever.
-            horizon.free_in[name].extend([0.0] * server.free())
+            horizon.slots(name).extend([0.0] * server.free())
         return granted
 
     def report(self, now: float, is_leaving) -> message.PoolReport:
-        """Return how busy the pool is."""
+        """Return how busy the pool is, at most a moment ago."""
+        if self.reported is None or now >= self.reported_at + self.options.report_s:
+            self.reported_at = now
+            self.reported = self._report(now, is_leaving)
+        return self.reported
+
+    def _report(self, now, is_leaving):
         free = []
         rate = 0.0
         running_s = 0.0
@@ -361,8 +370,14 @@
         orphans = sum(server.orphans for server in self.servers.values())
         return len(self.leases) + orphans < self.limit
 
-    def _judge(self, server, outcome, now):
+    def _judge(self, server, held, outcome, now):
         """Let a server's health follow from what became of a task there."""
+        # A job whose time was nearly over when its task was sent says nothing about the server;
+        # in an overload many end so, and good servers would be ejected for it.
+        if outcome is lease.Outcome.LATE:
+            if now - held.granted_at < self.options.late_factor * held.expected_s:
+                return
+            outcome = lease.Outcome.LOST
         if outcome is lease.Outcome.DONE:
             server.health.succeeded(server.declared.slots)
         elif outcome in (lease.Outcome.FAILED, lease.Outcome.LOST):
@@ -375,12 +390,8 @@
         elif outcome is lease.Outcome.LEAVING:
             server.is_leaving = True
 
-    def _busy_for(self, usable, now):
-        busy_for = {}
-        for server in usable:
-            held = server.leases.values()
-            busy_for[server.declared.name] = [one.remaining_s(now) for one in held]
-        return busy_for
+    def _busy_for(self, name, now):
+        return [held.remaining_s(now) for held in self.servers[name].leases.values()]
 
     def _grant(self, server, choice, now):
         index = self.waiting.take(choice.item, choice.group)
--- a/rosedyke/dispatch/pool_test.py
+++ b/rosedyke/dispatch/pool_test.py
@@ -209,6 +209,18 @@
         self.fail(made, "s1", first + 0.01, 1)
         self.assertGreater(made.servers["s1"].health.held_until - first, 1.9)
 
+    def test_tasks_sent_too_late_do_not_eject_a_server_and_silent_ones_do(self):
+        made = make_pool({"s1": 3, "s2": 3, "s3": 3})
+        for elapsed_s, is_ejected in ((0.15, False), (0.5, True)):
+            made.add(HOLDER, asked(int(elapsed_s * 100), 9), 1.0)
+            for held in assign(made, 1.0):
+                late = held.server == "s1"
+                outcome = lease.Outcome.LATE if late else lease.Outcome.DONE
+                release(made, held, 1.0 + elapsed_s, outcome)
+            made.servers["s1"].settle(0, set(), 9.0)
+            health = made.servers["s1"].health
+            self.assertEqual(health.is_ejected(1.0 + elapsed_s), is_ejected)
+
     def test_a_fault_of_the_tasks_ejects_only_a_share_of_the_servers(self):
         made = make_pool({f"s{number}": 2 for number in range(6)})
         for number in range(30):
--- a/rosedyke/dispatch/ports.py
+++ b/rosedyke/dispatch/ports.py
@@ -38,10 +38,20 @@
 
 
 class MayHaveRun(BackendError):
-    """Bytes of the task left and no whole answer came back, so it may have started."""
+    """Bytes of the task left and no whole answer came back, so it may have started.
+
+    Attributes
+    ----------
+    is_timeout : bool
+        The time was over; false when the connection broke.
+    """
 
     code = "backend_may_have_run"
 
+    def __init__(self, detail: str = "", is_timeout: bool = False):
+        super().__init__(detail)
+        self.is_timeout = is_timeout
+
 
 class TaskFailed(BackendError):
     """The server ran the task and answered with an error."""
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -27,6 +27,9 @@
         Mean delay, with jitter, before a task that did not start is queued again.
     eject_after : int
         Failures in a row that eject a server.
+    late_factor : float
+        A task without an answer for so many times its expected run time counts as a failure of
+        the server; a shorter one was only sent too late.
     eject_s, eject_limit_s : float
         The first ejection's time, doubled with each further one up to the limit.
     eject_share : float
@@ -36,6 +39,8 @@
         How long a server that did not start a task gets no other, doubled up to the limit.
     avoid_s : float
         How long a pool whose owner did not answer gets no new work from here.
+    report_s : float
+        How long an owner repeats a report before it works out a new one.
     advertise_s : float
         How often an owner renews the reports that the membership carries.
     refusal_retry_s : float
@@ -68,12 +73,14 @@
     retry_burst: int = 100
     retry_delay_s: float = 0.01
     eject_after: int = 3
+    late_factor: float = 3.0
     eject_s: float = 1.0
     eject_limit_s: float = 30.0
     eject_share: float = 0.34
     refused_s: float = 0.05
     refused_limit_s: float = 2.0
     avoid_s: float = 2.0
+    report_s: float = 0.02
     advertise_s: float = 0.1
     refusal_retry_s: float = 0.5
     timeout_share: float = 0.9
--- a/rosedyke/dispatch/shard.py
+++ b/rosedyke/dispatch/shard.py
@@ -89,6 +89,8 @@
         self.shard_servers = shard_servers
         self.generation = 0
         self.by_service: dict[str, tuple[Shard, ...]] = {}
+        self.view: member.View | None = None
+        self.owners: dict[str, member.Member | None] = {}
 
     def of(self, service: intent.Service) -> tuple[Shard, ...]:
         """Return a service's pools."""
@@ -101,6 +103,17 @@
             found = self.by_service[service.name] = shards_of(service, self.shard_servers)
         return found
 
+    def owner(self, key: str, view: member.View) -> member.Member | None:
+        """Return the serving instance that owns a pool, worked out once for each view."""
+        if view is not self.view:
+            self.view = view
+            self.owners = {}
+        if key not in self.owners:
+            serving = {one.name: one for one in view.members if one.state in member.SERVING_STATES}
+            ranked = rendezvous.rank(key, serving)
+            self.owners[key] = serving[ranked[0]] if ranked else None
+        return self.owners[key]
+
     def limit(self, target: Shard, reached_slots: int) -> int | None:
         """Return how many tasks a pool may run at one time, None for as many as its slots.
 
@@ -133,10 +146,3 @@
         if service is None:
             return None
         return next((one for one in self.of(service) if one.key == key), None)
-
-
-def owner_of(key: str, view: member.View) -> member.Member | None:
-    """Return the serving instance that owns a pool."""
-    serving = {one.name: one for one in view.members if one.state in member.SERVING_STATES}
-    ranked = rendezvous.rank(key, serving)
-    return serving[ranked[0]] if ranked else None
--- a/rosedyke/gateways/backend.py
+++ b/rosedyke/gateways/backend.py
@@ -123,7 +123,7 @@
                 reply = self._ask(connection, "POST", path, call.payload, headers)
         except Expired:
             connection.http.close()
-            raise ports.MayHaveRun(f"no answer within {timeout_s:.3f} s") from None
+            raise ports.MayHaveRun(f"no answer within {timeout_s:.3f} s", is_timeout=True) from None
         except TRANSPORT_ERRORS as error:
             connection.http.close()
             raise ports.MayHaveRun(f"connection broke: {describe(error)}") from error
--- a/rosedyke/standins/backend_fake.py
+++ b/rosedyke/standins/backend_fake.py
@@ -78,7 +78,7 @@
         if run_s > timeout_s:
             self.runtime.spawn(self._end_later, state, run_s)
             self.runtime.sleep(timeout_s)
-            raise ports.MayHaveRun("no answer in time")
+            raise ports.MayHaveRun("no answer in time", is_timeout=True)
         self.runtime.sleep(run_s)
         state.running -= 1
         return ports.TaskReply(b'"done"')
