--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo faults format lint clean
+.PHONY: bench test demo faults format lint clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
@@ -21,6 +21,11 @@
 faults: $(STAMP)
 	$(RUN) -W ignore::DeprecationWarning tools/faults.py
 
+bench: $(STAMP)
+	$(RUN) -W ignore -m benchmarks.model --scenario weighbridge --save
+	$(RUN) -W ignore -m benchmarks.model --scenario press-line --save
+	$(RUN) -W ignore -m benchmarks.load
+
 format: $(STAMP)
 	$(VENV)/bin/black --quiet .
 	$(VENV)/bin/ruff check --quiet --fix .
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -11,16 +11,13 @@
 import json
 import logging
 import pathlib
-import statistics
-import subprocess
 import sys
 import time
 
 import attrs
 import cyclopts
-import msgspec
 
-from benchmarks import arrivals, ideal
+from benchmarks import arrivals, figures, ideal
 from rosedyke.configuration import intent
 from rosedyke.dispatch import settings
 from rosedyke.job import job, submission
@@ -126,40 +123,6 @@
     )
 
 
-def percentile(ordered: list[float], share: float) -> float:
-    """Return the value that a share of sorted values does not pass."""
-    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 3)
-
-
-def compare(responses, reference, warm) -> dict:
-    """Return percentiles of response over reference, and of means, after the warm-up."""
-    pairs = [
-        (mine, best)
-        for mine, best in list(zip(responses, reference, strict=True))[warm:]
-        if mine is not None
-    ]
-    ratios = sorted(mine / best for mine, best in pairs)
-    mine = [one for one, _ in pairs]
-    best = [one for _, one in pairs]
-    return {
-        "p50": percentile(ratios, 0.5),
-        "p90": percentile(ratios, 0.9),
-        "p99": percentile(ratios, 0.99),
-        "mean_over_mean": round(statistics.fmean(mine) / statistics.fmean(best), 3),
-        "worst_s": round(max(mine), 2),
-        "ideal_worst_s": round(max(best), 2),
-    }
-
-
-def whole_work(jobs, responses) -> float:
-    """Return the work at speed 1 of the jobs that were answered whole."""
-    return sum(
-        sum(arrival.run_s)
-        for arrival, response in zip(jobs, responses, strict=True)
-        if response is not None
-    )
-
-
 def main(
     scenario: str = "weighbridge",
     load: list[float] | None = None,
@@ -201,11 +164,13 @@
         warm = len(jobs) // 4
         reference = ideal.central_greedy(jobs, speeds, chosen.slots)
         played = play(chosen, jobs, speeds, settings.DispatchSettings(aging=aging), seed, timeout)
-        row = {"rosedyke": compare(played.responses, reference, warm)}
+        row = {"rosedyke": figures.compare(played.responses, reference, warm)}
         row["rosedyke"] |= {
             "failed": played.failed,
             "codes": played.codes,
-            "whole_work_share": round(whole_work(jobs, played.responses) / (capacity * length), 3),
+            "whole_work_share": round(
+                figures.whole_work(jobs, played.responses) / (capacity * length), 3
+            ),
             "messages_per_task": round(played.messages_per_task, 3),
             "refused": played.refused,
             "excess": played.excess,
@@ -217,18 +182,13 @@
         if baselines:
             for name, pick in ideal.BASELINES.items():
                 responses = ideal.baseline(jobs, speeds, chosen.slots, pick, seed)
-                row[name] = compare(responses, reference, warm)
+                row[name] = figures.compare(responses, reference, warm)
         table[str(share)] = row
-        for name, figures in row.items():
-            print(f"{scenario} load {share} {name}: {json.dumps(figures)}", flush=True)
+        for name, found in row.items():
+            print(f"{scenario} load {share} {name}: {json.dumps(found)}", flush=True)
     if save:
-        commit = subprocess.run(
-            ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=True
-        ).stdout.strip()
-        RESULTS.mkdir(exist_ok=True)
         path = RESULTS / f"model-{scenario}.json"
-        record = {"kind": "model", "commit": commit, "seed": seed, "length_s": length} | table
-        path.write_bytes(msgspec.json.format(msgspec.json.encode(record), indent=1) + b"\n")
+        figures.save(path, table, kind="model", seed=seed, length_s=length)
 
 
 if __name__ == "__main__":
