Make a new connection in place of proving one that was long idle

A handshake proves a new connection for less and needs no answer of the server's application. Idle connections older than 2 s are closed.

--- a/rosedyke/gateways/backend.py
+++ b/rosedyke/gateways/backend.py
@@ -2,7 +2,7 @@
 
 urllib3's connection is used directly, below its pool: the pool decides on its own when to open a
 connection, and its errors don't always tell whether bytes had left.  Here the connection is made
-and proved first; whatever fails after that may have run.
+first; whatever fails after that may have run.
 """
 
 import socket
@@ -115,7 +115,7 @@
     ) -> ports.TaskReply:
         """Send a task and block for its result."""
         ends_at = self.runtime.now() + timeout_s
-        connection = self._proved(server, timeout_s)
+        connection = self._connected(server, timeout_s)
         headers = task_headers(call, ends_at - self.runtime.now())
         path = f"/v1/tasks/{urllib.parse.quote(call.task, safe='')}"
         try:
@@ -153,39 +153,35 @@
     def close(self) -> None:
         """Close idle connections."""
         for connections in self.idle.values():
-            for connection in connections:
-                connection.http.close()
-        self.idle.clear()
+            self._close_all(connections)
 
-    def _proved(self, server, timeout_s) -> Connection:
+    def _connected(self, server, timeout_s) -> Connection:
         """Return a connection that is known to work, or raise NotStarted."""
         idle = self.idle.get(server.name, [])
-        while idle:
+        if idle:
             connection = idle.pop()
-            if self._is_good(connection, timeout_s):
+            if self._may_reuse(connection):
                 return connection
             connection.http.close()
+            # The others were idle for longer still.
+            self._close_all(idle)
         try:
             with eventlet.Timeout(min(timeout_s, self.options.connect_timeout_s), Expired):
                 return self._connect(server)
         except (Expired, *TRANSPORT_ERRORS) as error:
             raise ports.NotStarted(f"no connection: {describe(error)}") from None
 
-    def _is_good(self, connection, timeout_s) -> bool:
+    def _may_reuse(self, connection) -> bool:
+        # A middle box may have forgotten an idle connection: what is sent on it vanishes and no
+        # answer ever comes, so a task would be lost without having run.  A handshake proves a new
+        # connection in both directions for less than a request on the old one would cost.
         idle_s = self.runtime.now() - connection.used_at
-        if idle_s > self.options.idle_limit_s or connection.is_dropped():
-            return False
-        if idle_s <= self.options.proof_after_s:
-            return True
-        # A middle box may have forgotten the connection: what is sent on it vanishes and no
-        # answer ever comes, so a task would be lost without having run.  A cheap request that
-        # is answered on this very connection shows that both directions still pass.
-        try:
-            with eventlet.Timeout(min(timeout_s, self.options.proof_timeout_s), Expired):
-                reply = self._ask(connection, "GET", HEALTH_PATH, None, {})
-                return reply.status < 500 and connection.http.sock is not None
-        except (Expired, *TRANSPORT_ERRORS):
-            return False
+        return idle_s <= self.options.reuse_limit_s and not connection.is_dropped()
+
+    def _close_all(self, connections):
+        for connection in connections:
+            connection.http.close()
+        connections.clear()
 
     def _connect(self, server) -> Connection:
         host, port = server.address.rsplit(":", 1)
@@ -220,6 +216,8 @@
             connection.http.close()
             return
         idle.append(connection)
+        if self.runtime.now() - idle[0].used_at > self.options.reuse_limit_s:
+            idle.pop(0).http.close()
 
 
 def socket_options(silent_limit_s: float) -> list[tuple[int, int, int]]:
--- a/rosedyke/gateways/backend_test.py
+++ b/rosedyke/gateways/backend_test.py
@@ -18,7 +18,7 @@
 
 
 class GatewayCase(unittest.TestCase):
-    options = settings.BackendSettings(proof_timeout_s=0.2)
+    options = settings.BackendSettings()
 
     def setUp(self):
         self.server = standin.Server()
@@ -108,15 +108,35 @@
         self.assertEqual(self.server.counts.started, 2)
 
 
-class SilentConnections(GatewayCase):
-    options = settings.BackendSettings(proof_after_s=0.0, proof_timeout_s=0.2)
+class ShiftedRuntime(green.GreenRuntime):
+    """A clock that the test moves forward."""
+
+    shift_s = 0.0
+
+    def now(self):
+        return super().now() + self.shift_s
+
 
+class SilentConnections(GatewayCase):
     def test_task_goes_on_a_new_connection_and_starts_once(self):
         # A middle box forgets the open connections: bytes on them vanish, new ones work.  The
-        # caller must see nothing of it: the proof fails, so no task was put on the old one.
+        # caller must see nothing of it: no task is put on a connection that was long idle.
+        self.gateway.runtime = ShiftedRuntime()
         self.run_task()
         self.server.silence()
+        self.assertEqual(len(self.server.silent), 1)
+        self.gateway.runtime.shift_s = self.options.reuse_limit_s + 0.1
         self.assertEqual(self.run_task(1).result, b'{"run_s": 0}')
         self.assertEqual(self.server.counts.started, 2)
         self.assertEqual(self.server.counts.double_starts, 0)
-        self.assertEqual(self.server.counts.most_connections, 2)
+        self.assertEqual(len(self.gateway.idle["s"]), 1)
+
+    def test_connections_that_nobody_uses_are_closed(self):
+        self.gateway.runtime = ShiftedRuntime()
+        first = self.gateway._connected(self.declared, 5)
+        self.run_task()
+        self.gateway._keep(self.declared, first)
+        self.assertEqual(len(self.gateway.idle["s"]), 2)
+        self.gateway.runtime.shift_s = self.options.reuse_limit_s + 0.1
+        self.run_task(1)
+        self.assertEqual(len(self.gateway.idle["s"]), 1)
--- a/rosedyke/gateways/settings.py
+++ b/rosedyke/gateways/settings.py
@@ -39,12 +39,8 @@
     ----------
     connect_timeout_s : float
         A server that accepts no connection in this time was not reached.
-    proof_after_s : float
-        A connection idle for longer is proved by a cheap request before a task goes on it.
-    proof_timeout_s : float
-        How long that request may take.
-    idle_limit_s : float
-        A connection idle for longer is closed.
+    reuse_limit_s : float
+        A connection that was idle for longer gets no task; a new one is made in its place.
     silent_limit_s : float
         Unacknowledged bytes, or unanswered keepalive probes, for this long break a connection.
     max_result_bytes : int
@@ -52,8 +48,6 @@
     """
 
     connect_timeout_s: float = 1.0
-    proof_after_s: float = 2.0
-    proof_timeout_s: float = 0.25
-    idle_limit_s: float = 60.0
+    reuse_limit_s: float = 2.0
     silent_limit_s: float = 10.0
     max_result_bytes: int = 4 * 1024 * 1024
