Fit tasks together into a server's size, and leave them only to servers where they fit

Each task was fitted alone, so eight tasks that each fit could need more memory together than the server has; servers run without guards and one would go down with all its tasks. What running tasks leave is the room for the next.

A task that fits only on a slow server waited for ever for a fast one that is too small (test first red, then green): servers too small count no more when a task is left to faster ones.

--- a/rosedyke/dispatch/lease.py
+++ b/rosedyke/dispatch/lease.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rosedyke.configuration import intent
 from rosedyke.wire import peer
 
 
@@ -53,6 +54,8 @@
         The task's position in its job.
     task : str
         Name of the task type.
+    size : Size
+        What it needs there.
     run_time_s : float
         The declared run time.
     granted_at : float
@@ -68,6 +71,7 @@
     request: int
     index: int
     task: str
+    size: intent.Size
     run_time_s: float
     granted_at: float
     expected_s: float
--- a/rosedyke/dispatch/link.py
+++ b/rosedyke/dispatch/link.py
@@ -151,14 +151,15 @@
         slots = []
         for held in self.held.values():
             call = held.request.running.request.tasks[held.grant.index]
-            declared_s = call.run_time_s or held.request.service.task(call.name).run_time_s
+            declared = held.request.service.task(call.name)
             slots.append(
                 message.HeldSlot(
                     held.grant.request,
                     held.grant.index,
                     held.grant.server,
                     call.name,
-                    declared_s,
+                    call.size or declared.size,
+                    call.run_time_s or declared.run_time_s,
                     now - held.granted_at,
                     held.request.running.deadline - now,
                 )
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -220,6 +220,8 @@
         What the grant was for.
     server, task : str
         Where it runs and what.
+    size : Size
+        What it needs there.
     run_time_s : float
         The declared run time.
     elapsed_s : float
@@ -232,6 +234,7 @@
     index: int
     server: str
     task: str
+    size: intent.Size
     run_time_s: float
     elapsed_s: float
     deadline_left_s: float
--- a/rosedyke/dispatch/placement.py
+++ b/rosedyke/dispatch/placement.py
@@ -17,6 +17,9 @@
 MAX_REQUESTS_SEEN = 16
 
 
+Kind = tuple[str, float, intent.Size]
+
+
 @attrs.frozen
 class Choice:
     """A task for a slot."""
@@ -31,8 +34,8 @@
 
     Parameters
     ----------
-    names : list of str
-        The usable servers.
+    sizes : dict of str to Size
+        The usable servers with what each has.
     busy_for : callable
         ``busy_for(name)`` returns the seconds until each busy slot of a server is free; called
         only for servers that matter.
@@ -42,16 +45,16 @@
 
     def __init__(
         self,
-        names: list[str],
+        sizes: dict[str, intent.Size],
         busy_for: Callable[[str], list[float]],
         speeds: speed.SpeedTable,
     ):
-        self.names = names
+        self.sizes = sizes
         self.busy_for = busy_for
         self.speeds = speeds
         self.free_in: dict[str, list[float]] = {}
-        self.by_speed: dict[tuple[str, float], list[tuple[float, str]]] = {}
-        self.expected: dict[tuple[str, float], dict[str, float]] = {}
+        self.by_speed: dict[Kind, list[tuple[float, str]]] = {}
+        self.expected: dict[Kind, dict[str, float]] = {}
         self.declined: dict[int, float] = {}
 
     def slots(self, name: str) -> list[float]:
@@ -62,12 +65,13 @@
         return found
 
     def expected_s(self, group: queue.WaitingGroup, server: str) -> float:
-        """Return the expected run time of a group's task on a server."""
-        key = (group.task, group.run_time_s)
+        """Return the expected run time of a group's task on a server where it fits."""
+        key = group.kind
         if key not in self.expected:
             times = {
                 name: self.speeds.expected_s(group.task, name, group.run_time_s)
-                for name in self.names
+                for name, size in self.sizes.items()
+                if group.size.fits(size)
             }
             self.expected[key] = times
             self.by_speed[key] = sorted((each_s, name) for name, each_s in times.items())
@@ -78,7 +82,7 @@
     ) -> bool:
         """Return whether other servers can finish ``wanted`` tasks of a group by then."""
         finished = 0
-        for each_s, other in self.by_speed[group.task, group.run_time_s]:
+        for each_s, other in self.by_speed[group.kind]:
             if each_s > by_s:
                 return False  # and so are all further ones, which are slower
             if other == server:
@@ -103,7 +107,7 @@
     server : str
         The server with the free slot.
     room : Size
-        What one task may need there.
+        What the tasks that run there leave.
     horizon : Horizon
         When other slots come free.
     """
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -75,6 +75,20 @@
             usable = min(usable, self.health.allowance)
         return usable - len(self.leases) - self.orphans
 
+    def room(self) -> intent.Size:
+        """Return what the running tasks leave of the server's size.
+
+        Servers run without guards: tasks that need more memory together than there is would take
+        the server down with all its other tasks.
+        """
+        sizes = [held.size for held in self.leases.values()]
+        whole = self.declared.size
+        return intent.Size(
+            whole.cores - sum(size.cores for size in sizes),
+            whole.memory_mb - sum(size.memory_mb for size in sizes),
+            whole.accelerators - sum(size.accelerators for size in sizes),
+        )
+
     def orphan(self, count: int, now: float) -> None:
         """Count slots as in use by something unknown."""
         self.orphans += count
@@ -239,6 +253,7 @@
                 slot.request,
                 slot.index,
                 slot.task,
+                slot.size,
                 slot.run_time_s,
                 now - slot.elapsed_s,
                 expected_s,
@@ -278,14 +293,14 @@
         free = [server for server in usable if server.free() > 0]
         if not free:
             return granted
-        names = [server.declared.name for server in usable]
-        horizon = placement.Horizon(names, lambda name: self._busy_for(name, now), self.speeds)
+        sizes = {server.declared.name: server.declared.size for server in usable}
+        horizon = placement.Horizon(sizes, lambda name: self._busy_for(name, now), self.speeds)
         nearest = self.waiting.ordered[0].holder.data_centre
         free.sort(key=lambda server: self._preference(server, nearest))
         for server in free:
             name = server.declared.name
             while server.free() > 0 and self.waiting and self._within_limit():
-                choice = placement.choose(self.waiting, name, server.declared.size, horizon)
+                choice = placement.choose(self.waiting, name, server.room(), horizon)
                 if choice is None:
                     break
                 granted.append(self._grant(server, choice, now))
@@ -401,6 +416,7 @@
             choice.item.request,
             index,
             choice.group.task,
+            choice.group.size,
             choice.group.run_time_s,
             now,
             choice.expected_s,
--- a/rosedyke/dispatch/pool_test.py
+++ b/rosedyke/dispatch/pool_test.py
@@ -1,5 +1,7 @@
 import unittest
 
+import attrs
+
 from rosedyke.configuration import intent
 from rosedyke.dispatch import lease, message, pool, settings, speed
 from rosedyke.wire import peer
@@ -97,7 +99,9 @@
         made = pool.Pool("scale/0", speed.SpeedTable(), OPTIONS)
         made.declare((intent.BackendServer("s1", "x", "dc1", 2),), None, 0.0)
         made.release(HOLDER, message.Release(7, 0, "done", 0.1), 0.0)
-        slots = tuple(message.HeldSlot(7, i, "s1", "tag", 0.1, 0.05, 20.0) for i in (0, 1))
+        slots = tuple(
+            message.HeldSlot(7, i, "s1", "tag", intent.Size(), 0.1, 0.05, 20.0) for i in (0, 1)
+        )
         made.restore(HOLDER, slots, 0.0)
         made.make_ready(made.unready())
         self.assertEqual([key.index for key in made.leases], [1])
@@ -105,7 +109,9 @@
     def test_server_that_runs_more_than_is_known_keeps_slots_free_for_it(self):
         made = pool.Pool("scale/0", speed.SpeedTable(), OPTIONS)
         made.declare((intent.BackendServer("s1", "x", "dc1", 4),), None, 0.0)
-        made.restore(HOLDER, (message.HeldSlot(7, 0, "s1", "tag", 0.1, 0.05, 20.0),), 0.0)
+        made.restore(
+            HOLDER, (message.HeldSlot(7, 0, "s1", "tag", intent.Size(), 0.1, 0.05, 20.0),), 0.0
+        )
         made.make_ready(made.unready())
         server = made.servers["s1"]
         server.settle(3, set(made.leases), 0.0)
@@ -173,6 +179,24 @@
         made.add(HOLDER, asked(2, 1, size=intent.Size(memory_mb=50)), 0.0)
         self.assertEqual([held.request for held in assign(made, 0.0)], [2])
 
+    def test_task_does_not_wait_for_a_fast_server_that_is_too_small(self):
+        made = self.learned(fast=8.0, slow=1.0)
+        small = attrs.evolve(made.servers["fast"].declared, size=intent.Size(memory_mb=10))
+        large = attrs.evolve(made.servers["slow"].declared, size=intent.Size(memory_mb=99))
+        made.declare((small, large), None, 0.0)
+        made.add(HOLDER, asked(1, 1, run_time_s=1.0, size=intent.Size(memory_mb=50)), 0.0)
+        self.assertEqual([held.server for held in assign(made, 0.0)], ["slow"])
+
+    def test_tasks_together_stay_within_a_servers_size(self):
+        made = make_pool({"s1": 8}, size=intent.Size(cores=32, memory_mb=1000))
+        made.add(HOLDER, asked(1, 8, size=intent.Size(cores=1, memory_mb=300)), 0.0)
+        granted = assign(made, 0.0)
+        self.assertEqual(len(granted), 3)
+        made.add(HOLDER, asked(2, 1, size=intent.Size(memory_mb=90)), 0.0)
+        self.assertEqual([held.request for held in assign(made, 0.0)], [2])
+        release(made, granted[0], 0.1)
+        self.assertEqual([held.request for held in assign(made, 0.1)], [1])
+
 
 class Ejection(unittest.TestCase):
     def fail(self, made, name, now, count):
--- a/rosedyke/dispatch/queue.py
+++ b/rosedyke/dispatch/queue.py
@@ -45,6 +45,11 @@
     reference_s: float
     indices: list[int]
 
+    @property
+    def kind(self) -> tuple[str, float, intent.Size]:
+        """What makes tasks alike, whatever their job."""
+        return (self.task, self.run_time_s, self.size)
+
 
 @attrs.define(eq=False)
 class Waiting:
