--- a/rosedyke/dispatch/lease.py
+++ b/rosedyke/dispatch/lease.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rosedyke.configuration import intent
 from rosedyke.wire import peer
 
 
@@ -17,7 +18,12 @@
     REFUSED = "refused"  # the server answered that it did not start the task
     UNREACHED = "unreached"  # no connection could be made
     LEAVING = "leaving"  # the server answered that it takes no new work
-    LOST = "lost"  # sent without an answer; the server may still run it
+    LOST = "lost"  # sent, and the connection broke; the server may still run it
+    LATE = "late"  # sent, and its time was over; the server may still run it
+
+
+# After these nobody but the server knows when the slot is free.
+UNKNOWN_OUTCOMES = frozenset({Outcome.LOST, Outcome.LATE})
 
 
 class Key(typing.NamedTuple):
@@ -48,6 +54,8 @@
         The task's position in its job.
     task : str
         Name of the task type.
+    size : Size
+        What it needs there.
     run_time_s : float
         The declared run time.
     granted_at : float
@@ -63,6 +71,7 @@
     request: int
     index: int
     task: str
+    size: intent.Size
     run_time_s: float
     granted_at: float
     expected_s: float
