Give each test address only once, and say how often a budget is spent

The demo failed to start once: the kernel gave the same free port twice for one loopback address, and an instance refused two equal addresses. The demo's first submission now vouches for its jobs.

--- a/rosedyke/command/burn.py
+++ b/rosedyke/command/burn.py
@@ -75,6 +75,14 @@
     return "-" if rate is None else f"{rate:.1f}"
 
 
+def budget_left(service: burn_module.ServiceBurn) -> str:
+    """Return the part of the budget that is left, or how often it is spent."""
+    left = service.budget_left
+    if left is None:
+        return "-"
+    return f"spent {1 - left:.1f} times" if left < 0 else f"{left:.0%}"
+
+
 def spenders(service: burn_module.ServiceBurn) -> str:
     """Return what spends the budget, the most first."""
     parts = [
@@ -96,13 +104,12 @@
         right=("jobs", *names, "budget left"),
     )
     for service in report.services:
-        left = "-" if service.budget_left is None else f"{service.budget_left:.0%}"
         table.add_row(
             service.service,
             f"{service.share:.3%} within {service.response_s:g} s",
             str(service.windows[-1].jobs),
             *(_rate(window.rate) for window in service.windows),
-            left,
+            budget_left(service),
             spenders(service),
         )
     console.print(table)
--- a/rosedyke/command/fetch_test.py
+++ b/rosedyke/command/fetch_test.py
@@ -41,6 +41,11 @@
 
 
 class Burn(unittest.TestCase):
+    def test_budget_left(self):
+        for left, shown in [(None, "-"), (0.25, "25%"), (0.0, "0%"), (-1.5, "spent 2.5 times")]:
+            service = burn_module.ServiceBurn("weighing", 0.99, 1.0, (), left, {})
+            self.assertEqual(burn.budget_left(service), shown)
+
     def test_what_spends_the_most_comes_first(self):
         spent = {"north": {"late": 2, "failed": 0}, "south": {"late": 0, "failed": 9}}
         service = burn_module.ServiceBurn("weighing", 0.99, 1.0, (), 0.5, spent)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -149,7 +149,9 @@
     """Run the example jobs through the command-line tool."""
     heading("Callers submit: the press line's checks, and a day tally of 300 baskets")
     callers = ",".join(one.caller for one in region.instances)
-    done = region.command("submit", str(PRESS_CHECKS), "--instances", callers, check=False)
+    done = region.command(
+        "submit", str(PRESS_CHECKS), "--first", "--instances", callers, check=False
+    )
     say(indent(done.stdout))
     expect(done.returncode == 0, "every check is answered whole")
     job = json.loads(DAY_TALLY.read_text())
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -123,11 +123,22 @@
     return f"127.{1 + number // 65536 % 254}.{number // 256 % 256}.{number % 256}"
 
 
+_given: set[tuple[str, int]] = set()
+
+
 def free_port(address: str = "127.0.0.1") -> int:
-    """Return a port that the kernel gives out as free on a loopback address."""
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+    """Return a port that the kernel gives out as free on a loopback address, each only once.
+
+    The kernel may give the same one again while the process that it is meant for has not bound it
+    yet; an instance then found two of its addresses equal.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.bind((address, 0))
+            found = probe.getsockname()
+        if found not in _given:
+            _given.add(found)
+            return found[1]
 
 
 def wait_until(condition: Callable[[], bool], limit_s: float, what: str) -> None:
