Cut off no request when the server stops

Waiting longer before the stop was ruled out: the callers connect until the last moment.

eventlet's loop also ended for good on an error of accept; ours goes on.

--- a/rosedyke/callers/events.py
+++ b/rosedyke/callers/events.py
@@ -47,3 +47,16 @@
     "An answer for another job was held back from a caller, who has a problem document with code "
     "internal. This is a defect; please report it.",
 )
+ACCEPT_FAILED = event.define(
+    6007,
+    "accept_failed",
+    logging.WARNING,
+    'A connection could not be accepted; the instance goes on trying. With "Too many open files" '
+    "raise the process's limit above --max-connections.",
+)
+CONNECTION_FAILED = event.define(
+    6008,
+    "connection_failed",
+    logging.ERROR,
+    "A connection ended in an unexpected error. Please report it with the traceback that follows.",
+)
--- a/rosedyke/callers/server_test.py
+++ b/rosedyke/callers/server_test.py
@@ -270,7 +270,7 @@
         connection.sendall(post(JOB))
         while not self.manager.submitted:
             eventlet.sleep(0.001)
-        while self.server.protocols:
+        while self.server.connections:
             eventlet.sleep(0.001)
         self.assertEqual(self.application.reader.held_bytes, 0)
 
@@ -288,7 +288,7 @@
         connection.sendall(post(JOB))
         while not self.manager.submitted:
             eventlet.sleep(0.001)
-        while self.server.protocols:
+        while self.server.connections:
             connection.recv(50_000)
             eventlet.sleep(0.01)
         self.assertEqual(self.application.reader.held_bytes, 0)
@@ -368,7 +368,7 @@
         for connection in busy:
             self.assertEqual(Response(connection).status, 200)
             connection.close()
-        while self.server.protocols:
+        while self.server.connections:
             eventlet.sleep(0)
         self.assert_serves()
 
@@ -412,11 +412,38 @@
         eventlet.sleep(0)
         self.assertFalse(stopping.dead)
         go_on.set()
-        self.assertEqual(Response(connection).status, 200)
+        response = Response(connection)
+        self.assertEqual((response.status, response.headers["connection"]), (200, "close"))
         self.assertTrue(stopping.wait())
         with self.assertRaises(OSError):
             self.connect()
 
+    def test_request_on_a_connection_made_just_before(self):
+        """A caller connects, the server stops, and only then does the request arrive.
+
+        It was on its way, so it is answered; the caller would otherwise have to take its first
+        attempt for one that may have run.
+        """
+        connection = self.connect()
+        while not self.server.connections:
+            eventlet.sleep(0)
+        stopping = eventlet.spawn(self.server.stop, LIMIT_S)
+        eventlet.sleep(0)
+        connection.sendall(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assertEqual(Response(connection).status, 200)
+        self.assertTrue(stopping.wait())
+
+    def test_request_on_a_connection_that_is_not_accepted_yet(self):
+        connection = self.connect()
+        self.assertEqual(len(self.server.connections), 0)
+        connection.sendall(post(JOB, "Rosedyke-Attempt: 1"))
+        self.assertTrue(self.server.stop(LIMIT_S))
+        self.assertEqual(Response(connection).status, 200)
+
+    def test_connection_without_a_request_does_not_hold_up_the_stop(self):
+        self.connect()
+        self.assertTrue(self.server.stop(LIMIT_S))
+
     def test_request_that_has_arrived_on_an_idle_connection_is_answered(self):
         connection = self.connect()
         connection.sendall(post(JOB, "Rosedyke-Attempt: 1"))
--- a/rosedyke/daemon/shutdown.py
+++ b/rosedyke/daemon/shutdown.py
@@ -79,7 +79,7 @@
             Whether every request in progress went on to its own end.
         """
         self.begun.wait()
-        event.log(events.SHUTDOWN_BEGUN, connections=sum(len(s.protocols) for s in self.servers))
+        event.log(events.SHUTDOWN_BEGUN, connections=sum(len(s.connections) for s in self.servers))
         stopped_before = self.stopped()
         self.entrance.is_draining = True
         for each in self.servers:
--- a/rosedyke/daemon/shutdown_test.py
+++ b/rosedyke/daemon/shutdown_test.py
@@ -11,7 +11,7 @@
 class FakeServer:
     def __init__(self, log):
         self.log = log
-        self.protocols = []
+        self.connections = []
 
     def drain(self):
         self.log.append("server drains")
