Enforce a service's limits of tasks and timeout, and name the address that is taken

Neither limit was looked at anywhere: a job of 101 tasks ran at a service that allows 100 (seen by the new case of the test with real processes, red before). Checked where jobs are refused for ever, so that the refusal is closed at the registrars like the others. A timeout that nobody named is one that the service allows.

--- a/benchmarks/entry_cost.py
+++ b/benchmarks/entry_cost.py
@@ -135,6 +135,14 @@
     return (int(fields[11]) + int(fields[12])) / TICKS
 
 
+def resident_mb(pid):
+    """Return the resident memory of a process in megabytes."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return round(int(line.split()[1]) / 1024, 1)
+    raise RuntimeError(f"{pid} has no resident memory")
+
+
 def job_body(job_id, tasks):
     """Return a job whose tasks run for RUN_S seconds."""
     payloads = [
@@ -188,6 +196,7 @@
         "processor_share": round(used / lasted, 3),
         "idle_processor_share": round(idle_share, 4),
         "processor_ms_per_task": round(1000 * (used - idle_share * lasted) / (jobs * tasks), 4),
+        "resident_mb_after": resident_mb(fleet.instance.pid),
     }
 
 
--- a/rosedyke/callers/application.py
+++ b/rosedyke/callers/application.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import attrs
+
 from rosedyke import runtime
 from rosedyke.callers import body, events, metrics, ports, problem, reader, settings
 from rosedyke.job import answer, code, status
@@ -40,6 +42,9 @@
         the manager, which alone can make a refusal's "not run" true for delayed copies as well.
     recorder : Recorder
         Counts answers against the objectives.
+    longest_timeout_s : callable
+        ``longest_timeout_s(service)`` returns the longest timeout that the service allows, None if
+        that is not known.
     """
 
     def __init__(
@@ -49,12 +54,14 @@
         manager: ports.Manager,
         gate: ports.Gate,
         recorder: ports.Recorder,
+        longest_timeout_s: Callable[[str], float | None] = lambda service: None,
     ):
         self.limits = limits
         self.clock = clock
         self.manager = manager
         self.gate = gate
         self.recorder = recorder
+        self.longest_timeout_s = longest_timeout_s
         self.reader = reader.BodyReader(limits)
         self.in_progress = 0
         self.stopped = 0
@@ -117,7 +124,7 @@
             headers = body.parse_headers(
                 environ.get("HTTP_ROSEDYKE_ATTEMPT"), environ.get("HTTP_ROSEDYKE_AGE_MS")
             )
-            request = body.parse(service, headers, data, self.limits)
+            request = body.parse(service, headers, data, self._limits_of(service))
             metric.count(metrics.TASKS, len(request.tasks))
             final = self._run(request)
         seconds = self.clock.now() - arrival
@@ -131,6 +138,13 @@
             self.stopped += 1
         return _failed(start_response, final)
 
+    def _limits_of(self, service):
+        """Return the limits with a default timeout that the service allows."""
+        longest_s = self.longest_timeout_s(service)
+        if longest_s is None or longest_s >= self.limits.default_timeout_s:
+            return self.limits
+        return attrs.evolve(self.limits, default_timeout_s=longest_s)
+
     def _run(self, request):
         final = self.manager.submit(request)
         if final.job_id != request.job_id:
--- a/rosedyke/callers/application_test.py
+++ b/rosedyke/callers/application_test.py
@@ -111,6 +111,13 @@
             ("weighing", "a", 3, 0.25),
         )
 
+    def test_timeout_that_nobody_named_is_one_that_the_service_allows(self):
+        self.application.longest_timeout_s = {"weighing": 10.0}.get
+        call(self.application, "POST", self.PATH, [], self.BODY)
+        call(self.application, "POST", "/v1/services/other/jobs", [], self.BODY)
+        timeouts = [request.timeout_s for request in self.manager.submitted]
+        self.assertEqual(timeouts, [10.0, settings.CallersSettings().default_timeout_s])
+
     def test_bad_request_is_not_recorded_against_the_objective(self):
         status, _, _ = call(self.application, "POST", self.PATH, [], b"{")
         self.assertEqual(status, 400)
--- a/rosedyke/callers/server.py
+++ b/rosedyke/callers/server.py
@@ -11,6 +11,7 @@
 import eventlet
 from eventlet import greenio, wsgi
 
+from rosedyke import fault
 from rosedyke.callers import connection, events, metrics, settings
 from rosedyke.job import answer, code
 from rosedyke.observe import event, metric
@@ -23,6 +24,12 @@
 STOP_POLL_S = 0.005
 
 
+class AddressUnavailable(fault.RosedykeError):
+    """The address can't be listened on."""
+
+    code = "address_unavailable"
+
+
 class Server:
     """Serves an application on one address.
 
@@ -43,7 +50,10 @@
         self.served = eventlet.GreenPool(limits.max_connections)
         self.refused = eventlet.GreenPool(MAX_REFUSALS)
         host, port = address.rsplit(":", 1)
-        self.socket = eventlet.listen((host, int(port)), backlog=BACKLOG)
+        try:
+            self.socket = eventlet.listen((host, int(port)), backlog=BACKLOG)
+        except OSError as error:
+            raise AddressUnavailable(f"{address}: {error}") from error
         self.host, self.port = self.socket.getsockname()[:2]
         self.wsgi = wsgi.Server(
             self.socket,
--- a/rosedyke/daemon/instance.py
+++ b/rosedyke/daemon/instance.py
@@ -93,7 +93,12 @@
         self.gate = gate.Gate(self.current, self.membership)
         self.recorder = recorder.Recorder(self.runtime, self.current)
         self.application = application.Application(
-            limits, self.runtime, self.manager, self.gate, self.recorder
+            limits,
+            self.runtime,
+            self.manager,
+            self.gate,
+            self.recorder,
+            self._longest_timeout_s,
         )
         self.callers = server.Server(limits.address, self.application, limits)
         self.operator = operator.OperatorApplication(
@@ -152,6 +157,11 @@
         event.log(events.SHUTDOWN_ENDED, whole=is_whole)
         return is_whole
 
+    def _longest_timeout_s(self, name):
+        configuration = self.current.configuration
+        service = configuration.service(name) if configuration else None
+        return service.limits.max_timeout_s if service else None
+
     def _report_metrics(self):
         if not self.settings.statsd_address:
             event.log(events.STATSD_OFF)
--- a/rosedyke/daemon/main.py
+++ b/rosedyke/daemon/main.py
@@ -13,6 +13,7 @@
 import eventlet  # noqa: E402
 import eventlet.hubs  # noqa: E402
 
+from rosedyke import fault  # noqa: E402
 from rosedyke.daemon import argument, events, settings  # noqa: E402
 from rosedyke.observe import event, log  # noqa: E402
 
@@ -66,7 +67,7 @@
 
     try:
         built = instance.Instance(checked)
-    except (OSError, instance.transport.TransportError) as error:
+    except fault.RosedykeError as error:
         event.log(events.START_FAILED, error=error)
         return START_FAILED
     eventlet.spawn_n(watch_signals, built.shutdown.request)
--- a/rosedyke/daemon/process_test.py
+++ b/rosedyke/daemon/process_test.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -81,6 +82,7 @@
         path = self.folder / "press.toml"
         path.write_text(
             'team = "press"\n[[services]]\nname = "sealing"\n'
+            "[services.limits]\nmax_tasks = 100\nmax_timeout_s = 40.0\n"
             '[[services.tasks]]\nname = "seal"\nrun_time_s = 0.05\n' + servers
         )
         return self.run("apply", str(path)).returncode == 0
@@ -177,12 +179,14 @@
     def test_refusals_are_true(self):
         started = self.fleet.counts()["started"]
         caller = client.Client(client.ClientSettings((self.fleet.callers[FIRST],)))
-        for service, task, reason in [
-            ("nothing", "seal", code.Code.UNKNOWN_SERVICE),
-            ("sealing", "nothing", code.Code.UNKNOWN_TASK),
+        for service, tasks, timeout_s, reason in [
+            ("nothing", [client.Task("seal")], LIMIT_S, code.Code.UNKNOWN_SERVICE),
+            ("sealing", [client.Task("nothing")], LIMIT_S, code.Code.UNKNOWN_TASK),
+            ("sealing", [client.Task("seal")] * 101, LIMIT_S, code.Code.TOO_MANY_TASKS),
+            ("sealing", [client.Task("seal")], 41.0, code.Code.INVALID_FIELD),
         ]:
             with self.subTest(reason), self.assertRaises(client.JobNotRun) as raised:
-                caller.submit(service, [client.Task(task)], LIMIT_S)
+                caller.submit(service, tasks, timeout_s)
             self.assertIs(raised.exception.answer.code, reason)
         self.assertEqual(self.fleet.counts()["started"], started)
 
@@ -267,6 +271,22 @@
         for name in ("--name", "--region", "--data-centre", "--store", "--log-level"):
             self.assertIn(name + ":", ended.stderr)
 
+    def test_address_in_use(self):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            words = ["--name", "north-1", "--region", "valley", "--data-centre", "north"]
+            words += ["--data-centres", "north", "--operator-address", address]
+            words += ["--caller-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0"]
+            ended = subprocess.run(
+                [sys.executable, "-W", "ignore", "-m", "rosedyke.daemon.main", *words],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=LIMIT_S,
+            )
+        self.assertEqual(ended.returncode, 3, ended.stderr)
+        self.assertIn(f"E7007 start_failed error={address}", ended.stderr)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/rosedyke/dispatch/admission.py
+++ b/rosedyke/dispatch/admission.py
@@ -49,6 +49,17 @@
     service: intent.Service, request: submission.Submission
 ) -> job_ports.Refusal | None:
     """Return why a job can never run as it is."""
+    limits = service.limits
+    if len(request.tasks) > limits.max_tasks:
+        return job_ports.Refusal(
+            code.Code.TOO_MANY_TASKS,
+            f"{len(request.tasks)} tasks; {service.name} allows {limits.max_tasks}",
+        )
+    if request.timeout_s > limits.max_timeout_s:
+        return job_ports.Refusal(
+            code.Code.INVALID_FIELD,
+            f"a timeout of {request.timeout_s:g} s; {service.name} allows {limits.max_timeout_s:g}",
+        )
     for call in request.tasks:
         declared = service.task(call.name)
         if declared is None:
