--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 RUN := $(VENV)/bin/python
+# The order of sets depends on it; fixed, so that tests take the same steps on every run.
+export PYTHONHASHSEED := 0
 STAMP := $(VENV)/.installed
 
 .PHONY: bench test demo faults format lint clean
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import random as random_module
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,13 @@
 
 from rosedyke.wire import codec, peer
 
+# Far more than any moment of a real run needs.
+MAX_STEPS_AT_ONE_TIME = 100_000
+
+
+class LivelockFound(Exception):
+    """Tasks keep each other busy for ever without waiting for anything."""
+
 
 class VirtualSignal:
     """A one-shot event on the virtual clock."""
@@ -95,6 +103,8 @@
         self.cancelled: set[greenlet.greenlet] = set()
         self.errors: list[BaseException] = []
         self.hub: greenlet.greenlet | None = None
+        self.counted_at = 0.0
+        self.steps_now = 0
 
     def now(self) -> float:
         """Return virtual seconds."""
@@ -156,6 +166,7 @@
     def step(self) -> bool:
         """Run one ready task, or jump to the next timer; false when nothing is left."""
         self.hub = greenlet.getcurrent()
+        self._count_step()
         if not self.queue:
             if not self.timers:
                 return False
@@ -176,6 +187,18 @@
             chosen.switch()
         return True
 
+    def _count_step(self) -> None:
+        """Raise LivelockFound if tasks go on waking each other while no time passes."""
+        if self.time > self.counted_at:
+            self.counted_at = self.time
+            self.steps_now = 0
+        self.steps_now += 1
+        if self.steps_now > MAX_STEPS_AT_ONE_TIME:
+            task = self.queue[0] if self.queue else None
+            frame = getattr(task, "gr_frame", None)
+            where = "".join(traceback.format_stack(frame)) if frame else "no task"
+            raise LivelockFound(f"no time passes at {self.time} s:\n{where}")
+
     def choose(self, count: int) -> int:
         """Return which of the ready tasks runs next."""
         return self.generator.randrange(count) if self.shuffle else 0
