Leave 50 ms for an answer to arrive before the caller's timeout

In one of three runs of benchmarks/claims_cost.py 17 of 1,000 answers of jobs that never end came after the timeout, the latest by 79 ms; the margin was 20 ms. The process had stood still: full garbage collections took up to 62 ms in a trial of that part alone, while a plain process beside it never waited more than 4 ms for its turn. The margin is now 50 ms, at most a tenth of the timeout, and the benchmark times deadlines before it fills its memory with other measurements.

--- a/benchmarks/claims_cost.py
+++ b/benchmarks/claims_cost.py
@@ -8,6 +8,7 @@
 separate machines without their network.  Memory is counted by tracemalloc.
 """
 
+import gc
 import json
 import logging
 import pathlib
@@ -193,12 +194,19 @@
     """Return bytes and processor time of a claim at a registrar."""
     table = registrar.Registrar(120.0, 2 * CLAIMS_HELD)
     holder = peer.Peer("dc1a", 1, "dc1", "127.0.0.1:1")
+    # Collections look at the claims alone, not at what was measured before.
+    gc.collect()
+    gc.freeze()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     for number in range(CLAIMS_HELD):
         table.grant(holder, claim_request(number), number / 1000)
     held = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
+    started = time.perf_counter()
+    gc.collect()
+    collection_s = time.perf_counter() - started
+    gc.unfreeze()
     requests = [claim_request(CLAIMS_HELD + number) for number in range(20_000)]
     started = time.process_time()
     for request in requests:
@@ -208,6 +216,7 @@
     return {
         "claims": CLAIMS_HELD,
         "bytes_each": round(held / CLAIMS_HELD, 1),
+        "full_garbage_collection_ms": round(collection_s * 1000, 1),
         "decision_us": round(spent / len(requests) * 1e6, 2),
     }
 
@@ -309,8 +318,8 @@
         "commit": commit,
         "python": platform.python_version(),
         "record_fields": len(claim.Claim.__slots__),
-        "messages": {name: count_messages(counts) for name, counts in SHAPES.items()},
         "loopback, 6 instances in one process": time_on_loopback(),
+        "messages": {name: count_messages(counts) for name, counts in SHAPES.items()},
         "memory": measure_memory(),
         "join": measure_change(),
         "wave": run_wave(),
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -33,6 +33,8 @@
 NO = answer.Ran.NO
 UNKNOWN = answer.Ran.UNKNOWN
 SWEEP_S = 1.0
+# The most of a caller's timeout that the margin for its answer may take.
+MARGIN_SHARE = 0.1
 LEAVE_S = 2.0
 # Kept from the end of a drain for leaving and handing over.
 HANDOVER_S = 2.0
@@ -151,7 +153,7 @@
         known = self._known_here(request)
         if known is not None:
             return known
-        deadline = node.now() + request.timeout_s - node.settings.answer_margin_s
+        deadline = self._deadline(request)
         held = instance.Held(
             job.Job(request, deadline, fence=self.fence.check), node.runtime.signal()
         )
@@ -174,6 +176,10 @@
 
     # One submission
 
+    def _deadline(self, request: submission.Submission) -> float:
+        margin_s = min(self.node.settings.answer_margin_s, MARGIN_SHARE * request.timeout_s)
+        return self.node.now() + request.timeout_s - margin_s
+
     def _known_here(self, request: submission.Submission) -> answer.Answer | None:
         node = self.node
         if request.age_s > node.settings.max_age_s:
@@ -201,7 +207,7 @@
             return attaching.other_body(request.job_id)
         node = self.node
         metric.count(metrics.ATTACHED)
-        deadline = node.now() + request.timeout_s - node.settings.answer_margin_s
+        deadline = self._deadline(request)
         if held.ended.wait(max(0.0, deadline - node.now())):
             # Another attempt's "not run" doesn't bind a later one.
             is_other = held.job.request.attempt != request.attempt
--- a/rosedyke/job/settings.py
+++ b/rosedyke/job/settings.py
@@ -34,7 +34,9 @@
     kept_answer_bytes : int
         Bytes of results kept over all answers.
     answer_margin_s : float
-        How long before the caller's timeout the final answer is decided, so that it arrives.
+        How long before the caller's timeout the final answer is decided, so that it arrives even
+        if the loop stands still then, as in a full garbage collection; at most a tenth of the
+        timeout.
     pause_bound_s : float
         An instance whose loop stood still for longer may be dead to its peers.  Less than the
         time in which the membership declares a silent instance dead.
@@ -65,7 +67,7 @@
     attach_poll_s: float = 1.0
     kept_answers_s: float = 90.0
     kept_answer_bytes: int = 32 * 1024 * 1024
-    answer_margin_s: float = 0.02
+    answer_margin_s: float = 0.05
     pause_bound_s: float = 0.8
     pause_clear_s: float = 3.0
     pulse_s: float = 0.1
