Ask for no further attempt at a paused instance's job once a task was sent

The answer of a job that a pause ended is kept and given to every attempt. It carried Retry-After all the same: after SIGSTOP and SIGCONT of a real instance the caller's library asked until its own limit of 30 s. A job of which nothing was sent still carries it.

--- a/rosedyke/job/drain_test.py
+++ b/rosedyke/job/drain_test.py
@@ -146,6 +146,8 @@
         built.settle(1)
         self.assertEqual(built.starts.of("job-1"), 1)
         self.assertEqual((call.answer.code, call.answer.ran), (code.Code.STOPPED, YES))
+        # Another attempt gets the same answer, so none is asked for.
+        self.assertIsNone(call.answer.retry_after_s)
         self.assertEqual(built.faults(), [])
 
     def test_nothing_is_sent_until_it_joined_again(self):
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -408,7 +408,10 @@
     def _end_paused(self) -> None:
         event.log(events.PAUSED, jobs=len(self.node.held))
         for held in list(self.node.held.values()):
-            held.job.fail(code.Code.STOPPED, "The instance stood still.", RETRY_AFTER_S)
+            # Once a task was sent, every further attempt would get this same answer.
+            is_final = held.is_started and held.job.ran() is not NO
+            retry_after_s = None if is_final else RETRY_AFTER_S
+            held.job.fail(code.Code.STOPPED, "The instance stood still.", retry_after_s)
 
     def _is_counted_alive(self) -> bool:
         own = self.node.membership.own
