--- a/rosedyke/job/instance.py
+++ b/rosedyke/job/instance.py
@@ -51,6 +51,8 @@
         Last round number given out.
     is_leaving : bool
         Claims are being handed over; as a registrar it grants no more.
+    is_stopped : bool
+        The instance ends; background tasks end with it.
     """
 
     settings: settings.JobSettings
@@ -65,6 +67,7 @@
     half_held: set[str] = attrs.Factory(set)
     rounds: int = 0
     is_leaving: bool = False
+    is_stopped: bool = False
 
     @property
     def own(self) -> peer.Peer:
