--- a/benchmarks/configuration_size.py
+++ b/benchmarks/configuration_size.py
@@ -4,7 +4,8 @@
 
 gives for one team's file the time to parse it and to decode its stored intent, and for whole
 sets the memory that an instance holds, the time of a first taking, of one change, and the bytes
-of the reply that carries one change.
+of the reply that carries one change.  The last rows are what one look at the peers' advertised
+numbers costs in fleets of a growing size.
 """
 
 import argparse
@@ -16,8 +17,11 @@
 import time
 import tracemalloc
 
-from rosedyke.configuration import file, holding, messages, stored
+from rosedyke.configuration import distribution, file, holding, messages, settings, stored
 from rosedyke.daemon import green
+from rosedyke.membership import member
+from rosedyke.standins import keyvalue, virtual, virtual_store
+from rosedyke.wire import peer
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RESULT = ROOT / "benchmarks" / "results" / "configuration_size.json"
@@ -27,6 +31,9 @@
 # Teams with 170 servers each; 88 is the size to build for.
 SETS = (11, 22, 44, 88)
 SERVERS_EACH = 170
+# Members in the view of one instance, of which 50 are in its own data centre.
+FLEETS = (50, 350, 1400)
+DATA_CENTRE_SIZE = 50
 
 
 def team_text(team: int, servers: int) -> str:
@@ -122,6 +129,41 @@
     }
 
 
+class FixedMembership:
+    """A view that doesn't change, with the same advertised number for everyone."""
+
+    def __init__(self, members: int):
+        peers = (
+            peer.Peer(f"i{n}", 1, f"dc{n // DATA_CENTRE_SIZE}", f"10.0.0.1:{n + 1}")
+            for n in range(members)
+        )
+        self.view = member.View(tuple(member.Member(each, member.State.LIVE) for each in peers))
+        self.own = self.view.members[0]
+
+    def advertise(self, topic: str, value: bytes) -> None:
+        """Do nothing."""
+
+    def advertised(self, name: str, topic: str) -> bytes | None:
+        """Return a number that is not ahead."""
+        return b"0 0"
+
+
+def measure_look(members: int) -> dict:
+    """Return the time of one look at what peers advertise, and of the choice of watchers."""
+    runtime = virtual.VirtualRuntime()
+    membership = FixedMembership(members)
+    peers = virtual.VirtualPeers(virtual.VirtualNetwork(runtime), membership.own.peer)
+    store = virtual_store.VirtualStore(runtime, keyvalue.KeyValue(), virtual_store.Faults())
+    looking = distribution.Distribution(
+        settings.DistributionSettings(), runtime, peers, membership, store
+    )
+    return {
+        "members": members,
+        "look_ms": milliseconds(looking.puller.find_ahead),
+        "watcher_choice_ms": milliseconds(looking.reader.is_watcher),
+    }
+
+
 def main() -> None:
     """Measure, print and keep the figures."""
     parser = argparse.ArgumentParser(description="Cost of a generation at one instance.")
@@ -135,8 +177,9 @@
         "machine": f"{platform.machine()}, python {platform.python_version()}",
         "files": [measure_file(servers) for servers in FILE_SIZES],
         "sets": [measure_set(teams) for teams in SETS],
+        "looks": [measure_look(members) for members in FLEETS],
     }
-    for row in (*document["files"], *document["sets"]):
+    for row in (*document["files"], *document["sets"], *document["looks"]):
         print(json.dumps(row))
     given.output.parent.mkdir(parents=True, exist_ok=True)
     given.output.write_text(json.dumps(document, indent=2) + "\n")
--- a/rosedyke/configuration/puller.py
+++ b/rosedyke/configuration/puller.py
@@ -138,8 +138,8 @@
         deadline = self.runtime.now() + self.settings.join_wait_s
         while not self.near() and self.runtime.now() < deadline:
             self.runtime.sleep(self.settings.join_wait_s / 20)
-        asked = self.shuffled(self.near())[: FIRST_ASKED - 1]
-        asked += self.shuffled(self.far())[: FIRST_ASKED - len(asked)]
+        asked = self.sample(self.near(), FIRST_ASKED - 1)
+        asked += self.sample(self.far(), FIRST_ASKED - len(asked))
         for each in asked:
             self.pull(each)
 
@@ -157,7 +157,7 @@
                 # A data centre that is cut off from the store, but not from other data centres,
                 # gets the newest from there.
                 far_check_at = self.runtime.now() + self.settings.far_check_s
-                for each in self.shuffled(self.far())[:1]:
+                for each in self.sample(self.far(), 1):
                     self.pull(each)
             self.wake.wait(self.settings.peer_check_s * (0.5 + self.runtime.random()))
 
@@ -169,7 +169,8 @@
             if found is not None and _is_ahead(announced, own):
                 return found
             del self.announced[name]
-        for each in self.shuffled(self.near()):
+        near = self.near()
+        for each in self.sample(near, len(near)):
             advertised = _parse(self.membership.advertised(each.name, TOPIC))
             if _is_ahead(advertised, own):
                 return each
@@ -243,11 +244,11 @@
             new = holding.Leaving(delta.leaving_version, frozenset(delta.leaving))
             self.held.take_leaving(new, is_from_peer=True)
 
-    def shuffled(self, members: tuple[member.Member, ...]) -> list[member.Member]:
-        """Return the members in a random order, so that load spreads over those ahead."""
+    def sample(self, members: tuple[member.Member, ...], count: int) -> list[member.Member]:
+        """Return that many members in a random order, so that load spreads over them."""
         left = list(members)
         chosen = []
-        while left:
+        while left and len(chosen) < count:
             chosen.append(left.pop(math.floor(self.runtime.random() * len(left))))
         return chosen
 
