Keep a failing subscriber from ending the task that brings generations

An exception of another part of the instance went through to the reading or pulling task and ended it, so that the instance stayed at its generation for ever. It is logged as event 2008 now, and the other subscribers are told.

--- a/rosedyke/command/store_commands_test.py
+++ b/rosedyke/command/store_commands_test.py
@@ -78,6 +78,9 @@
         self.assertIn("team weighbridge: applied by ana at ", text)
         self.assertIn("servers: 2 with 16 slots in estate-1", text)
         self.assertEqual(self.run_command("show", "weighbridge"), (0, FILE.format(quota=0)))
+        (team,) = self.run_json("show")[1]["teams"]
+        self.assertEqual((team["operator"], team["text"]), ("ana", FILE.format(quota=0)))
+        self.assertEqual(len(team["intent"]["services"][0]["servers"]), 2)
 
     def test_file_with_faults_is_rejected_with_all_of_them(self):
         path = self.file(FILE.format(quota=-1).replace("0.05", "0"))
--- a/rosedyke/configuration/events.py
+++ b/rosedyke/configuration/events.py
@@ -56,3 +56,10 @@
     logging.INFO,
     "The platform's list of leaving backend servers changed; they get no new work.",
 )
+SUBSCRIBER_FAILED = event.define(
+    2008,
+    "configuration_subscriber_failed",
+    logging.ERROR,
+    "A part of the instance failed on a new generation and may go on with the one before. This is "
+    "a fault of the program: report it, and replace the instance.",
+)
--- a/rosedyke/configuration/holding.py
+++ b/rosedyke/configuration/holding.py
@@ -114,7 +114,12 @@
         metric.gauge(metrics.GENERATION, self.generation)
         event.log(events.IN_FORCE, generation=self.generation, source=source)
         for callback in self.on_generation:
-            callback(self.snapshot.configuration)
+            try:
+                callback(self.snapshot.configuration)
+            except Exception as error:
+                # The generation is in force whatever a subscriber makes of it.  Were the error to
+                # go on, it would end the task that brings the next one.
+                event.log(events.SUBSCRIBER_FAILED, generation=self.generation, error=repr(error))
         self._advanced(source)
 
     def _advanced(self, source: str) -> None:
--- a/rosedyke/configuration/holding_test.py
+++ b/rosedyke/configuration/holding_test.py
@@ -65,6 +65,17 @@
             self.take(head, {})
         self.assertEqual(self.held.generation, 0)
 
+    def test_failing_subscriber_keeps_neither_others_nor_later_generations_away(self):
+        """A subscriber raises; the task that took the generation must go on, or it was the last."""
+
+        def fail(new):
+            raise ValueError(new.generation)
+
+        self.held.on_generation.insert(0, fail)
+        self.assertTrue(self.take(*generation(2)))
+        self.assertTrue(self.take(*generation(3)))
+        self.assertEqual(self.seen, [2, 3])
+
     def test_nothing_is_told_before_it_is_published(self):
         held = holding.Holding(self.runtime)
         held.on_generation.append(lambda new: self.seen.append(new.generation))
