Follow a peer of another history

After a restore of the store, entries no newer than an instance's own generation can differ from what it holds. It then asks for all entries without files, and took that reply for the fruitless one of a peer that hands nothing over: it never got past its generation while cut off from the store. Only replies to a request for certain files count as fruitless.

--- a/rosedyke/configuration/distribution_test.py
+++ b/rosedyke/configuration/distribution_test.py
@@ -360,6 +360,30 @@
         region.run(10)
         self.assertEqual(len(held.configuration.service("a").servers), 4)
 
+    def test_peer_of_another_history_is_followed_from_the_next_generation_on(self):
+        """The store went back to an old copy, and another file got generation 2 there.
+
+        An instance that holds the first generation 2 is cut off from the store and pulls 3 from a
+        peer: entries that are no newer than its own generation differ as well.
+        """
+        region = Region()
+        region.apply(text("a"), text("bb"))
+        state = region.state
+        copy = dict(state.records), list(state.events), state.revision
+        region.apply(text("a", servers=2))
+        region.start("i0")
+        region.run(3)
+        region.instances["i0"].store.faults = virtual_store.Faults(is_down=True)
+        state.records, state.events, state.revision = copy
+        region.apply(text("bb", servers=2))
+        region.apply(text("a", servers=3))
+        region.start("i1")
+        region.run(10)
+        held = region.instances["i0"].distribution
+        self.assertEqual(held.generation, 3)
+        counts = [len(held.configuration.service(name).servers) for name in ("a", "bb")]
+        self.assertEqual(counts, [3, 2])
+
     def test_silent_watch(self):
         """The watch stands but says nothing: a read now and then finds the change all the same."""
         region = Region()
--- a/rosedyke/configuration/puller.py
+++ b/rosedyke/configuration/puller.py
@@ -215,7 +215,7 @@
                 self._take(target, head, received)
                 break
             # A peer that can't give what its own entries name would be asked for ever.
-            if len(received) == before_round:
+            if ask.wanted not in ((), NO_FILES) and len(received) == before_round:
                 raise snapshot.SnapshotError(f"no file of {', '.join(wanted[:5])}")
         return _is_ahead(self.position(), before)
 
