--- a/rosedyke/configuration/puller.py
+++ b/rosedyke/configuration/puller.py
@@ -138,8 +138,8 @@
         deadline = self.runtime.now() + self.settings.join_wait_s
         while not self.near() and self.runtime.now() < deadline:
             self.runtime.sleep(self.settings.join_wait_s / 20)
-        asked = self.shuffled(self.near())[: FIRST_ASKED - 1]
-        asked += self.shuffled(self.far())[: FIRST_ASKED - len(asked)]
+        asked = self.sample(self.near(), FIRST_ASKED - 1)
+        asked += self.sample(self.far(), FIRST_ASKED - len(asked))
         for each in asked:
             self.pull(each)
 
@@ -157,7 +157,7 @@
                 # A data centre that is cut off from the store, but not from other data centres,
                 # gets the newest from there.
                 far_check_at = self.runtime.now() + self.settings.far_check_s
-                for each in self.shuffled(self.far())[:1]:
+                for each in self.sample(self.far(), 1):
                     self.pull(each)
             self.wake.wait(self.settings.peer_check_s * (0.5 + self.runtime.random()))
 
@@ -169,7 +169,8 @@
             if found is not None and _is_ahead(announced, own):
                 return found
             del self.announced[name]
-        for each in self.shuffled(self.near()):
+        near = self.near()
+        for each in self.sample(near, len(near)):
             advertised = _parse(self.membership.advertised(each.name, TOPIC))
             if _is_ahead(advertised, own):
                 return each
@@ -214,7 +215,7 @@
                 self._take(target, head, received)
                 break
             # A peer that can't give what its own entries name would be asked for ever.
-            if len(received) == before_round:
+            if ask.wanted not in ((), NO_FILES) and len(received) == before_round:
                 raise snapshot.SnapshotError(f"no file of {', '.join(wanted[:5])}")
         return _is_ahead(self.position(), before)
 
@@ -243,22 +244,21 @@
             new = holding.Leaving(delta.leaving_version, frozenset(delta.leaving))
             self.held.take_leaving(new, is_from_peer=True)
 
-    def shuffled(self, members: tuple[member.Member, ...]) -> list[member.Member]:
-        """Return the members in a random order, so that load spreads over those ahead."""
+    def sample(self, members: tuple[member.Member, ...], count: int) -> list[member.Member]:
+        """Return that many members in a random order, so that load spreads over them."""
         left = list(members)
         chosen = []
-        while left:
+        while left and len(chosen) < count:
             chosen.append(left.pop(math.floor(self.runtime.random() * len(left))))
         return chosen
 
 
-def _told_by(own_name: str, order: list[str], is_first: bool) -> set[str]:
+def _told_by(own_name: str, order: list[str], is_first: bool) -> list[str]:
     """Return the names below one's own in a tree of ``FANOUT``; the first one tells its top."""
-    below = FANOUT * (order.index(own_name) + 1)
-    told = set(order[below : below + FANOUT])
-    if is_first:
-        told |= set(order[:FANOUT])
-    return told - {own_name}
+    top = order[:FANOUT] if is_first else []
+    start = FANOUT * (order.index(own_name) + 1)
+    told = dict.fromkeys((*top, *order[start : start + FANOUT]))
+    return [name for name in told if name != own_name]
 
 
 def _is_received(head: stored.Head, name: str, received: dict[str, stored.TeamIntent]) -> bool:
