Wait for every seed, keep draining over a pause, refuse an address that peers can't use

Going on at the first seed's answer, a newcomer whose distant seed answers first would serve as if it were alone. A drained instance that was paused came back as live. 0.0.0.0 was told to the peers as the address to connect to. Each has a test that failed before.

--- a/rosedyke/membership/core.py
+++ b/rosedyke/membership/core.py
@@ -49,6 +49,7 @@
         self.observers: list[RecordObserver] = []
         self.restart_hooks: list[Callable[[], None]] = []
         self.is_running = False
+        self.is_leaving = False
         self.last_stall: float | None = None
 
     @property
@@ -73,9 +74,9 @@
 
     # Changes of the table
 
-    def merge(self, received: messages.Gossip) -> None:
+    def merge(self, received: messages.Gossip, is_spread: bool = True) -> None:
         """Take in what a peer knows."""
-        self.put_all(received.records)
+        self.put_all(received.records, is_spread)
         now = self.runtime.now()
         for advert in received.adverts:
             if advert.name != self.own.name and self.adverts.put(advert, now):
@@ -106,9 +107,7 @@
             return
         members = len(self.table.records)
         for new in changed:
-            # What is new to a newcomer is known to those who told it; passed on, every start
-            # of many instances would flood the probes with the whole table of each.
-            if is_spread and self.own.state is not member.State.JOINING:
+            if is_spread:
                 self.gossip.add_record(new, members)
             if new.is_dead:
                 self.peers.forget(new.peer)
--- a/rosedyke/membership/join.py
+++ b/rosedyke/membership/join.py
@@ -111,7 +111,7 @@
         deadline = runtime.now() + self.core.options.join_alone_s
         while self.core.is_running:
             seeds = self.synchroniser.seed_addresses()
-            if not seeds or self.synchroniser.sync_with_any(seeds):
+            if not seeds or self.synchroniser.sync_with_all(seeds):
                 break
             if runtime.now() >= deadline:
                 event.log(events.JOINING_ALONE, seeds=len(seeds))
@@ -136,7 +136,9 @@
 
     def _advance(self):
         if self.core.own.state is member.State.JOINING and not self._missing():
-            self.core.change_own(member.State.LIVE)
+            # A pause during a drain must not make the instance take new work again.
+            is_leaving = self.core.is_leaving
+            self.core.change_own(member.State.LEAVING if is_leaving else member.State.LIVE)
         if self.is_confirmed() and not self._was_confirmed():
             step.reach(steps.JOIN_CONFIRMED, self.core.own.name)
             if self.confirmed_counter is None:
--- a/rosedyke/membership/settings.py
+++ b/rosedyke/membership/settings.py
@@ -57,7 +57,7 @@
     """
 
     seeds: tuple[str, ...] = ()
-    probe_period_s: float = 0.2
+    probe_period_s: float = 0.25
     probe_timeout_s: float = 0.2
     indirect_probes: int = 3
     suspicion_s: float = 1.0
--- a/rosedyke/membership/swim.py
+++ b/rosedyke/membership/swim.py
@@ -80,6 +80,7 @@
 
     def leave(self, timeout_s: float = 2.0) -> bool:
         """Take no new work: enter LEAVING and return whether every member has acknowledged it."""
+        self.core.is_leaving = True
         if self.own.state is not member.State.LEAVING:
             self.core.change_own(member.State.LEAVING)
         return self.wait_until_confirmed(timeout_s)
--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -110,6 +110,24 @@
         self.assertIs(running.state("d", "f"), State.LIVE)
         self.assertIs(running.state("f", "d"), State.LIVE)
 
+    def test_newcomer_hears_of_its_neighbours_though_a_distant_seed_answers_first(self):
+        # The seed of another data centre is near and knows nobody of the own one; the own
+        # data centre's seed answers later.  Going on at the first answer, the newcomer would
+        # serve as if it were alone.
+        running = instances.Instances()
+        running.start("a")
+        running.start("z", "dc2")
+        running.wait_for(lambda: running.agree(State.LIVE), 30)
+        running["z"].core.table.clear()
+        delay = running.network.delay_s
+        running.network.delay_s = lambda source, target, message: (
+            delay(source, target, message) + (0.05 if "a" in (source.name, target.name) else 0)
+        )
+        running.options["seeds"] = (running.addresses["z"], running.addresses["a"])
+        joining = running.start("b")
+        running.wait_for(lambda: joining.own.state is State.LIVE, 10)
+        self.assertIs(running.state("b", "a"), State.LIVE)
+
     def test_confirmation_is_lost_when_an_unknown_serving_member_appears(self):
         running = instances.Instances()
         running.start_all(NAMES)
@@ -313,6 +331,22 @@
             self.assertIs(running.state(name, "c"), State.DEAD)
         self.assertTrue(running.agree(State.LIVE))
 
+    def test_pause_during_the_drain_does_not_bring_it_back_to_serving(self):
+        running = instances.Instances()
+        running.start_all(NAMES)
+        leaving = running["c"]
+        running.runtime.call(leaving.leave)
+        served = []
+        running["a"].subscribe(
+            lambda old, new: served.append("c" in {m.name for m in new.serving("dc1")})
+        )
+        running.pause("c", 5.0)
+        running.run(6)
+        running.wait_for(leaving.is_confirmed, 10)
+        self.assertIs(running.state("a", "c"), State.LEAVING)
+        self.assertEqual(leaving.own.peer.incarnation, 2)
+        self.assertNotIn(True, served)
+
 
 class DataCentres(unittest.TestCase):
     def region(self):
--- a/rosedyke/membership/synchronise.py
+++ b/rosedyke/membership/synchronise.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Iterable
 
-from rosedyke.membership import adverts, core, messages, record, table
+from rosedyke.membership import adverts, core, member, messages, record, table
 from rosedyke.wire import peer
 
 SYNC_TIMEOUT_S = 0.5
+FIRST_SYNC_S = 0.5
 
 
 def newer_than(
@@ -29,6 +30,8 @@
         self.core = shared
         self.options = shared.options
         self.seeds: list[str] = list(shared.options.seeds)
+        self.wait_s = FIRST_SYNC_S
+        shared.restart_hooks.append(self._restart)
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Take further addresses of instances, for example from the platform's list."""
@@ -42,10 +45,12 @@
         return [address for address in self.seeds if address != own]
 
     def run(self) -> None:
-        """Compare with a random member each period."""
+        """Compare with a random member each period, sooner after a start."""
         runtime = self.core.runtime
         while self.core.is_running:
-            runtime.sleep(self.options.sync_period_s * (0.5 + runtime.random()))
+            # A table that was just filled lacks most, as others start at the same time.
+            self.wait_s = min(2 * self.wait_s, self.options.sync_period_s)
+            runtime.sleep(self.wait_s * (0.5 + runtime.random()))
             others = self.core.others()
             if others and self.core.is_running:
                 self.sync_with(self.core.pick(others).peer)
@@ -60,21 +65,27 @@
             if missing and self.core.is_running:
                 self.sync_with(peer.at_address(self.core.pick(missing)))
 
-    def sync_with_any(self, addresses: list[str]) -> bool:
-        """Compare with several addresses at once; return whether any answered."""
+    def sync_with_all(self, addresses: list[str]) -> bool:
+        """Compare with several addresses at once; return whether any answered.
+
+        Waits for each of them: the first to answer may be in another data centre and not yet
+        know who has just joined the own one.
+        """
         ended = self.core.runtime.signal()
         waiting = set(addresses)
+        answered = set()
 
         def ask(address):
-            has_answered = self.sync_with(peer.at_address(address))
+            if self.sync_with(peer.at_address(address)):
+                answered.add(address)
             waiting.discard(address)
-            if has_answered or not waiting:
-                ended.set(has_answered)
+            if not waiting:
+                ended.set()
 
         for address in addresses:
             self.core.runtime.spawn(ask, address)
         ended.wait(2 * SYNC_TIMEOUT_S)
-        return bool(ended.value)
+        return bool(answered)
 
     def sync_with(self, target: peer.Peer) -> bool:
         """Compare the whole tables; return whether the target answered."""
@@ -97,7 +108,10 @@
             self.core.send(reply.record.peer, rejection)
             return True
         self.core.put(reply.record)
-        self.core.merge(reply.gossip)
+        # What is new to a newcomer is known to those who told it; passed on, a start of many
+        # instances would flood the probes with the whole table of each.
+        is_newcomer = self.core.own.state is member.State.JOINING
+        self.core.merge(reply.gossip, is_spread=not is_newcomer)
         if reply.gossip.records:
             newer = newer_than(self.core.table.records.values(), reply.gossip.records)
             if newer:
@@ -123,6 +137,9 @@
         if self.core.rejection(sender) is None:
             self.core.merge(push.gossip)
 
+    def _restart(self):
+        self.wait_s = FIRST_SYNC_S
+
     def _missing_addresses(self):
         alive = {r.peer.address for r in self.core.table.records.values() if not r.is_dead}
         dead = {r.peer.address for r in self.core.table.of(self.core.data_centre) if r.is_dead}
--- a/rosedyke/wire/settings.py
+++ b/rosedyke/wire/settings.py
@@ -50,8 +50,17 @@
     unacknowledged_s: float = 3.0
     protocol_version: int | None = None
 
+    @property
+    def host(self) -> ipaddress.IPv4Address | ipaddress.IPv6Address:
+        """The address without its port."""
+        return ipaddress.ip_address(self.address.rpartition(":")[0].strip("[]"))
+
     @property
     def is_loopback(self) -> bool:
         """Whether only processes of the same machine can reach the address."""
-        host = self.address.rpartition(":")[0].strip("[]")
-        return ipaddress.ip_address(host).is_loopback
+        return self.host.is_loopback
+
+    @property
+    def is_unspecified(self) -> bool:
+        """Whether the address stands for all of the machine, so that no peer could use it."""
+        return self.host.is_unspecified
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -55,7 +55,7 @@
 
 
 class AddressInUse(TransportError):
-    """The address can't be bound."""
+    """The address can't be bound, or isn't one that peers can connect to."""
 
     code = "transport_address"
 
@@ -126,6 +126,8 @@
         TransportError
             The key is missing off loopback, or the address can't be bound.
         """
+        if self.options.is_unspecified:
+            raise AddressInUse(f"{self.options.address}: peers need a definite address")
         self._check_key()
         self.context = zmq.Context()
         self.router = self.context.socket(zmq.ROUTER)
--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -158,6 +158,11 @@
         with self.assertRaises(transport.AddressInUse):
             transport.Transport(options, green.GreenRuntime()).start()
 
+    def test_address_that_peers_cannot_use_is_refused(self):
+        options = settings.TransportSettings("a", "dc1", "0.0.0.0:0", "secret")
+        with self.assertRaises(transport.AddressInUse):
+            transport.Transport(options, green.GreenRuntime()).start()
+
     def test_key_is_not_shown(self):
         options = settings.TransportSettings("a", "dc1", "127.0.0.1:0", "very secret")
         self.assertNotIn("very secret", repr(options))
@@ -342,6 +347,16 @@
             a.request(before, Question("hi"), LONG_S)
         self.assertEqual(a.request(again.own, Question("hi"), LONG_S), Question("a: hi"))
 
+    def test_instance_whose_clock_went_back_learns_the_newer_incarnation(self):
+        a, b = start(self, "a"), start(self, "b")
+        b.handle(Question, echo)
+        a.request(b.own, Question("hi"), LONG_S)
+        newest = a.own.incarnation
+        a.own = attrs.evolve(a.own, incarnation=newest - 1000)
+        with self.assertRaises(peer.PeerOutdated) as raised:
+            a.request(b.own, Question("hi"), LONG_S)
+        self.assertEqual(raised.exception.newest, newest)
+
     def test_reply_to_an_earlier_life_of_the_asker_is_dropped(self):
         a, b = start(self, "a"), start(self, "b")
         go_on = b.runtime.signal()
