Prove four safeguards of the membership that no test missed

Taken out by hand, these left every test green: what a dead member replies, the own stall during a probe and during a suspicion, and the change of a relay's partner. Each has a test now. The stand-in of a paused instance let timeouts go on during the pause; a real one doesn't.

--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -243,6 +243,41 @@
         running.wait_for(lambda: running.agree(State.LIVE), 20)
         self.assertEqual({name for _, name in deaths}, {"d"})
 
+    def test_instance_that_stood_still_suspects_nobody(self):
+        # The answers to its probes arrive while it stands still, and the timeouts pass.  Going on,
+        # it sees the timeouts first; blaming the others would make them refute for nothing.
+        running = instances.Instances()
+        running.start_all(NAMES)
+        suspected = []
+        running["d"].subscribe(
+            lambda old, new: suspected.extend(m for m in new.members if m.state is State.SUSPECT)
+        )
+        for _ in range(100):
+            running.run(3 * running.runtime.random())
+            running.pause("d", 0.55)
+        running.run(3)
+        self.assertEqual({found.name for found in suspected} - {"d"}, set())
+
+    def test_suspicion_during_a_stall_of_the_own_loop_is_no_death(self):
+        # An instance suspects another while its own loop stalls, so that answers stay unread.
+        # When the time of the suspicion is over it must not declare a death, but begin anew.
+        running = instances.Instances()
+        running.start_all(NAMES)
+        blind = running["a"]
+        reaches = blind.prober.reaches
+        deaths = count_deaths(running)
+        blind.prober.reaches = lambda target: False
+        blind.suspicions.begin(blind.core.table.find("c"))
+        running.network.partition(["c"], ["a", "b", "d", "e"])
+        running.run(0.5)
+        blind.core.last_stall = running.runtime.now()
+        running.run(0.4)
+        running.network.heal()
+        running.run(0.3)
+        blind.prober.reaches = reaches
+        running.wait_for(lambda: running.agree(State.LIVE), 10)
+        self.assertEqual(deaths, [])
+
     def test_short_pause_changes_nothing(self):
         running = instances.Instances()
         running.start_all(NAMES)
@@ -315,6 +350,16 @@
         self.assertIsInstance(reply, messages.Rejected)
         self.assertIs(running.state("a", "b"), State.LIVE)
 
+    def test_nothing_that_a_dead_member_replies_is_taken_in(self):
+        running = instances.Instances()
+        running.start_all(NAMES)
+        asking, answering = running["a"], running["e"]
+        answering.core.table.set(answering.core.table.find("b").dead(), 0.0)
+        asking.core.table.set(asking.core.table.find("e").dead(), 0.0)
+        target = peer.at_address(running.addresses["e"])
+        running.runtime.call(asking.synchroniser.sync_with, target)
+        self.assertFalse(asking.core.table.find("b").is_dead)
+
 
 class Leaving(unittest.TestCase):
     def test_leaving_is_seen_by_all_before_the_end_and_nobody_suspects(self):
@@ -400,8 +445,13 @@
         )
 
     def test_loss_of_all_relays_at_once_is_mended(self):
+        # Both relays of a data centre die, and they are just those that the others pull from.
+        # The others turn to any member that is left, which has become a relay meanwhile.
         running = self.region()
-        for relay in running["dc2-0"].relays("dc2"):
+        relays = running["dc2-0"].relays("dc2")
+        for membership in running.memberships.values():
+            membership.relay.partners["dc2"] = relays[0].name
+        for relay in relays:
             running.crash(relay.name)
         rest = next(name for name in running.memberships if name.startswith("dc2"))
         running[rest].advertise("topic", b"after")
--- a/rosedyke/standins/instances.py
+++ b/rosedyke/standins/instances.py
@@ -9,6 +9,30 @@
 STEP_S = 0.05
 
 
+class PausableSignal:
+    """A signal whose waiter doesn't go on while its instance is stopped.
+
+    As after SIGCONT, a timeout that passed meanwhile counts before what arrived meanwhile.
+    """
+
+    def __init__(self, runtime: "PausableRuntime"):
+        self.runtime = runtime
+        self.inner = runtime.shared.signal()
+        self.set = self.inner.set
+        self.is_set = self.inner.is_set
+
+    @property
+    def value(self):
+        """The value given to ``set``."""
+        return self.inner.value
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Block until set or for a timeout, then while the instance is stopped."""
+        was_set = self.inner.wait(timeout_s)
+        self.runtime.wait_while_paused()
+        return was_set
+
+
 class PausableRuntime:
     """The runtime of one instance, which a test can stop as SIGSTOP stops a process."""
 
@@ -17,7 +41,10 @@
         self.resumes_at = 0.0
         self.now = shared.now
         self.random = shared.random
-        self.signal = shared.signal
+
+    def signal(self) -> PausableSignal:
+        """Return a new signal."""
+        return PausableSignal(self)
 
     def pause(self, seconds: float) -> None:
         """Let no sleeping task of the instance go on for some seconds."""
