--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -258,6 +258,22 @@
         running.run(3)
         self.assertEqual({found.name for found in suspected} - {"d"}, set())
 
+    def test_probe_that_failed_during_a_stall_of_the_own_loop_begins_no_suspicion(self):
+        running = instances.Instances()
+        running.start_all(NAMES)
+        blind = running["a"]
+
+        def stall(target):
+            blind.core.last_stall = running.runtime.now()
+            return False
+
+        blind.prober.reaches = stall
+        running.run(2)
+        self.assertTrue(running.agree(State.LIVE))
+        blind.prober.reaches = lambda target: False
+        running.run(0.5)
+        self.assertFalse(running.agree(State.LIVE))
+
     def test_suspicion_during_a_stall_of_the_own_loop_is_no_death(self):
         # An instance suspects another while its own loop stalls, so that answers stay unread.
         # When the time of the suspicion is over it must not declare a death, but begin anew.
@@ -271,9 +287,9 @@
         running.network.partition(["c"], ["a", "b", "d", "e"])
         running.run(0.5)
         blind.core.last_stall = running.runtime.now()
-        running.run(0.4)
+        running.run(1.0)
+        self.assertIs(running.state("a", "c"), State.SUSPECT)
         running.network.heal()
-        running.run(0.3)
         blind.prober.reaches = reaches
         running.wait_for(lambda: running.agree(State.LIVE), 10)
         self.assertEqual(deaths, [])
--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -384,6 +384,21 @@
         asking.wait(LONG_S)
         self.assertEqual(errors, ["peer_timeout"])
 
+    def test_reply_of_a_later_life_of_the_asked_is_dropped(self):
+        # A peer begins a new life while it handles a request to the old one.  What it answers is
+        # no longer the word of the incarnation that was asked, so the asker learns nothing.
+        a, b = start(self, "a"), start(self, "b")
+
+        def handler(sender, question):
+            b.new_incarnation()
+            return question
+
+        b.handle(Question, handler)
+        dropped = Counted(metrics.DROPPED_REPLIES)
+        with self.assertRaises(peer.PeerTimeout):
+            a.request(b.own, Question("hi"), 0.5)
+        dropped.wait_for(1)
+
     def test_late_reply_is_dropped_and_given_to_nobody_else(self):
         a, b = start(self, "a"), start(self, "b")
         go_on = b.runtime.signal()
