--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -110,6 +110,24 @@
         self.assertIs(running.state("d", "f"), State.LIVE)
         self.assertIs(running.state("f", "d"), State.LIVE)
 
+    def test_newcomer_hears_of_its_neighbours_though_a_distant_seed_answers_first(self):
+        # The seed of another data centre is near and knows nobody of the own one; the own
+        # data centre's seed answers later.  Going on at the first answer, the newcomer would
+        # serve as if it were alone.
+        running = instances.Instances()
+        running.start("a")
+        running.start("z", "dc2")
+        running.wait_for(lambda: running.agree(State.LIVE), 30)
+        running["z"].core.table.clear()
+        delay = running.network.delay_s
+        running.network.delay_s = lambda source, target, message: (
+            delay(source, target, message) + (0.05 if "a" in (source.name, target.name) else 0)
+        )
+        running.options["seeds"] = (running.addresses["z"], running.addresses["a"])
+        joining = running.start("b")
+        running.wait_for(lambda: joining.own.state is State.LIVE, 10)
+        self.assertIs(running.state("b", "a"), State.LIVE)
+
     def test_confirmation_is_lost_when_an_unknown_serving_member_appears(self):
         running = instances.Instances()
         running.start_all(NAMES)
@@ -225,6 +243,57 @@
         running.wait_for(lambda: running.agree(State.LIVE), 20)
         self.assertEqual({name for _, name in deaths}, {"d"})
 
+    def test_instance_that_stood_still_suspects_nobody(self):
+        # The answers to its probes arrive while it stands still, and the timeouts pass.  Going on,
+        # it sees the timeouts first; blaming the others would make them refute for nothing.
+        running = instances.Instances()
+        running.start_all(NAMES)
+        suspected = []
+        running["d"].subscribe(
+            lambda old, new: suspected.extend(m for m in new.members if m.state is State.SUSPECT)
+        )
+        for _ in range(100):
+            running.run(3 * running.runtime.random())
+            running.pause("d", 0.55)
+        running.run(3)
+        self.assertEqual({found.name for found in suspected} - {"d"}, set())
+
+    def test_probe_that_failed_during_a_stall_of_the_own_loop_begins_no_suspicion(self):
+        running = instances.Instances()
+        running.start_all(NAMES)
+        blind = running["a"]
+
+        def stall(target):
+            blind.core.last_stall = running.runtime.now()
+            return False
+
+        blind.prober.reaches = stall
+        running.run(2)
+        self.assertTrue(running.agree(State.LIVE))
+        blind.prober.reaches = lambda target: False
+        running.run(0.5)
+        self.assertFalse(running.agree(State.LIVE))
+
+    def test_suspicion_during_a_stall_of_the_own_loop_is_no_death(self):
+        # An instance suspects another while its own loop stalls, so that answers stay unread.
+        # When the time of the suspicion is over it must not declare a death, but begin anew.
+        running = instances.Instances()
+        running.start_all(NAMES)
+        blind = running["a"]
+        reaches = blind.prober.reaches
+        deaths = count_deaths(running)
+        blind.prober.reaches = lambda target: False
+        blind.suspicions.begin(blind.core.table.find("c"))
+        running.network.partition(["c"], ["a", "b", "d", "e"])
+        running.run(0.5)
+        blind.core.last_stall = running.runtime.now()
+        running.run(1.0)
+        self.assertIs(running.state("a", "c"), State.SUSPECT)
+        running.network.heal()
+        blind.prober.reaches = reaches
+        running.wait_for(lambda: running.agree(State.LIVE), 10)
+        self.assertEqual(deaths, [])
+
     def test_short_pause_changes_nothing(self):
         running = instances.Instances()
         running.start_all(NAMES)
@@ -297,6 +366,16 @@
         self.assertIsInstance(reply, messages.Rejected)
         self.assertIs(running.state("a", "b"), State.LIVE)
 
+    def test_nothing_that_a_dead_member_replies_is_taken_in(self):
+        running = instances.Instances()
+        running.start_all(NAMES)
+        asking, answering = running["a"], running["e"]
+        answering.core.table.set(answering.core.table.find("b").dead(), 0.0)
+        asking.core.table.set(asking.core.table.find("e").dead(), 0.0)
+        target = peer.at_address(running.addresses["e"])
+        running.runtime.call(asking.synchroniser.sync_with, target)
+        self.assertFalse(asking.core.table.find("b").is_dead)
+
 
 class Leaving(unittest.TestCase):
     def test_leaving_is_seen_by_all_before_the_end_and_nobody_suspects(self):
@@ -313,6 +392,22 @@
             self.assertIs(running.state(name, "c"), State.DEAD)
         self.assertTrue(running.agree(State.LIVE))
 
+    def test_pause_during_the_drain_does_not_bring_it_back_to_serving(self):
+        running = instances.Instances()
+        running.start_all(NAMES)
+        leaving = running["c"]
+        running.runtime.call(leaving.leave)
+        served = []
+        running["a"].subscribe(
+            lambda old, new: served.append("c" in {m.name for m in new.serving("dc1")})
+        )
+        running.pause("c", 5.0)
+        running.run(6)
+        running.wait_for(leaving.is_confirmed, 10)
+        self.assertIs(running.state("a", "c"), State.LEAVING)
+        self.assertEqual(leaving.own.peer.incarnation, 2)
+        self.assertNotIn(True, served)
+
 
 class DataCentres(unittest.TestCase):
     def region(self):
@@ -366,8 +461,13 @@
         )
 
     def test_loss_of_all_relays_at_once_is_mended(self):
+        # Both relays of a data centre die, and they are just those that the others pull from.
+        # The others turn to any member that is left, which has become a relay meanwhile.
         running = self.region()
-        for relay in running["dc2-0"].relays("dc2"):
+        relays = running["dc2-0"].relays("dc2")
+        for membership in running.memberships.values():
+            membership.relay.partners["dc2"] = relays[0].name
+        for relay in relays:
             running.crash(relay.name)
         rest = next(name for name in running.memberships if name.startswith("dc2"))
         running[rest].advertise("topic", b"after")
--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -158,6 +158,11 @@
         with self.assertRaises(transport.AddressInUse):
             transport.Transport(options, green.GreenRuntime()).start()
 
+    def test_address_that_peers_cannot_use_is_refused(self):
+        options = settings.TransportSettings("a", "dc1", "0.0.0.0:0", "secret")
+        with self.assertRaises(transport.AddressInUse):
+            transport.Transport(options, green.GreenRuntime()).start()
+
     def test_key_is_not_shown(self):
         options = settings.TransportSettings("a", "dc1", "127.0.0.1:0", "very secret")
         self.assertNotIn("very secret", repr(options))
@@ -342,6 +347,16 @@
             a.request(before, Question("hi"), LONG_S)
         self.assertEqual(a.request(again.own, Question("hi"), LONG_S), Question("a: hi"))
 
+    def test_instance_whose_clock_went_back_learns_the_newer_incarnation(self):
+        a, b = start(self, "a"), start(self, "b")
+        b.handle(Question, echo)
+        a.request(b.own, Question("hi"), LONG_S)
+        newest = a.own.incarnation
+        a.own = attrs.evolve(a.own, incarnation=newest - 1000)
+        with self.assertRaises(peer.PeerOutdated) as raised:
+            a.request(b.own, Question("hi"), LONG_S)
+        self.assertEqual(raised.exception.newest, newest)
+
     def test_reply_to_an_earlier_life_of_the_asker_is_dropped(self):
         a, b = start(self, "a"), start(self, "b")
         go_on = b.runtime.signal()
@@ -369,6 +384,21 @@
         asking.wait(LONG_S)
         self.assertEqual(errors, ["peer_timeout"])
 
+    def test_reply_of_a_later_life_of_the_asked_is_dropped(self):
+        # A peer begins a new life while it handles a request to the old one.  What it answers is
+        # no longer the word of the incarnation that was asked, so the asker learns nothing.
+        a, b = start(self, "a"), start(self, "b")
+
+        def handler(sender, question):
+            b.new_incarnation()
+            return question
+
+        b.handle(Question, handler)
+        dropped = Counted(metrics.DROPPED_REPLIES)
+        with self.assertRaises(peer.PeerTimeout):
+            a.request(b.own, Question("hi"), 0.5)
+        dropped.wait_for(1)
+
     def test_late_reply_is_dropped_and_given_to_nobody_else(self):
         a, b = start(self, "a"), start(self, "b")
         go_on = b.runtime.signal()
