Permit an owner to use another data centre's servers for a second at a time

Cause: the membership does not declare the members of a data centre dead that is cut off, so a side without the pool's owner would have waited for it for ever; and each side notices a cut at another moment, so the far side could have taken its servers over while the owner still granted them. The region-wide fault matrix showed servers over their slots when an instance joined that no other one knew.

Now reach is what the membership says can be reached. An owner asks a member of each other data centre every 0.3 s and uses the servers there for 1 s after it asked; a member that obeys another owner says no. A take-over beside a cut waits until the last permit must have run out.

The test notices each safeguard taken out: permits, the wait, following reach, orphaning the slots of holders out of reach. The fault matrix holds.

--- a/rosedyke/dispatch/backlog.py
+++ b/rosedyke/dispatch/backlog.py
@@ -106,7 +106,7 @@
 
     def report(self, target: shard.Shard) -> message.PoolReport | None:
         """Return what is known of a pool, None when nothing is."""
-        owner = self.shards.owner(target.key, self.membership.view)
+        owner = self.shards.owner(target.key, self.membership)
         if owner is None:
             return None
         self._hear(owner.name)
--- a/rosedyke/dispatch/dispatcher.py
+++ b/rosedyke/dispatch/dispatcher.py
@@ -82,6 +82,7 @@
             self.shards,
             self.place,
         )
+        self.owner.on_reach_change = self.holder.follow
 
     def start(self) -> None:
         """Begin the periodic work."""
@@ -154,11 +155,11 @@
 
     def _usable(self, service) -> list[shard.Shard]:
         """Return the pools that can be asked."""
-        view = self.membership.view
+        reach = shard.reach_of(self.membership)
         reachable = [
             one
             for one in self.shards.of(service)
-            if one.in_reach(view) and self.shards.owner(one.key, view) is not None
+            if one.in_reach(reach) and self.shards.owner(one.key, self.membership) is not None
         ]
         return [one for one in reachable if not self.board.is_avoided(one.key)] or reachable
 
--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -80,6 +80,7 @@
         peers.handle(message.Grants, self.on_grants)
         peers.handle(message.Recover, self.on_recover)
         peers.handle(message.Audit, self.on_audit)
+        peers.handle(message.Permit, self.on_permit)
 
     def start(self) -> None:
         """Begin to follow the membership."""
@@ -133,6 +134,16 @@
             self._ask_again(to, message.Grant(request, index, ""))
         return message.AuditReply(missing)
 
+    def on_permit(self, sender: peer.Peer, told: message.Permit) -> message.PermitReply:
+        """Let an owner elsewhere go on granting this data centre's servers, unless superseded."""
+        target = self.shards.find(told.pool)
+        if target is None:
+            return message.PermitReply(None, is_given=False)
+        to = self._link(target)
+        if to.obey(told.ballot):
+            return message.PermitReply(None, is_given=True)
+        return message.PermitReply(to.ballot, is_given=False)
+
     def _link(self, target) -> link.Link:
         found = self.links.get(target.key)
         if found is None:
@@ -141,12 +152,16 @@
         return found
 
     def _owner(self, to) -> peer.Peer | None:
-        owner = self.shards.owner(to.shard.key, self.membership.view)
+        owner = self.shards.owner(to.shard.key, self.membership)
         return None if owner is None else owner.peer
 
     def _on_view(self, old: member.View, new: member.View):
         peers = {one.peer for one in new.members if one.state is not member.State.DEAD}
         self.lateness.forget(lambda sender: sender not in peers)
+        self.follow()
+
+    def follow(self) -> None:
+        """Ask anew for what waits at an owner that is no longer the owner."""
         # In a new incarnation of this instance the owners know none of its requests.
         is_new = self.own != self.peers.own
         self.own = self.peers.own
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -249,6 +249,24 @@
     held: tuple[HeldSlot, ...] = ()
 
 
+@codec.message("dispatch.permit")
+@attrs.frozen
+class Permit:
+    """An owner asks a member of another data centre whether it may use that one's servers."""
+
+    pool: str
+    ballot: Ballot
+
+
+@codec.message("dispatch.permit_reply")
+@attrs.frozen
+class PermitReply:
+    """``is_given`` is false under a newer ballot, which is then told, or without the pool."""
+
+    newer: Ballot | None
+    is_given: bool
+
+
 @codec.message("dispatch.audit")
 @attrs.frozen
 class Audit:
--- a/rosedyke/dispatch/metrics.py
+++ b/rosedyke/dispatch/metrics.py
@@ -41,3 +41,8 @@
 JOBS_REFUSED = metric.define(
     "dispatch.jobs_refused", "counter", "Jobs refused for lack of room or time; not run."
 )
+PERMITS = metric.define(
+    "dispatch.permits",
+    "counter",
+    "Questions of this owner to other data centres whether it may go on using their servers.",
+)
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -1,5 +1,7 @@
 """The owner's side: grants slots of the pools that this instance owns."""
 
+from collections.abc import Callable
+
 import attrs
 
 from rosedyke.configuration import ports as configuration_ports
@@ -10,6 +12,7 @@
     message,
     metrics,
     orphans,
+    permits,
     pool,
     ports,
     recovery,
@@ -38,6 +41,8 @@
         This instance in the incarnation that owns it.
     audited_at : float
         When holders were last asked for old grants.
+    permits : Permits
+        For the servers of other data centres.
     ballot : Ballot
         Under which it grants; raised while servers are taken over.
     takeover : Recovery or None
@@ -48,6 +53,7 @@
     pool: pool.Pool
     owner: peer.Peer
     audited_at: float
+    permits: permits.Permits
     ballot: message.Ballot
     takeover: recovery.Recovery | None = None
 
@@ -104,6 +110,8 @@
         self.prober = orphans.Prober(options, runtime, gateway)
         self.owned: dict[str, Owned] = {}
         self.advertised_at = 0.0
+        self.reach: frozenset[str] = frozenset()
+        self.on_reach_change: Callable[[], None] = lambda: None
         self.is_running = False
         peers.handle(message.Exchange, self.on_exchange)
 
@@ -147,11 +155,22 @@
 
     def report_of(self, owned: Owned) -> message.PoolReport:
         """Return how busy a pool is now."""
-        return owned.pool.report(self.runtime.now(), self.current.is_leaving)
+        return owned.pool.report(self.runtime.now(), self._barred(owned))
+
+    def _barred(self, owned):
+        """Return the test for servers that get no new work for reasons outside the pool."""
+        servers = owned.pool.servers
+
+        def is_barred(name):
+            if self.current.is_leaving(name):
+                return True
+            return not owned.permits.allow(servers[name].declared.data_centre)
+
+        return is_barred
 
     def is_owner(self, target: shard.Shard) -> bool:
         """Return whether the present view makes this instance the pool's owner."""
-        owner = self.shards.owner(target.key, self.membership.view)
+        owner = self.shards.owner(target.key, self.membership)
         return owner is not None and owner.peer == self.peers.own
 
     def _is_member(self, sender):
@@ -161,7 +180,9 @@
         asks for would be granted to nobody and stay taken until the job's deadline.
         """
         found = self.membership.view.find(sender.name)
-        return found is not None and found.peer == sender and found.state is not member.State.DEAD
+        if found is None or found.peer != sender or found.state is member.State.DEAD:
+            return False
+        return sender.data_centre in self.reach
 
     def follow(self) -> None:
         """Begin to own the pools that are this instance's now, and drop those that aren't.
@@ -169,6 +190,7 @@
         A pool of an earlier incarnation is dropped too: while this instance was taken for dead,
         another may have granted its slots.
         """
+        self.reach = shard.reach_of(self.membership)
         configuration = self.current.configuration
         teams = configuration.teams if configuration else ()
         declared = {
@@ -191,10 +213,11 @@
         if target.key not in self.owned:
             made = pool.Pool(target.key, self.speeds(target.service), self.options)
             ballot = ballot or message.Ballot(1, own.name, own.incarnation)
-            self.owned[target.key] = Owned(target, made, own, now, ballot)
+            granted = permits.Permits(self.options, self.runtime, self.peers, self.membership)
+            self.owned[target.key] = Owned(target, made, own, now, granted, ballot)
         owned = self.owned[target.key]
         owned.shard = target
-        reached = target.in_reach(self.membership.view)
+        reached = target.in_reach(self.reach)
         limit = self.shards.limit(target, sum(server.slots for server in reached))
         owned.pool.bound(limits)
         owned.pool.declare(reached, limit, now)
@@ -239,19 +262,24 @@
 
     def _on_view(self, old: member.View, new: member.View):
         self.follow()
-        alive = {
-            (m.name, m.peer.incarnation) for m in new.members if m.state is not member.State.DEAD
+        self._lose_absent()
+
+    def _lose_absent(self):
+        """Forget holders that died or are out of reach; their slots are orphaned."""
+        present = {
+            one.peer
+            for one in self.membership.view.members
+            if one.state is not member.State.DEAD and one.data_centre in self.reach
         }
-        gone = {(m.name, m.peer.incarnation) for m in old.members} - alive
-        for name, incarnation in gone:
-            for owned in self.owned.values():
-                ended = owned.pool.lose(name, incarnation, self.runtime.now())
+        for owned in self.owned.values():
+            for holder in owned.pool.holders() - present:
+                ended = owned.pool.lose(holder.name, holder.incarnation, self.runtime.now())
                 self._log_orphans(owned, ended)
 
     def _assign(self, owned: Owned, asker: peer.Peer | None) -> tuple[message.Grant, ...]:
         """Grant what can be granted; send it to the holders, but return the asker's."""
         by_holder: dict[peer.Peer, list[message.Grant]] = {}
-        for held in owned.pool.assign(self.runtime.now(), self.current.is_leaving):
+        for held in owned.pool.assign(self.runtime.now(), self._barred(owned)):
             by_holder.setdefault(held.holder, []).append(grant_of(held))
         if by_holder:
             step.reach(steps.SLOTS_GRANTED, self.peers.own.name)
@@ -284,12 +312,25 @@
         while self.is_running:
             self.runtime.sleep(self.options.tick_s)
             now = self.runtime.now()
+            if shard.reach_of(self.membership) != self.reach:
+                self.follow()
+                self._lose_absent()
+                self.on_reach_change()
             for owned in list(self.owned.values()):
+                self._renew_permits(owned)
                 self._log_orphans(owned, owned.pool.expire(now))
                 self._use_freed(owned)
                 self._audit(owned, now)
             self._advertise(now)
 
+    def _renew_permits(self, owned):
+        def on_answer(reply):
+            if self._is_current(owned) and reply.newer is not None and owned.takeover is None:
+                self._was_superseded(owned, reply.newer)
+
+        others = {server.declared.data_centre for server in owned.pool.servers.values()}
+        owned.permits.renew(owned.shard.key, owned.present_ballot(), others, on_answer)
+
     def _advertise(self, now):
         if now < self.advertised_at + self.options.advertise_s:
             return
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -223,6 +223,12 @@
         self.waiting.expire(now)
         return ended
 
+    def holders(self) -> set[peer.Peer]:
+        """Return everyone who has a lease or waits."""
+        return {held.holder for held in self.leases.values()} | {
+            item.holder for item in self.waiting
+        }
+
     def lose(self, name: str, incarnation: int, now: float) -> list[lease.Lease]:
         """Forget a dead holder's requests and orphan its slots; return their leases."""
         for item in [
@@ -276,20 +282,21 @@
         if not self.unready():
             self.released_early.clear()
 
-    def assign(self, now: float, is_leaving) -> list[lease.Lease]:
+    def assign(self, now: float, is_barred) -> list[lease.Lease]:
         """Grant free slots to waiting tasks and return the new leases.
 
         Parameters
         ----------
         now : float
             Monotonic seconds.
-        is_leaving : callable
-            ``is_leaving(name)`` tells whether the platform lists a server as leaving.
+        is_barred : callable
+            ``is_barred(name)`` tells whether a server gets no new work for a reason that this
+            pool can't know: the platform lists it as leaving, or its data centre is cut off.
         """
         granted: list[lease.Lease] = []
         if not self.waiting:
             return granted
-        usable = self._usable(now, is_leaving)
+        usable = self._usable(now, is_barred)
         free = [server for server in usable if server.free() > 0]
         if not free:
             return granted
@@ -310,19 +317,19 @@
             horizon.slots(name).extend([0.0] * server.free())
         return granted
 
-    def report(self, now: float, is_leaving) -> message.PoolReport:
+    def report(self, now: float, is_barred) -> message.PoolReport:
         """Return how busy the pool is, at most a moment ago."""
         if self.reported is None or now >= self.reported_at + self.options.report_s:
             self.reported_at = now
-            self.reported = self._report(now, is_leaving)
+            self.reported = self._report(now, is_barred)
         return self.reported
 
-    def _report(self, now, is_leaving):
+    def _report(self, now, is_barred):
         free = []
         rate = 0.0
         running_s = 0.0
         slots = 0
-        for server in self._usable(now, is_leaving):
+        for server in self._usable(now, is_barred):
             slowness = self.speeds.slowness(server.declared.name)
             slots += server.declared.slots
             rate += server.declared.slots / slowness
@@ -360,7 +367,7 @@
             self.profile = self.waiting.ahead(now, PROFILE_STEPS)
         return self.profile if self.waiting else ()
 
-    def _usable(self, now, is_leaving):
+    def _usable(self, now, is_barred):
         """Return the servers that may get new work."""
         return [
             server
@@ -370,7 +377,7 @@
                 or server.is_removed
                 or not server.is_ready
                 or server.health.is_held(now)
-                or is_leaving(name)
+                or is_barred(name)
             )
         ]
 
--- a/rosedyke/dispatch/recovery.py
+++ b/rosedyke/dispatch/recovery.py
@@ -11,7 +11,7 @@
 each get the answers of half the members last, and both would grant the same slots.
 """
 
-from rosedyke.dispatch import message, pool, settings, steps
+from rosedyke.dispatch import message, pool, settings, shard, steps
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
 from rosedyke.observe import step
@@ -63,6 +63,7 @@
         while is_wanted():
             missing = [one for one in self._members() if one not in self.answered]
             if not missing and self.membership.is_confirmed():
+                self._wait_for_permits()
                 self._finish()
                 return True
             for target in missing:
@@ -73,11 +74,23 @@
         return False
 
     def _members(self) -> list[peer.Peer]:
-        """Return everyone who may use a slot: all that are not dead, in all data centres."""
+        """Return everyone in reach who may use a slot: all that are not dead."""
+        reach = shard.reach_of(self.membership)
         return [
-            one.peer for one in self.membership.view.members if one.state is not member.State.DEAD
+            one.peer
+            for one in self.membership.view.members
+            if one.state is not member.State.DEAD and one.data_centre in reach
         ]
 
+    def _wait_for_permits(self):
+        """Wait until an owner that is out of reach may no longer use these servers.
+
+        It could not be told of the new ballot.  But no member here has given it a permit since it
+        answered, so by the end of a permit's life, and of the grants on their way, it has stopped.
+        """
+        if self.membership.unreachable_data_centres():
+            self.runtime.sleep(self.options.permit_s + self.options.settle_s)
+
     def _ask(self, target, ballot):
         told = message.Recover(self.owned.key, ballot)
         try:
@@ -103,6 +116,7 @@
 
     def _finish(self):
         now = self.runtime.now()
-        for holder in self._members():  # who died since it answered has only orphaned slots
-            self.owned.restore(holder, self.answered[holder].held, now)
+        for holder in self._members():
+            if holder in self.answered:  # who died since it answered has only orphaned slots
+                self.owned.restore(holder, self.answered[holder].held, now)
         self.owned.make_ready(self.names)
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -53,6 +53,10 @@
         How long after a holder is lost nothing of it can still start; more than ``late_s``.
     started_s : float
         How long after a grant its task has reached the server.
+    permit_s : float
+        How long an owner may use the servers of another data centre after asking a member there.
+    permit_renewal_s : float
+        How often it asks again.
     recover_retry_s : float
         How often a new owner asks a member again that did not answer.
     probe_timeout_s : float
@@ -87,6 +91,8 @@
     late_s: float = 0.4
     settle_s: float = 0.5
     started_s: float = 0.1
+    permit_s: float = 1.0
+    permit_renewal_s: float = 0.3
     recover_retry_s: float = 0.1
     probe_timeout_s: float = 0.5
     probe_s: float = 0.05
--- a/rosedyke/dispatch/shard.py
+++ b/rosedyke/dispatch/shard.py
@@ -2,8 +2,8 @@
 
 A pool spans the region's data centres, so that its owner can put each task on the server that would
 finish it first wherever that stands.  Its owner is the first serving instance of the view in
-rendezvous order.  When data centres are cut off from each other, the views differ: each side has
-an owner of its own for the servers of those data centres that it still sees an instance of.
+rendezvous order.  When data centres are cut off from each other, each side has an owner of its own
+for the servers of the data centres in its reach.
 
 Servers are split by a hash of their names, so that a change of one server moves no other between
 shards as long as the number of shards stays the same.
@@ -15,6 +15,7 @@
 from rosedyke.configuration import intent
 from rosedyke.configuration import ports as configuration_ports
 from rosedyke.membership import member, rendezvous
+from rosedyke.membership import ports as membership_ports
 
 
 @attrs.frozen
@@ -40,14 +41,14 @@
         """Slots of all its servers."""
         return sum(server.slots for server in self.servers)
 
-    def in_reach(self, view: member.View) -> tuple[intent.BackendServer, ...]:
-        """Return the servers whose data centre has an instance in the view.
+    def in_reach(self, reach: frozenset[str]) -> tuple[intent.BackendServer, ...]:
+        """Return the servers whose data centre is in reach."""
+        return tuple(server for server in self.servers if server.data_centre in reach)
 
-        The instances of a data centre that was cut off are dead in this view and alive in their
-        own, where one of them owns these servers.
-        """
-        data_centres = view.data_centres()
-        return tuple(server for server in self.servers if server.data_centre in data_centres)
+
+def reach_of(membership: membership_ports.Membership) -> frozenset[str]:
+    """Return the data centres that have an instance and are not cut off from this one."""
+    return frozenset(membership.view.data_centres()) - membership.unreachable_data_centres()
 
 
 def shards_of(service: intent.Service, shard_servers: int) -> tuple[Shard, ...]:
@@ -90,6 +91,7 @@
         self.generation = 0
         self.by_service: dict[str, tuple[Shard, ...]] = {}
         self.view: member.View | None = None
+        self.unreachable: frozenset[str] = frozenset()
         self.owners: dict[str, member.Member | None] = {}
 
     def of(self, service: intent.Service) -> tuple[Shard, ...]:
@@ -103,13 +105,22 @@
             found = self.by_service[service.name] = shards_of(service, self.shard_servers)
         return found
 
-    def owner(self, key: str, view: member.View) -> member.Member | None:
-        """Return the serving instance that owns a pool, worked out once for each view."""
-        if view is not self.view:
-            self.view = view
+    def owner(self, key: str, membership: membership_ports.Membership) -> member.Member | None:
+        """Return the serving instance in reach that owns a pool.
+
+        Worked out once for each view and reach.
+        """
+        unreachable = membership.unreachable_data_centres()
+        if membership.view is not self.view or unreachable != self.unreachable:
+            self.view = membership.view
+            self.unreachable = unreachable
             self.owners = {}
         if key not in self.owners:
-            serving = {one.name: one for one in view.members if one.state in member.SERVING_STATES}
+            serving = {
+                one.name: one
+                for one in membership.view.members
+                if one.state in member.SERVING_STATES and one.data_centre not in unreachable
+            }
             ranked = rendezvous.rank(key, serving)
             self.owners[key] = serving[ranked[0]] if ranked else None
         return self.owners[key]
--- a/rosedyke/membership/ports.py
+++ b/rosedyke/membership/ports.py
@@ -31,3 +31,6 @@
 
         While false, a registrar or slot owner here may not know of state that another holds.
         """
+
+    def unreachable_data_centres(self) -> frozenset[str]:
+        """Return the data centres that this one is cut off from; their members aren't dead."""
