--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -123,6 +123,20 @@
     )
 
 
+def other_ways(jobs, speeds, scenario, reference, warm, seed) -> dict:
+    """Return the figures of other ways to share slots between instances."""
+    instances = 2 * scenario.data_centres
+    split = ideal.even_split(jobs, speeds, scenario.slots, instances)
+    optimistic = ideal.Optimistic(speeds, scenario.slots, instances, seed)
+    sent = optimistic.play(jobs)
+    tasks = sum(len(job.run_s) for job in jobs)
+    return {
+        "even-split": figures.compare(split, reference, warm),
+        "optimistic": figures.compare(sent, reference, warm)
+        | {"refusals_per_task": round(optimistic.refusals / tasks, 3)},
+    }
+
+
 def main(
     scenario: str = "weighbridge",
     load: list[float] | None = None,
@@ -183,6 +197,7 @@
             for name, pick in ideal.BASELINES.items():
                 responses = ideal.baseline(jobs, speeds, chosen.slots, pick, seed)
                 row[name] = figures.compare(responses, reference, warm)
+            row |= other_ways(jobs, speeds, chosen, reference, warm, seed)
         table[str(share)] = row
         for name, found in row.items():
             print(f"{scenario} load {share} {name}: {json.dumps(found)}", flush=True)
--- a/rosedyke/dispatch/holder_test.py
+++ b/rosedyke/dispatch/holder_test.py
@@ -2,7 +2,9 @@
 
 import attrs
 
+from rosedyke.configuration import intent
 from rosedyke.dispatch import message
+from rosedyke.job import answer, code
 from rosedyke.standins import fleet
 
 POOL = "scale/0"
@@ -44,6 +46,50 @@
         self.assertFalse(running.is_closed)
 
 
+class Configurations(unittest.TestCase):
+    def test_grant_of_a_server_that_this_instance_does_not_know_yet(self):
+        # The owner has a newer configuration.  The task must neither be marked as sent nor the
+        # slot stay taken; it runs on another slot.
+        world, part = lone_world()
+        running = world.submit("a", fleet.make_request("j", 1))
+        find, part.holder.sender._find = part.holder.sender._find, lambda to, name: None
+        world.runtime.run(0.2)
+        self.assertEqual(running.ran(), answer.Ran.NO)
+        part.holder.sender._find = find
+        world.runtime.run(1.0)
+        self.assertTrue(running.answer.is_complete)
+        self.assertEqual(part.owner.owned[POOL].pool.leases, {})
+
+    def test_removed_service_ends_what_waits_and_leaves_no_task_behind(self):
+        # No owner answers for a pool that is no longer declared.
+        world, part = lone_world()
+        running = world.submit("a", fleet.make_request("j", 9))
+        world.runtime.run(0.15)
+        world.current.configuration = intent.Configuration(2, ())
+        for callback in world.current.callbacks:
+            callback(world.current.configuration)
+        world.runtime.run(2.0)
+        self.assertEqual(running.answer.code, code.Code.NO_SERVER)
+        self.assertFalse(part.holder.links[POOL].is_flushing)
+
+
+class Leaving(unittest.TestCase):
+    def test_server_gets_nothing_after_its_word_and_is_used_when_it_is_back(self):
+        world = fleet.Fleet(fleet.make_service({"s1": 2, "s2": 2}), {"a": "dc1"})
+        world.submit("a", fleet.make_request("j", 30))
+        world.runtime.run(0.25)
+        world.gateway.servers["s1"].is_leaving = True
+        world.runtime.run(1.0)
+        late = [at for at, name, _, _ in world.gateway.started if name == "s1" and at > 0.25]
+        self.assertEqual(late, [])
+        self.assertLessEqual(world.gateway.refused, 2)  # its results said it, but for two
+        world.gateway.servers["s1"].is_leaving = False
+        world.runtime.run(6.0)
+        world.submit("a", fleet.make_request("k", 8))
+        world.runtime.run(8.0)
+        self.assertIn("s1", {name for at, name, _, _ in world.gateway.started if at > 6.0})
+
+
 class Owner(unittest.TestCase):
     def test_request_of_a_dead_member_is_not_taken_in(self):
         # Its message is read after its death was seen.  A grant for it would reach nobody.
--- a/rosedyke/dispatch/lease.py
+++ b/rosedyke/dispatch/lease.py
@@ -17,7 +17,6 @@
     UNUSED = "unused"  # never sent
     REFUSED = "refused"  # the server answered that it did not start the task
     UNREACHED = "unreached"  # no connection could be made
-    LEAVING = "leaving"  # the server answered that it takes no new work
     LOST = "lost"  # sent, and the connection broke; the server may still run it
     LATE = "late"  # sent, and its time was over; the server may still run it
 
--- a/rosedyke/dispatch/link.py
+++ b/rosedyke/dispatch/link.py
@@ -113,10 +113,27 @@
             self.held[grant.request, grant.index] = Held(grant, request, now)
         return request
 
-    def release(self, grant: message.Grant, outcome: lease.Outcome, run_s: float = 0.0) -> None:
+    def release(
+        self,
+        grant: message.Grant,
+        outcome: lease.Outcome,
+        run_s: float = 0.0,
+        is_leaving: bool = False,
+    ) -> None:
         """Give a slot back."""
         self.held.pop((grant.request, grant.index), None)
-        self.releases.append(message.Release(grant.request, grant.index, outcome.value, run_s))
+        self.releases.append(
+            message.Release(grant.request, grant.index, outcome.value, run_s, is_leaving)
+        )
+
+    def abandon(self) -> list[Request]:
+        """Forget everything, because the pool is no longer declared; return what waited."""
+        waiting = list(self.requests.values())
+        self.requests.clear()
+        self.asked.clear()
+        self.releases.clear()
+        self.withdrawn.clear()
+        return waiting
 
     def has_news(self) -> bool:
         """Return whether there is anything to tell."""
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -81,12 +81,15 @@
         One of ``lease.Outcome``'s values.
     run_s : float
         Measured run time, 0 when there is none.
+    is_leaving : bool
+        The server said that it takes no new work.
     """
 
     request: int
     index: int
     outcome: str
     run_s: float = 0.0
+    is_leaving: bool = False
 
 
 @attrs.frozen
--- a/rosedyke/dispatch/orphans.py
+++ b/rosedyke/dispatch/orphans.py
@@ -7,6 +7,7 @@
 """
 
 from rosedyke.dispatch import metrics, pool, ports, settings
+from rosedyke.dispatch import server as server_module
 from rosedyke.observe import metric
 from rosedyke.runtime import Runtime
 
@@ -35,29 +36,39 @@
         self.gateway = gateway
         self.asked: set[tuple[str, str]] = set()
 
-    def look_after(self, owned: pool.Pool, on_free) -> None:
-        """Ask each server of a pool that has orphans; call ``on_free(pool)`` for each gain."""
+    def look_after(self, owned: pool.Pool, is_wanted, on_free) -> None:
+        """Ask each server of a pool that has orphans, or that left and may have come back.
+
+        Parameters
+        ----------
+        owned : Pool
+            The pool.
+        is_wanted : callable
+            Whether this instance still owns it.
+        on_free : callable
+            Called when slots have come free.
+        """
         for name, server in owned.servers.items():
-            if server.orphans and server.is_ready and (owned.key, name) not in self.asked:
+            if is_in_doubt(server) and (owned.key, name) not in self.asked:
                 self.asked.add((owned.key, name))
-                self.runtime.spawn(self._ask_until_settled, owned, server, on_free)
+                self.runtime.spawn(self._ask_until_settled, owned.key, server, is_wanted, on_free)
 
-    def _ask_until_settled(self, owned, server, on_free):
+    def _ask_until_settled(self, key, server, is_wanted, on_free):
         wait_s = self.options.probe_s
         try:
-            while server.orphans and not server.is_removed:
-                before = server.orphans
-                self._ask(owned, server)
-                if server.orphans < before:
-                    on_free(owned)
+            while is_wanted() and is_in_doubt(server):
+                before = server.free()
+                self._ask(server)
+                if server.free() > before:
+                    on_free()
                     wait_s = self.options.probe_s
-                if server.orphans:
+                if is_in_doubt(server):
                     self.runtime.sleep(wait_s * (0.75 + self.runtime.random() / 2))
                     wait_s = min(2 * wait_s, self.options.probe_limit_s)
         finally:
-            self.asked.discard((owned.key, server.declared.name))
+            self.asked.discard((key, server.declared.name))
 
-    def _ask(self, owned, server):
+    def _ask(self, server):
         # A task granted a moment ago may not have reached the server yet and would be taken to
         # account for one that the server counts.  So nothing is granted there for a moment;
         # after it every lease that is left has reached the server.
@@ -78,3 +89,10 @@
             server.orphans = 0  # the server's own refusals have the last word
             return
         server.settle(reply.running, known, asked_at - self.options.settle_s)
+
+
+def is_in_doubt(server: server_module.Server) -> bool:
+    """Return whether only the server itself can say what may run there."""
+    if server.is_removed or not server.is_ready:
+        return False
+    return server.orphans > 0 or server.is_leaving
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -305,7 +305,9 @@
     def _use_freed(self, owned):
         """Grant slots that came free without a message from a holder."""
         if self._is_current(owned):
-            self.prober.look_after(owned.pool, lambda _: self._use_freed(owned))
+            self.prober.look_after(
+                owned.pool, lambda: self._is_current(owned), lambda: self._use_freed(owned)
+            )
             self._assign(owned, None)
 
     def _tick(self):
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -8,11 +8,8 @@
 - a task of a request is granted once at most.
 """
 
-import attrs
-
 from rosedyke.configuration import intent
 from rosedyke.dispatch import (
-    ejection,
     events,
     lease,
     message,
@@ -21,6 +18,7 @@
     settings,
     speed,
 )
+from rosedyke.dispatch import server as server_module
 from rosedyke.observe import event
 from rosedyke.wire import peer
 
@@ -30,89 +28,6 @@
 QUEUE_HEADROOM = 2
 
 
-@attrs.define(eq=False)
-class Server:
-    """A backend server with what its owner knows about it.
-
-    Attributes
-    ----------
-    declared : BackendServer
-        What the operators said.
-    leases : dict of Key to Lease
-        Granted slots.
-    orphans : int
-        Slots that may be in use by tasks that no lease tells of.
-    orphaned_at : float
-        When the newest of them was orphaned.
-    health : Health
-        Its failures.
-    is_leaving : bool
-        The server itself said that it takes no new work.
-    is_removed : bool
-        It is no longer declared and waits for its last lease to end.
-    is_held : bool
-        It is being asked how many tasks run and gets no other meanwhile.
-    is_ready : bool
-        Every member has told its slots here, or is dead.
-    """
-
-    declared: intent.BackendServer
-    leases: dict[lease.Key, lease.Lease] = attrs.Factory(dict)
-    orphans: int = 0
-    orphaned_at: float = 0.0
-    health: ejection.Health = attrs.Factory(ejection.Health)
-    is_leaving: bool = False
-    is_removed: bool = False
-    is_held: bool = False
-    is_ready: bool = False
-
-    def free(self) -> int:
-        """Return how many slots may be granted."""
-        if self.is_held or not self.is_ready:
-            return 0
-        usable = self.declared.slots
-        if self.health.allowance is not None:
-            usable = min(usable, self.health.allowance)
-        return usable - len(self.leases) - self.orphans
-
-    def room(self) -> intent.Size:
-        """Return what the running tasks leave of the server's size.
-
-        Servers run without guards: tasks that need more memory together than there is would take
-        the server down with all its other tasks.
-        """
-        sizes = [held.size for held in self.leases.values()]
-        whole = self.declared.size
-        return intent.Size(
-            whole.cores - sum(size.cores for size in sizes),
-            whole.memory_mb - sum(size.memory_mb for size in sizes),
-            whole.accelerators - sum(size.accelerators for size in sizes),
-        )
-
-    def orphan(self, count: int, now: float) -> None:
-        """Count slots as in use by something unknown."""
-        self.orphans += count
-        self.orphaned_at = now
-
-    def settle(self, running: int, known: set[lease.Key], asked_at: float) -> None:
-        """Take in how many tasks the server itself said were running.
-
-        Parameters
-        ----------
-        running : int
-            What it said.
-        known : set of Key
-            Leases that were surely in use when it was asked.  Those that still are account for
-            as many of the running tasks; at most the rest is unknown.
-        asked_at : float
-            A task that was on its way at that time had reached the server when it answered;
-            an answer from before the newest orphan says nothing about it.
-        """
-        if asked_at >= self.orphaned_at:
-            unknown = max(0, running - len(known & self.leases.keys()))
-            self.orphans = min(self.orphans, unknown)
-
-
 class Pool:
     """Servers, leases and waiting requests of one pool.
 
@@ -130,7 +45,7 @@
         self.key = key
         self.speeds = speeds
         self.options = options
-        self.servers: dict[str, Server] = {}
+        self.servers: dict[str, server_module.Server] = {}
         self.leases: dict[lease.Key, lease.Lease] = {}
         self.released_early: set[lease.Key] = set()
         self.newest_request: dict[tuple[str, int], int] = {}
@@ -168,7 +83,9 @@
         self.limit = limit
         names = {server.name for server in servers}
         for declared in servers:
-            server = self.servers.setdefault(declared.name, Server(declared, is_removed=True))
+            server = self.servers.setdefault(
+                declared.name, server_module.Server(declared, is_removed=True)
+            )
             server.declared = declared
             if server.is_removed:
                 server.is_removed = False
@@ -209,6 +126,7 @@
         outcome = lease.Outcome(released.outcome)
         server = self.servers[held.server]
         self._judge(server, held, outcome, now)
+        server.is_leaving = server.is_leaving or released.is_leaving
         if outcome is lease.Outcome.DONE:
             self.speeds.learn(held.task, held.server, held.run_time_s, released.run_s)
         self._end(held)
@@ -409,8 +327,6 @@
                 event.log(events.SERVER_EJECTED, server=server.declared.name, pool=self.key)
         elif outcome in (lease.Outcome.REFUSED, lease.Outcome.UNREACHED):
             server.health.refused(now, self.options)
-        elif outcome is lease.Outcome.LEAVING:
-            server.is_leaving = True
 
     def _busy_for(self, name, now):
         return [held.remaining_s(now) for held in self.servers[name].leases.values()]
--- /dev/null
+++ b/rosedyke/dispatch/server.py
@@ -0,0 +1,89 @@
+"""A backend server as its pool's owner sees it: slots in use, orphaned slots, room, health."""
+
+import attrs
+
+from rosedyke.configuration import intent
+from rosedyke.dispatch import ejection, lease
+
+
+@attrs.define(eq=False)
+class Server:
+    """A backend server with what its owner knows about it.
+
+    Attributes
+    ----------
+    declared : BackendServer
+        What the operators said.
+    leases : dict of Key to Lease
+        Granted slots.
+    orphans : int
+        Slots that may be in use by tasks that no lease tells of.
+    orphaned_at : float
+        When the newest of them was orphaned.
+    health : Health
+        Its failures.
+    is_leaving : bool
+        The server itself said that it takes no new work.
+    is_removed : bool
+        It is no longer declared and waits for its last lease to end.
+    is_held : bool
+        It is being asked how many tasks run and gets no other meanwhile.
+    is_ready : bool
+        Every member has told its slots here, or is dead.
+    """
+
+    declared: intent.BackendServer
+    leases: dict[lease.Key, lease.Lease] = attrs.Factory(dict)
+    orphans: int = 0
+    orphaned_at: float = 0.0
+    health: ejection.Health = attrs.Factory(ejection.Health)
+    is_leaving: bool = False
+    is_removed: bool = False
+    is_held: bool = False
+    is_ready: bool = False
+
+    def free(self) -> int:
+        """Return how many slots may be granted."""
+        if self.is_held or not self.is_ready:
+            return 0
+        usable = self.declared.slots
+        if self.health.allowance is not None:
+            usable = min(usable, self.health.allowance)
+        return usable - len(self.leases) - self.orphans
+
+    def room(self) -> intent.Size:
+        """Return what the running tasks leave of the server's size.
+
+        Servers run without guards: tasks that need more memory together than there is would take
+        the server down with all its other tasks.
+        """
+        sizes = [held.size for held in self.leases.values()]
+        whole = self.declared.size
+        return intent.Size(
+            whole.cores - sum(size.cores for size in sizes),
+            whole.memory_mb - sum(size.memory_mb for size in sizes),
+            whole.accelerators - sum(size.accelerators for size in sizes),
+        )
+
+    def orphan(self, count: int, now: float) -> None:
+        """Count slots as in use by something unknown."""
+        self.orphans += count
+        self.orphaned_at = now
+
+    def settle(self, running: int, known: set[lease.Key], asked_at: float) -> None:
+        """Take in how many tasks the server itself said were running.
+
+        Parameters
+        ----------
+        running : int
+            What it said.
+        known : set of Key
+            Leases that were surely in use when it was asked.  Those that still are account for
+            as many of the running tasks; at most the rest is unknown.
+        asked_at : float
+            A task that was on its way at that time had reached the server when it answered;
+            an answer from before the newest orphan says nothing about it.
+        """
+        if asked_at >= self.orphaned_at:
+            unknown = max(0, running - len(known & self.leases.keys()))
+            self.orphans = min(self.orphans, unknown)
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -88,8 +88,8 @@
     advertise_s: float = 0.1
     refusal_retry_s: float = 0.5
     timeout_share: float = 0.9
-    late_s: float = 0.4
-    settle_s: float = 0.5
+    late_s: float = 1.0
+    settle_s: float = 1.2
     started_s: float = 0.1
     permit_s: float = 1.0
     permit_renewal_s: float = 0.3
--- a/rosedyke/standins/backend_fake.py
+++ b/rosedyke/standins/backend_fake.py
@@ -19,12 +19,15 @@
         Divides run times.
     fault : Exception or None
         Raised for each task, before it starts.
+    is_leaving : bool
+        Refuses new tasks and says that it leaves.
     running, most_running : int
         Tasks now and at most.
     """
 
     speed: float = 1.0
     fault: Exception | None = None
+    is_leaving: bool = False
     running: int = 0
     most_running: int = 0
 
@@ -67,6 +70,9 @@
         if state.fault is not None:
             self.refused += 1
             raise state.fault
+        if state.is_leaving:
+            self.refused += 1
+            raise ports.NotStarted("leaving", is_leaving=True, is_reached=True)
         if state.running >= server.slots:
             self.excess += 1
             raise ports.NotStarted("every slot is taken", is_reached=True)
@@ -81,12 +87,13 @@
             raise ports.MayHaveRun("no answer in time", is_timeout=True)
         self.runtime.sleep(run_s)
         state.running -= 1
-        return ports.TaskReply(b'"done"')
+        return ports.TaskReply(b'"done"', state.is_leaving)
 
     def probe(self, server: intent.BackendServer, timeout_s: float) -> ports.ProbeReply:
         """Return how many tasks run."""
         self.runtime.sleep(0.001)
-        return ports.ProbeReply(self.servers[server.name].running)
+        state = self.servers[server.name]
+        return ports.ProbeReply(state.running, state.is_leaving)
 
     def _end_later(self, state, run_s):
         self.runtime.sleep(run_s)
