Free the slots of tasks that vanished on silent connections

Leases that should have ended long ago (2 s and three times the expected run time) make the owner ask the server, once, how many tasks run. What it does not run takes no slot any more, and its job fails at once, ran unknown, since its answer can't come. A straggler that does run keeps its slot and isn't asked about again. Ruled out: proving each connection before each task (a request a task), and sending again (could start twice).

--- a/rosedyke/dispatch/holder.py
+++ b/rosedyke/dispatch/holder.py
@@ -81,6 +81,7 @@
         peers.handle(message.Recover, self.on_recover)
         peers.handle(message.Audit, self.on_audit)
         peers.handle(message.Permit, self.on_permit)
+        peers.handle(message.Stalled, self.on_stalled)
 
     def start(self) -> None:
         """Begin to follow the membership."""
@@ -144,6 +145,19 @@
             return message.PermitReply(None, is_given=True)
         return message.PermitReply(to.ballot, is_given=False)
 
+    def on_stalled(self, sender: peer.Peer, told: message.Stalled) -> None:
+        """End jobs at once whose task will never be answered; whether it ran is unknown."""
+        to = self.links.get(told.pool)
+        if to is None or sender != to.owner:
+            return
+        for key in told.leases:
+            held = to.held.get(tuple(key))
+            if held is not None:
+                held.request.running.fail(
+                    code.Code.SERVER_LOST,
+                    f"{held.grant.server} does not run the task and has not answered",
+                )
+
     def _link(self, target) -> link.Link:
         found = self.links.get(target.key)
         if found is None:
--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -286,3 +286,12 @@
     """The grants that the holder does not have and will not use if they still come."""
 
     missing: tuple[tuple[int, int], ...]
+
+
+@codec.message("dispatch.stalled")
+@attrs.frozen
+class Stalled:
+    """Tasks, as ``(request, index)``, that their server does not run though no answer came."""
+
+    pool: str
+    leases: tuple[tuple[int, int], ...]
--- a/rosedyke/dispatch/metrics.py
+++ b/rosedyke/dispatch/metrics.py
@@ -46,3 +46,8 @@
     "counter",
     "Questions of this owner to other data centres whether it may go on using their servers.",
 )
+TASKS_STALLED = metric.define(
+    "dispatch.tasks_stalled",
+    "counter",
+    "Sent tasks that their server does not run though no answer came; their jobs fail at once.",
+)
--- a/rosedyke/dispatch/orphans.py
+++ b/rosedyke/dispatch/orphans.py
@@ -68,6 +68,57 @@
         finally:
             self.asked.discard((key, server.declared.name))
 
+    def check_overdue(self, server: server_module.Server, now: float, on_stalled) -> None:
+        """Ask a server with overdue leases whether it still runs them.
+
+        Connections that go silent leave tasks without an answer.  Each would keep its slot until
+        its job's deadline, and when many go silent at once nearly every slot is stuck.
+
+        Parameters
+        ----------
+        server : Server
+            The server.
+        now : float
+            Monotonic seconds.
+        on_stalled : callable
+            ``on_stalled(leases)`` is told of those that it no longer runs.
+        """
+        name = server.declared.name
+        if not server.overdue(now, self.options.audit_s):
+            return
+        if ("overdue", name) not in self.asked:
+            self.asked.add(("overdue", name))
+            self.runtime.spawn(self._check_overdue, server, on_stalled)
+
+    def _check_overdue(self, server, on_stalled):
+        try:
+            stalled = self._find_stalled(server)
+            if stalled:
+                on_stalled(stalled)
+        finally:
+            self.asked.discard(("overdue", server.declared.name))
+
+    def _find_stalled(self, server):
+        before = set(server.stalled)
+        asked_at = self.runtime.now()
+        reached = {
+            key
+            for key, held in server.leases.items()
+            if asked_at - held.granted_at >= self.options.started_s
+        }
+        try:
+            reply = self.gateway.probe(server.declared, self.options.probe_timeout_s)
+        except ports.NotStarted:
+            return []
+        metric.count(metrics.PROBES)
+        if reply.running is None:
+            return []
+        # Releases of tasks that had ended by then are still on their way.
+        self.runtime.sleep(self.options.started_s)
+        overdue = server.overdue(asked_at, self.options.audit_s)
+        server.stall(reply.running, reached, overdue)
+        return [server.leases[key] for key in server.stalled - before]
+
     def _ask(self, server):
         # A task granted a moment ago may not have reached the server yet and would be taken to
         # account for one that the server counts.  So nothing is granted there for a moment;
@@ -77,7 +128,7 @@
             if server.leases:
                 self.runtime.sleep(self.options.started_s)
             asked_at = self.runtime.now()
-            known = set(server.leases)
+            known = server.leases.keys() - server.stalled
             reply = self.gateway.probe(server.declared, self.options.probe_timeout_s)
         except ports.NotStarted:
             return
--- /dev/null
+++ b/rosedyke/dispatch/owned.py
@@ -0,0 +1,41 @@
+"""A pool together with what its owner needs to grant its slots."""
+
+import attrs
+
+from rosedyke.dispatch import message, permits, pool, recovery, shard
+from rosedyke.wire import peer
+
+
+@attrs.define(eq=False)
+class Owned:
+    """A pool that this instance owns or takes over.
+
+    Attributes
+    ----------
+    shard : Shard
+        Its declaration.
+    pool : Pool
+        The aggregate.
+    owner : Peer
+        This instance in the incarnation that owns it.
+    audited_at : float
+        When holders were last asked for old grants.
+    permits : Permits
+        For the servers of other data centres.
+    ballot : Ballot
+        Under which it grants; raised while servers are taken over.
+    takeover : Recovery or None
+        The take-over in progress.
+    """
+
+    shard: shard.Shard
+    pool: pool.Pool
+    owner: peer.Peer
+    audited_at: float
+    permits: permits.Permits
+    ballot: message.Ballot
+    takeover: recovery.Recovery | None = None
+
+    def present_ballot(self) -> message.Ballot:
+        """Return the newest ballot, which members may obey already during a take-over."""
+        return self.ballot if self.takeover is None else self.takeover.ballot
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from rosedyke.configuration import ports as configuration_ports
 from rosedyke.dispatch import (
+    audit,
     backlog,
     events,
     lease,
@@ -20,6 +19,7 @@
     shard,
     steps,
 )
+from rosedyke.dispatch import owned as owned_module
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
 from rosedyke.observe import event, metric, step
@@ -27,41 +27,6 @@
 from rosedyke.wire import peer
 
 
-@attrs.define(eq=False)
-class Owned:
-    """A pool that this instance owns or takes over.
-
-    Attributes
-    ----------
-    shard : Shard
-        Its declaration.
-    pool : Pool
-        The aggregate.
-    owner : Peer
-        This instance in the incarnation that owns it.
-    audited_at : float
-        When holders were last asked for old grants.
-    permits : Permits
-        For the servers of other data centres.
-    ballot : Ballot
-        Under which it grants; raised while servers are taken over.
-    takeover : Recovery or None
-        The take-over in progress.
-    """
-
-    shard: shard.Shard
-    pool: pool.Pool
-    owner: peer.Peer
-    audited_at: float
-    permits: permits.Permits
-    ballot: message.Ballot
-    takeover: recovery.Recovery | None = None
-
-    def present_ballot(self) -> message.Ballot:
-        """Return the newest ballot, which members may obey already during a take-over."""
-        return self.ballot if self.takeover is None else self.takeover.ballot
-
-
 class PoolOwner:
     """Answers exchanges of holders and sends them slots as these come free.
 
@@ -108,7 +73,8 @@
         self.board = board
         self.shards = shards
         self.prober = orphans.Prober(options, runtime, gateway)
-        self.owned: dict[str, Owned] = {}
+        self.auditor = audit.Auditor(options, runtime, peers)
+        self.owned: dict[str, owned_module.Owned] = {}
         self.advertised_at = 0.0
         self.reach: frozenset[str] = frozenset()
         self.on_reach_change: Callable[[], None] = lambda: None
@@ -153,7 +119,7 @@
             owned.present_ballot(), grants, tuple(refused), self.report_of(owned), now
         )
 
-    def report_of(self, owned: Owned) -> message.PoolReport:
+    def report_of(self, owned: owned_module.Owned) -> message.PoolReport:
         """Return how busy a pool is now."""
         return owned.pool.report(self.runtime.now(), self._barred(owned))
 
@@ -214,7 +180,7 @@
             made = pool.Pool(target.key, self.speeds(target.service), self.options)
             ballot = ballot or message.Ballot(1, own.name, own.incarnation)
             granted = permits.Permits(self.options, self.runtime, self.peers, self.membership)
-            self.owned[target.key] = Owned(target, made, own, now, granted, ballot)
+            self.owned[target.key] = owned_module.Owned(target, made, own, now, granted, ballot)
         owned = self.owned[target.key]
         owned.shard = target
         reached = target.in_reach(self.reach)
@@ -276,7 +242,9 @@
                 ended = owned.pool.lose(holder.name, holder.incarnation, self.runtime.now())
                 self._log_orphans(owned, ended)
 
-    def _assign(self, owned: Owned, asker: peer.Peer | None) -> tuple[message.Grant, ...]:
+    def _assign(
+        self, owned: owned_module.Owned, asker: peer.Peer | None
+    ) -> tuple[message.Grant, ...]:
         """Grant what can be granted; send it to the holders, but return the asker's."""
         by_holder: dict[peer.Peer, list[message.Grant]] = {}
         for held in owned.pool.assign(self.runtime.now(), self._barred(owned)):
@@ -294,6 +262,9 @@
             owned.shard.key, owned.present_ballot(), grants, self.report_of(owned), now
         )
         # A message that is lost here or on the way is found by the audit of old leases.
+        self._tell(holder, told)
+
+    def _tell(self, holder, told):
         try:
             if holder == self.peers.own:
                 self.peers.request(holder, told, self.options.request_timeout_s)
@@ -322,7 +293,8 @@
                 self._renew_permits(owned)
                 self._log_orphans(owned, owned.pool.expire(now))
                 self._use_freed(owned)
-                self._audit(owned, now)
+                if self.auditor.audit(owned, now):
+                    self._check_overdue(owned, now)
             self._advertise(now)
 
     def _renew_permits(self, owned):
@@ -342,27 +314,18 @@
             metrics.QUEUE_TASKS, sum(owned.pool.waiting.tasks for owned in self.owned.values())
         )
 
-    def _audit(self, owned, now):
-        """Ask holders whether grants have arrived that should have been released by now."""
-        if now < owned.audited_at + self.options.audit_s:
-            return
-        owned.audited_at = now
-        by_holder: dict[peer.Peer, list[tuple[int, int]]] = {}
-        for held in owned.pool.leases.values():
-            if now - held.granted_at > max(self.options.audit_s, 3 * held.expected_s):
-                by_holder.setdefault(held.holder, []).append((held.request, held.index))
-        for holder, leases in by_holder.items():
-            self.runtime.spawn(self._audit_holder, owned, holder, tuple(leases))
-
-    def _audit_holder(self, owned, holder, leases):
-        told = message.Audit(owned.shard.key, owned.present_ballot(), leases)
-        try:
-            reply = self.peers.request(holder, told, self.options.request_timeout_s)
-        except peer.PeerError:
-            return  # asked again at the next audit; a dead holder shows in the membership
-        for request, index in reply.missing:
-            unused = message.Release(request, index, lease.Outcome.UNUSED.value)
-            owned.pool.release(holder, unused, self.runtime.now())
+    def _check_overdue(self, owned, now):
+        """Find slots whose task neither runs nor was answered, and tell the holders."""
+
+        def on_stalled(leases):
+            metric.count(metrics.TASKS_STALLED, len(leases))
+            for holder in {held.holder for held in leases}:
+                keys = tuple((one.request, one.index) for one in leases if one.holder == holder)
+                self._tell(holder, message.Stalled(owned.shard.key, keys))
+            self._use_freed(owned)
+
+        for server in owned.pool.servers.values():
+            self.prober.check_overdue(server, now, on_stalled)
 
     def _log_orphans(self, owned, ended):
         if ended:
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -2,7 +2,8 @@
 
 The aggregate's rules:
 
-- a server never has more leases and orphaned slots than slots;
+- a server never has more leases and orphaned slots than slots, but for leases whose task it was
+  found not to run;
 - a lease ends when its holder releases it.  When the holder can't any more, the slot is orphaned,
   and free again only once the server itself shows that nothing unknown runs there;
 - a task of a request is granted once at most.
@@ -15,6 +16,7 @@
     message,
     placement,
     queue,
+    report,
     settings,
     speed,
 )
@@ -22,8 +24,6 @@
 from rosedyke.observe import event
 from rosedyke.wire import peer
 
-# Points of the queue's profile that a report carries.
-PROFILE_STEPS = 4
 # The queue takes this many times its limit before it refuses a claimed job.
 QUEUE_HEADROOM = 2
 
@@ -53,10 +53,7 @@
         self.max_timeout_s = intent.Limits().max_timeout_s
         self.queue_limit = intent.Limits().queue
         self.waiting = queue.RequestQueue(1, options.aging)
-        self.profile: tuple[tuple[float, float], ...] = ()
-        self.profiled_at = float("-inf")
-        self.reported: message.PoolReport | None = None
-        self.reported_at = 0.0
+        self.reporter = report.Reporter(options)
 
     def bound(self, limits: intent.Limits) -> None:
         """Take in the service's limits of a new configuration."""
@@ -214,7 +211,7 @@
         granted: list[lease.Lease] = []
         if not self.waiting:
             return granted
-        usable = self._usable(now, is_barred)
+        usable = self.usable(now, is_barred)
         free = [server for server in usable if server.free() > 0]
         if not free:
             return granted
@@ -237,55 +234,9 @@
 
     def report(self, now: float, is_barred) -> message.PoolReport:
         """Return how busy the pool is, at most a moment ago."""
-        if self.reported is None or now >= self.reported_at + self.options.report_s:
-            self.reported_at = now
-            self.reported = self._report(now, is_barred)
-        return self.reported
-
-    def _report(self, now, is_barred):
-        free = []
-        rate = 0.0
-        running_s = 0.0
-        slots = 0
-        for server in self._usable(now, is_barred):
-            slowness = self.speeds.slowness(server.declared.name)
-            slots += server.declared.slots
-            rate += server.declared.slots / slowness
-            if server.free() > 0:
-                free.append((slowness, server.free()))
-            running_s += sum(h.remaining_s(now) / slowness for h in server.leases.values())
-        free.sort()
-        if self.limit is not None and slots > self.limit:
-            rate *= self.limit / slots
-            slots = self.limit
-            if len(self.leases) >= self.limit:
-                free.clear()
-        return message.PoolReport(
-            tuple(free),
-            self.waiting.work_s,
-            running_s,
-            rate,
-            slots,
-            self.waiting.tasks,
-            self._room_s(now, rate),
-            self._ahead(now),
-        )
+        return self.reporter.report(self, now, is_barred)
 
-    def _room_s(self, now, rate):
-        """Return how much work can be added before the last in the queue misses its deadline."""
-        if not self.waiting:
-            return rate * self.max_timeout_s
-        left_s = self.waiting.ordered[-1].deadline - now
-        return max(0.0, rate * left_s - self.waiting.work_s)
-
-    def _ahead(self, now):
-        """Return the queue's profile; it changes slowly and is worked out now and then."""
-        if now >= self.profiled_at + self.options.advertise_s:
-            self.profiled_at = now
-            self.profile = self.waiting.ahead(now, PROFILE_STEPS)
-        return self.profile if self.waiting else ()
-
-    def _usable(self, now, is_barred):
+    def usable(self, now: float, is_barred) -> list[server_module.Server]:
         """Return the servers that may get new work."""
         return [
             server
@@ -354,7 +305,10 @@
 
     def _end(self, held):
         del self.leases[held.key]
-        self.servers[held.server].leases.pop(held.key, None)
+        server = self.servers[held.server]
+        server.leases.pop(held.key, None)
+        server.stalled.discard(held.key)
+        server.confirmed.discard(held.key)
 
     def _orphan(self, ended, now):
         for held in ended:
--- a/rosedyke/dispatch/server.py
+++ b/rosedyke/dispatch/server.py
@@ -16,6 +16,10 @@
         What the operators said.
     leases : dict of Key to Lease
         Granted slots.
+    stalled : set of Key
+        Leases whose task the server doesn't run, though no answer came; they take no slot.
+    confirmed : set of Key
+        Overdue leases whose task the server was found to run; not asked about again.
     orphans : int
         Slots that may be in use by tasks that no lease tells of.
     orphaned_at : float
@@ -34,6 +38,8 @@
 
     declared: intent.BackendServer
     leases: dict[lease.Key, lease.Lease] = attrs.Factory(dict)
+    stalled: set[lease.Key] = attrs.Factory(set)
+    confirmed: set[lease.Key] = attrs.Factory(set)
     orphans: int = 0
     orphaned_at: float = 0.0
     health: ejection.Health = attrs.Factory(ejection.Health)
@@ -49,7 +55,7 @@
         usable = self.declared.slots
         if self.health.allowance is not None:
             usable = min(usable, self.health.allowance)
-        return usable - len(self.leases) - self.orphans
+        return usable - len(self.leases) + len(self.stalled) - self.orphans
 
     def room(self) -> intent.Size:
         """Return what the running tasks leave of the server's size.
@@ -87,3 +93,34 @@
         if asked_at >= self.orphaned_at:
             unknown = max(0, running - len(known & self.leases.keys()))
             self.orphans = min(self.orphans, unknown)
+
+    def overdue(self, now: float, least_s: float) -> list[lease.Lease]:
+        """Return leases that should have ended long ago, oldest first."""
+        done = self.stalled | self.confirmed
+        found = [
+            held
+            for key, held in self.leases.items()
+            if key not in done and now - held.granted_at > max(least_s, 3 * held.expected_s)
+        ]
+        return sorted(found, key=lambda held: held.granted_at)
+
+    def stall(self, running: int, known: set[lease.Key], overdue: list[lease.Lease]) -> None:
+        """Take in that the server runs fewer tasks than it has leases.
+
+        Their answers, or they themselves, were lost on a connection that went silent.  Their jobs
+        can't be whole any more, but their slots are free.
+
+        Parameters
+        ----------
+        running : int
+            What the server said.
+        known : set of Key
+            Leases whose tasks had reached it by then.
+        overdue : list of Lease
+            Those that should have ended long ago, oldest first.
+        """
+        missing = len((known & self.leases.keys()) - self.stalled) - running
+        present = [held.key for held in overdue if held.key in self.leases]
+        count = max(0, missing)
+        self.stalled.update(present[:count])
+        self.confirmed.update(present[count:])
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -65,7 +65,7 @@
         How often a server with slots of unknown use is asked, doubled up to the limit.
     audit_s : float
         Age of a lease, and three times its expected run time, after which its holder is asked
-        whether the grant has arrived.
+        whether the grant has arrived, and its server whether the task runs.
     """
 
     shard_servers: int = 64
--- a/rosedyke/dispatch/takeover_test.py
+++ b/rosedyke/dispatch/takeover_test.py
@@ -337,6 +337,39 @@
         self.assertGreater(started[0], late[0] + 1.9)
 
 
+class SilentConnections(Rules):
+    def test_slots_of_tasks_that_vanished_are_used_again_and_their_jobs_end(self):
+        # Every open connection goes silent at once: what is sent on them starts nowhere and is
+        # never answered.  The slots would be stuck until the jobs' deadlines, half a minute
+        # later, and the callers would wait as long.
+        world = fleet.Fleet(fleet.make_service({"s1": 3, "s2": 3}), {"a": "dc1", "b": "dc1"})
+        world.runtime.run(0.1)
+        for server in ("s1", "s2"):
+            world.gateway.servers[server].is_silent = True
+        lost = [world.submit(name, fleet.make_request(f"lost-{name}", 3)) for name in "ab"]
+        world.runtime.run(0.2)
+        for server in ("s1", "s2"):
+            world.gateway.servers[server].is_silent = False
+        after = world.submit("a", fleet.make_request("after", 6))
+        world.runtime.run(6.0)
+        self.check(world)
+        self.assertTrue(after.answer.is_complete)
+        for running in lost:
+            self.assertEqual(running.answer.code, code.Code.SERVER_LOST)
+            self.assertEqual(running.answer.ran, answer.Ran.UNKNOWN)
+
+    def test_straggler_that_still_runs_keeps_its_slot(self):
+        world = fleet.Fleet(
+            fleet.make_service({"s1": 2}),
+            {"a": "dc1"},
+            lambda server, call: 6.0 if call.job_id == "slow" else 0.1,
+        )
+        slow = world.submit("a", fleet.make_request("slow", 1))
+        others = [world.submit("a", fleet.make_request(f"j{n}", 20)) for n in range(2)]
+        world.runtime.run(20)
+        self.check(world, [slow, *others])
+
+
 class LostTask(Rules):
     def test_slot_of_a_task_without_answer_waits_for_the_server(self):
         # The job's timeout passes while its task runs on.  The slot must stay taken until the
--- a/rosedyke/standins/backend_fake.py
+++ b/rosedyke/standins/backend_fake.py
@@ -21,6 +21,8 @@
         Raised for each task, before it starts.
     is_leaving : bool
         Refuses new tasks and says that it leaves.
+    is_silent : bool
+        What is sent now vanishes: nothing starts and no answer comes.
     running, most_running : int
         Tasks now and at most.
     """
@@ -28,6 +30,7 @@
     speed: float = 1.0
     fault: Exception | None = None
     is_leaving: bool = False
+    is_silent: bool = False
     running: int = 0
     most_running: int = 0
 
@@ -70,6 +73,9 @@
         if state.fault is not None:
             self.refused += 1
             raise state.fault
+        if state.is_silent:
+            self.runtime.sleep(timeout_s)
+            raise ports.MayHaveRun("no answer in time", is_timeout=True)
         if state.is_leaving:
             self.refused += 1
             raise ports.NotStarted("leaving", is_leaving=True, is_reached=True)
