--- a/rosedyke/dispatch/message.py
+++ b/rosedyke/dispatch/message.py
@@ -81,12 +81,15 @@
         One of ``lease.Outcome``'s values.
     run_s : float
         Measured run time, 0 when there is none.
+    is_leaving : bool
+        The server said that it takes no new work.
     """
 
     request: int
     index: int
     outcome: str
     run_s: float = 0.0
+    is_leaving: bool = False
 
 
 @attrs.frozen
@@ -249,6 +252,24 @@
     held: tuple[HeldSlot, ...] = ()
 
 
+@codec.message("dispatch.permit")
+@attrs.frozen
+class Permit:
+    """An owner asks a member of another data centre whether it may use that one's servers."""
+
+    pool: str
+    ballot: Ballot
+
+
+@codec.message("dispatch.permit_reply")
+@attrs.frozen
+class PermitReply:
+    """``is_given`` is false under a newer ballot, which is then told, or without the pool."""
+
+    newer: Ballot | None
+    is_given: bool
+
+
 @codec.message("dispatch.audit")
 @attrs.frozen
 class Audit:
@@ -265,3 +286,12 @@
     """The grants that the holder does not have and will not use if they still come."""
 
     missing: tuple[tuple[int, int], ...]
+
+
+@codec.message("dispatch.stalled")
+@attrs.frozen
+class Stalled:
+    """Tasks, as ``(request, index)``, that their server does not run though no answer came."""
+
+    pool: str
+    leases: tuple[tuple[int, int], ...]
--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -1,15 +1,17 @@
 """The owner's side: grants slots of the pools that this instance owns."""
 
-import attrs
+from collections.abc import Callable
 
 from rosedyke.configuration import ports as configuration_ports
 from rosedyke.dispatch import (
+    audit,
     backlog,
     events,
     lease,
     message,
     metrics,
     orphans,
+    permits,
     pool,
     ports,
     recovery,
@@ -17,6 +19,7 @@
     shard,
     steps,
 )
+from rosedyke.dispatch import owned as owned_module
 from rosedyke.membership import member
 from rosedyke.membership import ports as membership_ports
 from rosedyke.observe import event, metric, step
@@ -24,38 +27,6 @@
 from rosedyke.wire import peer
 
 
-@attrs.define(eq=False)
-class Owned:
-    """A pool that this instance owns or takes over.
-
-    Attributes
-    ----------
-    shard : Shard
-        Its declaration.
-    pool : Pool
-        The aggregate.
-    owner : Peer
-        This instance in the incarnation that owns it.
-    audited_at : float
-        When holders were last asked for old grants.
-    ballot : Ballot
-        Under which it grants; raised while servers are taken over.
-    takeover : Recovery or None
-        The take-over in progress.
-    """
-
-    shard: shard.Shard
-    pool: pool.Pool
-    owner: peer.Peer
-    audited_at: float
-    ballot: message.Ballot
-    takeover: recovery.Recovery | None = None
-
-    def present_ballot(self) -> message.Ballot:
-        """Return the newest ballot, which members may obey already during a take-over."""
-        return self.ballot if self.takeover is None else self.takeover.ballot
-
-
 class PoolOwner:
     """Answers exchanges of holders and sends them slots as these come free.
 
@@ -102,8 +73,11 @@
         self.board = board
         self.shards = shards
         self.prober = orphans.Prober(options, runtime, gateway)
-        self.owned: dict[str, Owned] = {}
+        self.auditor = audit.Auditor(options, runtime, peers)
+        self.owned: dict[str, owned_module.Owned] = {}
         self.advertised_at = 0.0
+        self.reach: frozenset[str] = frozenset()
+        self.on_reach_change: Callable[[], None] = lambda: None
         self.is_running = False
         peers.handle(message.Exchange, self.on_exchange)
 
@@ -145,13 +119,24 @@
             owned.present_ballot(), grants, tuple(refused), self.report_of(owned), now
         )
 
-    def report_of(self, owned: Owned) -> message.PoolReport:
+    def report_of(self, owned: owned_module.Owned) -> message.PoolReport:
         """Return how busy a pool is now."""
-        return owned.pool.report(self.runtime.now(), self.current.is_leaving)
+        return owned.pool.report(self.runtime.now(), self._barred(owned))
+
+    def _barred(self, owned):
+        """Return the test for servers that get no new work for reasons outside the pool."""
+        servers = owned.pool.servers
+
+        def is_barred(name):
+            if self.current.is_leaving(name):
+                return True
+            return not owned.permits.allow(servers[name].declared.data_centre)
+
+        return is_barred
 
     def is_owner(self, target: shard.Shard) -> bool:
         """Return whether the present view makes this instance the pool's owner."""
-        owner = self.shards.owner(target.key, self.membership.view)
+        owner = self.shards.owner(target.key, self.membership)
         return owner is not None and owner.peer == self.peers.own
 
     def _is_member(self, sender):
@@ -161,7 +146,9 @@
         asks for would be granted to nobody and stay taken until the job's deadline.
         """
         found = self.membership.view.find(sender.name)
-        return found is not None and found.peer == sender and found.state is not member.State.DEAD
+        if found is None or found.peer != sender or found.state is member.State.DEAD:
+            return False
+        return sender.data_centre in self.reach
 
     def follow(self) -> None:
         """Begin to own the pools that are this instance's now, and drop those that aren't.
@@ -169,6 +156,7 @@
         A pool of an earlier incarnation is dropped too: while this instance was taken for dead,
         another may have granted its slots.
         """
+        self.reach = shard.reach_of(self.membership)
         configuration = self.current.configuration
         teams = configuration.teams if configuration else ()
         declared = {
@@ -191,10 +179,11 @@
         if target.key not in self.owned:
             made = pool.Pool(target.key, self.speeds(target.service), self.options)
             ballot = ballot or message.Ballot(1, own.name, own.incarnation)
-            self.owned[target.key] = Owned(target, made, own, now, ballot)
+            granted = permits.Permits(self.options, self.runtime, self.peers, self.membership)
+            self.owned[target.key] = owned_module.Owned(target, made, own, now, granted, ballot)
         owned = self.owned[target.key]
         owned.shard = target
-        reached = target.in_reach(self.membership.view)
+        reached = target.in_reach(self.reach)
         limit = self.shards.limit(target, sum(server.slots for server in reached))
         owned.pool.bound(limits)
         owned.pool.declare(reached, limit, now)
@@ -239,19 +228,26 @@
 
     def _on_view(self, old: member.View, new: member.View):
         self.follow()
-        alive = {
-            (m.name, m.peer.incarnation) for m in new.members if m.state is not member.State.DEAD
+        self._lose_absent()
+
+    def _lose_absent(self):
+        """Forget holders that died or are out of reach; their slots are orphaned."""
+        present = {
+            one.peer
+            for one in self.membership.view.members
+            if one.state is not member.State.DEAD and one.data_centre in self.reach
         }
-        gone = {(m.name, m.peer.incarnation) for m in old.members} - alive
-        for name, incarnation in gone:
-            for owned in self.owned.values():
-                ended = owned.pool.lose(name, incarnation, self.runtime.now())
+        for owned in self.owned.values():
+            for holder in owned.pool.holders() - present:
+                ended = owned.pool.lose(holder.name, holder.incarnation, self.runtime.now())
                 self._log_orphans(owned, ended)
 
-    def _assign(self, owned: Owned, asker: peer.Peer | None) -> tuple[message.Grant, ...]:
+    def _assign(
+        self, owned: owned_module.Owned, asker: peer.Peer | None
+    ) -> tuple[message.Grant, ...]:
         """Grant what can be granted; send it to the holders, but return the asker's."""
         by_holder: dict[peer.Peer, list[message.Grant]] = {}
-        for held in owned.pool.assign(self.runtime.now(), self.current.is_leaving):
+        for held in owned.pool.assign(self.runtime.now(), self._barred(owned)):
             by_holder.setdefault(held.holder, []).append(grant_of(held))
         if by_holder:
             step.reach(steps.SLOTS_GRANTED, self.peers.own.name)
@@ -266,6 +262,9 @@
             owned.shard.key, owned.present_ballot(), grants, self.report_of(owned), now
         )
         # A message that is lost here or on the way is found by the audit of old leases.
+        self._tell(holder, told)
+
+    def _tell(self, holder, told):
         try:
             if holder == self.peers.own:
                 self.peers.request(holder, told, self.options.request_timeout_s)
@@ -277,19 +276,35 @@
     def _use_freed(self, owned):
         """Grant slots that came free without a message from a holder."""
         if self._is_current(owned):
-            self.prober.look_after(owned.pool, lambda _: self._use_freed(owned))
+            self.prober.look_after(
+                owned.pool, lambda: self._is_current(owned), lambda: self._use_freed(owned)
+            )
             self._assign(owned, None)
 
     def _tick(self):
         while self.is_running:
             self.runtime.sleep(self.options.tick_s)
             now = self.runtime.now()
+            if shard.reach_of(self.membership) != self.reach:
+                self.follow()
+                self._lose_absent()
+                self.on_reach_change()
             for owned in list(self.owned.values()):
+                self._renew_permits(owned)
                 self._log_orphans(owned, owned.pool.expire(now))
                 self._use_freed(owned)
-                self._audit(owned, now)
+                if self.auditor.audit(owned, now):
+                    self._check_overdue(owned, now)
             self._advertise(now)
 
+    def _renew_permits(self, owned):
+        def on_answer(reply):
+            if self._is_current(owned) and reply.newer is not None and owned.takeover is None:
+                self._was_superseded(owned, reply.newer)
+
+        others = {server.declared.data_centre for server in owned.pool.servers.values()}
+        owned.permits.renew(owned.shard.key, owned.present_ballot(), others, on_answer)
+
     def _advertise(self, now):
         if now < self.advertised_at + self.options.advertise_s:
             return
@@ -299,27 +314,18 @@
             metrics.QUEUE_TASKS, sum(owned.pool.waiting.tasks for owned in self.owned.values())
         )
 
-    def _audit(self, owned, now):
-        """Ask holders whether grants have arrived that should have been released by now."""
-        if now < owned.audited_at + self.options.audit_s:
-            return
-        owned.audited_at = now
-        by_holder: dict[peer.Peer, list[tuple[int, int]]] = {}
-        for held in owned.pool.leases.values():
-            if now - held.granted_at > max(self.options.audit_s, 3 * held.expected_s):
-                by_holder.setdefault(held.holder, []).append((held.request, held.index))
-        for holder, leases in by_holder.items():
-            self.runtime.spawn(self._audit_holder, owned, holder, tuple(leases))
-
-    def _audit_holder(self, owned, holder, leases):
-        told = message.Audit(owned.shard.key, owned.present_ballot(), leases)
-        try:
-            reply = self.peers.request(holder, told, self.options.request_timeout_s)
-        except peer.PeerError:
-            return  # asked again at the next audit; a dead holder shows in the membership
-        for request, index in reply.missing:
-            unused = message.Release(request, index, lease.Outcome.UNUSED.value)
-            owned.pool.release(holder, unused, self.runtime.now())
+    def _check_overdue(self, owned, now):
+        """Find slots whose task neither runs nor was answered, and tell the holders."""
+
+        def on_stalled(leases):
+            metric.count(metrics.TASKS_STALLED, len(leases))
+            for holder in {held.holder for held in leases}:
+                keys = tuple((one.request, one.index) for one in leases if one.holder == holder)
+                self._tell(holder, message.Stalled(owned.shard.key, keys))
+            self._use_freed(owned)
+
+        for server in owned.pool.servers.values():
+            self.prober.check_overdue(server, now, on_stalled)
 
     def _log_orphans(self, owned, ended):
         if ended:
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -2,117 +2,32 @@
 
 The aggregate's rules:
 
-- a server never has more leases and orphaned slots than slots;
+- a server never has more leases and orphaned slots than slots, but for leases whose task it was
+  found not to run;
 - a lease ends when its holder releases it.  When the holder can't any more, the slot is orphaned,
   and free again only once the server itself shows that nothing unknown runs there;
 - a task of a request is granted once at most.
 """
 
-import attrs
-
 from rosedyke.configuration import intent
 from rosedyke.dispatch import (
-    ejection,
     events,
     lease,
     message,
     placement,
     queue,
+    report,
     settings,
     speed,
 )
+from rosedyke.dispatch import server as server_module
 from rosedyke.observe import event
 from rosedyke.wire import peer
 
-# Points of the queue's profile that a report carries.
-PROFILE_STEPS = 4
 # The queue takes this many times its limit before it refuses a claimed job.
 QUEUE_HEADROOM = 2
 
 
-@attrs.define(eq=False)
-class Server:
-    """A backend server with what its owner knows about it.
-
-    Attributes
-    ----------
-    declared : BackendServer
-        What the operators said.
-    leases : dict of Key to Lease
-        Granted slots.
-    orphans : int
-        Slots that may be in use by tasks that no lease tells of.
-    orphaned_at : float
-        When the newest of them was orphaned.
-    health : Health
-        Its failures.
-    is_leaving : bool
-        The server itself said that it takes no new work.
-    is_removed : bool
-        It is no longer declared and waits for its last lease to end.
-    is_held : bool
-        It is being asked how many tasks run and gets no other meanwhile.
-    is_ready : bool
-        Every member has told its slots here, or is dead.
-    """
-
-    declared: intent.BackendServer
-    leases: dict[lease.Key, lease.Lease] = attrs.Factory(dict)
-    orphans: int = 0
-    orphaned_at: float = 0.0
-    health: ejection.Health = attrs.Factory(ejection.Health)
-    is_leaving: bool = False
-    is_removed: bool = False
-    is_held: bool = False
-    is_ready: bool = False
-
-    def free(self) -> int:
-        """Return how many slots may be granted."""
-        if self.is_held or not self.is_ready:
-            return 0
-        usable = self.declared.slots
-        if self.health.allowance is not None:
-            usable = min(usable, self.health.allowance)
-        return usable - len(self.leases) - self.orphans
-
-    def room(self) -> intent.Size:
-        """Return what the running tasks leave of the server's size.
-
-        Servers run without guards: tasks that need more memory together than there is would take
-        the server down with all its other tasks.
-        """
-        sizes = [held.size for held in self.leases.values()]
-        whole = self.declared.size
-        return intent.Size(
-            whole.cores - sum(size.cores for size in sizes),
-            whole.memory_mb - sum(size.memory_mb for size in sizes),
-            whole.accelerators - sum(size.accelerators for size in sizes),
-        )
-
-    def orphan(self, count: int, now: float) -> None:
-        """Count slots as in use by something unknown."""
-        self.orphans += count
-        self.orphaned_at = now
-
-    def settle(self, running: int, known: set[lease.Key], asked_at: float) -> None:
-        """Take in how many tasks the server itself said were running.
-
-        Parameters
-        ----------
-        running : int
-            What it said.
-        known : set of Key
-            Leases that were surely in use when it was asked.  Those that still are account for
-            as many of the running tasks; at most the rest is unknown.
-        asked_at : float
-            A task that was on its way at that time had reached the server when it answered;
-            an answer from before the newest orphan says nothing about it.
-        """
-        if asked_at >= self.orphaned_at:
-            unknown = max(0, running - len(known & self.leases.keys()))
-            self.orphans = min(self.orphans, unknown)
-
-
 class Pool:
     """Servers, leases and waiting requests of one pool.
 
@@ -130,7 +45,7 @@
         self.key = key
         self.speeds = speeds
         self.options = options
-        self.servers: dict[str, Server] = {}
+        self.servers: dict[str, server_module.Server] = {}
         self.leases: dict[lease.Key, lease.Lease] = {}
         self.released_early: set[lease.Key] = set()
         self.newest_request: dict[tuple[str, int], int] = {}
@@ -138,10 +53,7 @@
         self.max_timeout_s = intent.Limits().max_timeout_s
         self.queue_limit = intent.Limits().queue
         self.waiting = queue.RequestQueue(1, options.aging)
-        self.profile: tuple[tuple[float, float], ...] = ()
-        self.profiled_at = float("-inf")
-        self.reported: message.PoolReport | None = None
-        self.reported_at = 0.0
+        self.reporter = report.Reporter(options)
 
     def bound(self, limits: intent.Limits) -> None:
         """Take in the service's limits of a new configuration."""
@@ -168,7 +80,9 @@
         self.limit = limit
         names = {server.name for server in servers}
         for declared in servers:
-            server = self.servers.setdefault(declared.name, Server(declared, is_removed=True))
+            server = self.servers.setdefault(
+                declared.name, server_module.Server(declared, is_removed=True)
+            )
             server.declared = declared
             if server.is_removed:
                 server.is_removed = False
@@ -209,6 +123,7 @@
         outcome = lease.Outcome(released.outcome)
         server = self.servers[held.server]
         self._judge(server, held, outcome, now)
+        server.is_leaving = server.is_leaving or released.is_leaving
         if outcome is lease.Outcome.DONE:
             self.speeds.learn(held.task, held.server, held.run_time_s, released.run_s)
         self._end(held)
@@ -223,6 +138,12 @@
         self.waiting.expire(now)
         return ended
 
+    def holders(self) -> set[peer.Peer]:
+        """Return everyone who has a lease or waits."""
+        return {held.holder for held in self.leases.values()} | {
+            item.holder for item in self.waiting
+        }
+
     def lose(self, name: str, incarnation: int, now: float) -> list[lease.Lease]:
         """Forget a dead holder's requests and orphan its slots; return their leases."""
         for item in [
@@ -276,20 +197,21 @@
         if not self.unready():
             self.released_early.clear()
 
-    def assign(self, now: float, is_leaving) -> list[lease.Lease]:
+    def assign(self, now: float, is_barred) -> list[lease.Lease]:
         """Grant free slots to waiting tasks and return the new leases.
 
         Parameters
         ----------
         now : float
             Monotonic seconds.
-        is_leaving : callable
-            ``is_leaving(name)`` tells whether the platform lists a server as leaving.
+        is_barred : callable
+            ``is_barred(name)`` tells whether a server gets no new work for a reason that this
+            pool can't know: the platform lists it as leaving, or its data centre is cut off.
         """
         granted: list[lease.Lease] = []
         if not self.waiting:
             return granted
-        usable = self._usable(now, is_leaving)
+        usable = self.usable(now, is_barred)
         free = [server for server in usable if server.free() > 0]
         if not free:
             return granted
@@ -310,57 +232,11 @@
             horizon.slots(name).extend([0.0] * server.free())
         return granted
 
-    def report(self, now: float, is_leaving) -> message.PoolReport:
+    def report(self, now: float, is_barred) -> message.PoolReport:
         """Return how busy the pool is, at most a moment ago."""
-        if self.reported is None or now >= self.reported_at + self.options.report_s:
-            self.reported_at = now
-            self.reported = self._report(now, is_leaving)
-        return self.reported
-
-    def _report(self, now, is_leaving):
-        free = []
-        rate = 0.0
-        running_s = 0.0
-        slots = 0
-        for server in self._usable(now, is_leaving):
-            slowness = self.speeds.slowness(server.declared.name)
-            slots += server.declared.slots
-            rate += server.declared.slots / slowness
-            if server.free() > 0:
-                free.append((slowness, server.free()))
-            running_s += sum(h.remaining_s(now) / slowness for h in server.leases.values())
-        free.sort()
-        if self.limit is not None and slots > self.limit:
-            rate *= self.limit / slots
-            slots = self.limit
-            if len(self.leases) >= self.limit:
-                free.clear()
-        return message.PoolReport(
-            tuple(free),
-            self.waiting.work_s,
-            running_s,
-            rate,
-            slots,
-            self.waiting.tasks,
-            self._room_s(now, rate),
-            self._ahead(now),
-        )
+        return self.reporter.report(self, now, is_barred)
 
-    def _room_s(self, now, rate):
-        """Return how much work can be added before the last in the queue misses its deadline."""
-        if not self.waiting:
-            return rate * self.max_timeout_s
-        left_s = self.waiting.ordered[-1].deadline - now
-        return max(0.0, rate * left_s - self.waiting.work_s)
-
-    def _ahead(self, now):
-        """Return the queue's profile; it changes slowly and is worked out now and then."""
-        if now >= self.profiled_at + self.options.advertise_s:
-            self.profiled_at = now
-            self.profile = self.waiting.ahead(now, PROFILE_STEPS)
-        return self.profile if self.waiting else ()
-
-    def _usable(self, now, is_leaving):
+    def usable(self, now: float, is_barred) -> list[server_module.Server]:
         """Return the servers that may get new work."""
         return [
             server
@@ -370,7 +246,7 @@
                 or server.is_removed
                 or not server.is_ready
                 or server.health.is_held(now)
-                or is_leaving(name)
+                or is_barred(name)
             )
         ]
 
@@ -402,8 +278,6 @@
                 event.log(events.SERVER_EJECTED, server=server.declared.name, pool=self.key)
         elif outcome in (lease.Outcome.REFUSED, lease.Outcome.UNREACHED):
             server.health.refused(now, self.options)
-        elif outcome is lease.Outcome.LEAVING:
-            server.is_leaving = True
 
     def _busy_for(self, name, now):
         return [held.remaining_s(now) for held in self.servers[name].leases.values()]
@@ -431,7 +305,10 @@
 
     def _end(self, held):
         del self.leases[held.key]
-        self.servers[held.server].leases.pop(held.key, None)
+        server = self.servers[held.server]
+        server.leases.pop(held.key, None)
+        server.stalled.discard(held.key)
+        server.confirmed.discard(held.key)
 
     def _orphan(self, ended, now):
         for held in ended:
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -53,6 +53,10 @@
         How long after a holder is lost nothing of it can still start; more than ``late_s``.
     started_s : float
         How long after a grant its task has reached the server.
+    permit_s : float
+        How long an owner may use the servers of another data centre after asking a member there.
+    permit_renewal_s : float
+        How often it asks again.
     recover_retry_s : float
         How often a new owner asks a member again that did not answer.
     probe_timeout_s : float
@@ -61,7 +65,7 @@
         How often a server with slots of unknown use is asked, doubled up to the limit.
     audit_s : float
         Age of a lease, and three times its expected run time, after which its holder is asked
-        whether the grant has arrived.
+        whether the grant has arrived, and its server whether the task runs.
     """
 
     shard_servers: int = 64
@@ -84,9 +88,11 @@
     advertise_s: float = 0.1
     refusal_retry_s: float = 0.5
     timeout_share: float = 0.9
-    late_s: float = 0.4
-    settle_s: float = 0.5
+    late_s: float = 1.0
+    settle_s: float = 1.2
     started_s: float = 0.1
+    permit_s: float = 1.0
+    permit_renewal_s: float = 0.3
     recover_retry_s: float = 0.1
     probe_timeout_s: float = 0.5
     probe_s: float = 0.05
--- a/rosedyke/membership/ports.py
+++ b/rosedyke/membership/ports.py
@@ -34,3 +34,6 @@
 
     def leave(self, timeout_s: float) -> bool:
         """Enter LEAVING and return whether every member has acknowledged it in time."""
+
+    def unreachable_data_centres(self) -> frozenset[str]:
+        """Return the data centres that this one is cut off from; their members aren't dead."""
