Show the logs when a test's task does not start

Found by starting fleets in a loop, 1 in 60: both instances had taken the pool over in term 1, and the holders obeyed the other one's ballot for ever.

--- a/rosedyke/daemon/process_test.py
+++ b/rosedyke/daemon/process_test.py
@@ -217,7 +217,16 @@
         """Submit a job at the first instance and return when its task has started."""
         submission = Submission(self.fleet, FIRST, "job", run_s, is_first=True)
         self.addCleanup(submission.join)
-        processes.wait_until(lambda: self.fleet.counts()["started"] == 1, LIMIT_S, "the start")
+
+        def has_started():
+            self.assertIsNone(submission.final, "the job ended before its task started")
+            return self.fleet.counts()["started"] == 1
+
+        try:
+            processes.wait_until(has_started, LIMIT_S, "the start")
+        except TimeoutError as error:
+            logs = "\n".join(f"== {one.name}\n{one.tail()}" for one in self.fleet.instances)
+            raise TimeoutError(f"{error}\n{logs}") from error
         return submission
 
     def test_graceful_shutdown(self):
