Ask again about an overdue task when it is twice as old

Cause: a task that began just before the owner asked stood for a vanished one in the server's count, which was then taken to run and never asked about again. Asked again at doubling ages, so a straggler costs a few questions at most.

--- a/rosedyke/dispatch/orphans.py
+++ b/rosedyke/dispatch/orphans.py
@@ -116,7 +116,7 @@
         # Releases of tasks that had ended by then are still on their way.
         self.runtime.sleep(self.options.started_s)
         overdue = server.overdue(asked_at, self.options.audit_s)
-        server.stall(reply.running, reached, overdue)
+        server.stall(reply.running, reached, overdue, self.runtime.now())
         return [server.leases[key] for key in server.stalled - before]
 
     def _ask(self, server):
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -308,7 +308,7 @@
         server = self.servers[held.server]
         server.leases.pop(held.key, None)
         server.stalled.discard(held.key)
-        server.confirmed.discard(held.key)
+        server.checked.pop(held.key, None)
 
     def _orphan(self, ended, now):
         for held in ended:
--- a/rosedyke/dispatch/pool_test.py
+++ b/rosedyke/dispatch/pool_test.py
@@ -120,6 +120,26 @@
         self.assertEqual(server.orphans, 2)
 
 
+class Stalled(unittest.TestCase):
+    def test_vanished_task_hidden_by_a_new_one_is_found_later(self):
+        # The server counts one running task.  It is the new one, but might be the old one.
+        made = make_pool({"s1": 2})
+        made.add(HOLDER, asked(1, 1), 0.0)
+        old = assign(made, 0.0)[0]
+        made.add(HOLDER, asked(2, 1), 2.4)
+        server = made.servers["s1"]
+        new = assign(made, 2.4)[0]
+        overdue = server.overdue(2.5, 2.0)
+        self.assertEqual(overdue, [old])
+        server.stall(1, {old.key}, overdue, 2.5)
+        self.assertEqual((server.stalled, server.overdue(2.6, 2.0)), (set(), []))
+        release(made, new, 2.6)
+        server.stall(0, {old.key}, server.overdue(5.1, 2.0), 5.1)
+        self.assertEqual((server.stalled, server.free()), ({old.key}, 2))
+        release(made, old, 60.0, lease.Outcome.LATE)
+        self.assertEqual((server.stalled, server.checked), (set(), {}))
+
+
 class Order(unittest.TestCase):
     def test_job_with_the_least_left_goes_first(self):
         made = make_pool({"s1": 1})
--- a/rosedyke/dispatch/server.py
+++ b/rosedyke/dispatch/server.py
@@ -18,8 +18,8 @@
         Granted slots.
     stalled : set of Key
         Leases whose task the server doesn't run, though no answer came; they take no slot.
-    confirmed : set of Key
-        Overdue leases whose task the server was found to run; not asked about again.
+    checked : dict of Key to float
+        Ages at which overdue leases were last asked about.
     orphans : int
         Slots that may be in use by tasks that no lease tells of.
     orphaned_at : float
@@ -39,7 +39,7 @@
     declared: intent.BackendServer
     leases: dict[lease.Key, lease.Lease] = attrs.Factory(dict)
     stalled: set[lease.Key] = attrs.Factory(set)
-    confirmed: set[lease.Key] = attrs.Factory(set)
+    checked: dict[lease.Key, float] = attrs.Factory(dict)
     orphans: int = 0
     orphaned_at: float = 0.0
     health: ejection.Health = attrs.Factory(ejection.Health)
@@ -95,16 +95,23 @@
             self.orphans = min(self.orphans, unknown)
 
     def overdue(self, now: float, least_s: float) -> list[lease.Lease]:
-        """Return leases that should have ended long ago, oldest first."""
-        done = self.stalled | self.confirmed
+        """Return leases that should have ended long ago, oldest first.
+
+        Of one that was asked about and seemed to run, again when it is twice as old: a task that
+        began just then may have stood for it in the server's count.
+        """
         found = [
             held
             for key, held in self.leases.items()
-            if key not in done and now - held.granted_at > max(least_s, 3 * held.expected_s)
+            if key not in self.stalled
+            and now - held.granted_at
+            > max(least_s, 3 * held.expected_s, 2 * self.checked.get(key, 0.0))
         ]
         return sorted(found, key=lambda held: held.granted_at)
 
-    def stall(self, running: int, known: set[lease.Key], overdue: list[lease.Lease]) -> None:
+    def stall(
+        self, running: int, known: set[lease.Key], overdue: list[lease.Lease], now: float
+    ) -> None:
         """Take in that the server runs fewer tasks than it has leases.
 
         Their answers, or they themselves, were lost on a connection that went silent.  Their jobs
@@ -118,9 +125,12 @@
             Leases whose tasks had reached it by then.
         overdue : list of Lease
             Those that should have ended long ago, oldest first.
+        now : float
+            Monotonic seconds.
         """
         missing = len((known & self.leases.keys()) - self.stalled) - running
         present = [held.key for held in overdue if held.key in self.leases]
         count = max(0, missing)
         self.stalled.update(present[:count])
-        self.confirmed.update(present[count:])
+        for key in present[count:]:
+            self.checked[key] = now - self.leases[key].granted_at
