Let an owner with nothing to look after tick five times less often

Idle control cost 2.0% of a core an instance at 6 instances (budget 1.2%). 50 of about 100 wake-ups a second were the owner's tick.

--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -283,7 +283,8 @@
 
     def _tick(self):
         while self.is_running:
-            self.runtime.sleep(self.options.tick_s)
+            is_busy = any(owned.pool.is_busy for owned in self.owned.values())
+            self.runtime.sleep(self.options.tick_s if is_busy else self.options.idle_tick_s)
             now = self.runtime.now()
             if shard.reach_of(self.membership) != self.reach:
                 self.follow()
--- a/rosedyke/dispatch/pool.py
+++ b/rosedyke/dispatch/pool.py
@@ -60,6 +60,11 @@
         self.max_timeout_s = limits.max_timeout_s
         self.queue_limit = limits.queue
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether there is a lease or a waiting task to look after."""
+        return bool(self.leases) or bool(self.waiting.tasks)
+
     def is_full(self, asked: message.SlotRequest) -> bool:
         """Return whether a request would overfill the queue.
 
--- a/rosedyke/dispatch/settings.py
+++ b/rosedyke/dispatch/settings.py
@@ -17,6 +17,8 @@
         Seconds of a job's remaining time that one second of waiting outweighs in the queue.
     tick_s : float
         How often an owner looks again at tasks that wait for a busy faster server.
+    idle_tick_s : float
+        The same while none of the own pools has a lease or a waiting task.
     lease_margin_s : float
         How long a slot stays reserved beyond the job's deadline if nobody releases it.
     retry_share : float
@@ -72,6 +74,7 @@
     request_timeout_s: float = 0.5
     aging: float = 0.1
     tick_s: float = 0.02
+    idle_tick_s: float = 0.1
     lease_margin_s: float = 0.5
     retry_share: float = 0.1
     retry_burst: int = 100
