Declare a member dead only with evidence that it isn't the own cut

Both parts of a split data centre took the other for dead. Ruled out: the registrars' settling (both had settled on a set of one).

A death now needs a majority of the data centre, or witnesses in other data centres; else the instance is isolated and starts nothing.

Interfaces: Membership.is_isolated(); is_confirmed() is false while isolated; messages membership.witness and membership.testified.

--- a/rosedyke/dispatch/owner.py
+++ b/rosedyke/dispatch/owner.py
@@ -247,6 +247,9 @@
     ) -> tuple[message.Grant, ...]:
         """Grant what can be granted; send it to the holders, but return the asker's."""
         by_holder: dict[peer.Peer, list[message.Grant]] = {}
+        if self.membership.is_isolated():
+            # Its peers may take it for dead and grant the same slots.
+            return ()
         for held in owned.pool.assign(self.runtime.now(), self._barred(owned)):
             by_holder.setdefault(held.holder, []).append(grant_of(held))
         if by_holder:
--- a/rosedyke/job/claiming.py
+++ b/rosedyke/job/claiming.py
@@ -178,9 +178,10 @@
 
     A sender that is not a member here doesn't move its claims on a change of members.  Two
     pairs that differ would each let a rival start.  An unsettled registrar may not have been
-    told of a claim yet.  One that leaves would take the claim along.
+    told of a claim yet.  One that leaves would take the claim along.  An isolated one may be dead
+    to its peers, which would let a rival start; closing an attempt starts nothing.
     """
-    if node.is_leaving:
+    if node.is_leaving or (node.membership.is_isolated() and not request.closes):
         return False
     is_own_centre = sender.data_centre == node.own.data_centre
     if is_own_centre and not node.authority.knows(sender):
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -225,6 +225,10 @@
             return ports.Refusal(
                 code.Code.NOT_READY, "This instance has not joined yet.", RETRY_AFTER_S
             )
+        if self.node.membership.is_isolated():
+            return ports.Refusal(
+                code.Code.NOT_READY, "This instance may be cut off.", RETRY_AFTER_S
+            )
         return self.node.dispatcher.check(request)
 
     # Peers, membership, time
--- a/rosedyke/membership/core.py
+++ b/rosedyke/membership/core.py
@@ -51,6 +51,9 @@
         self.is_running = False
         self.is_leaving = False
         self.last_stall: float | None = None
+        # When the last request was sent that another member of the data centre has answered.
+        self.answered_at = runtime.now()
+        self.is_isolated: Callable[[], bool] = lambda: False
 
     @property
     def data_centre(self) -> str:
@@ -61,6 +64,7 @@
         """Enter the table as a joining member."""
         self.is_running = True
         self.own = record.Record(self.peers.own, member.State.JOINING)
+        self.answered_at = self.runtime.now()
         self._put_own()
         self.publish()
 
@@ -180,6 +184,7 @@
         event.log(events.REJOINING, reason=reason, old=old.incarnation, new=new.incarnation)
         metric.count(metrics.REJOINS)
         self.own = record.Record(new, member.State.JOINING)
+        self.answered_at = self.runtime.now()
         self.state_counter = 0
         for callback in self.on_pause:
             callback(old, new)
@@ -244,7 +249,9 @@
         if newest < self.own.peer.incarnation and about_own:
             return  # of an earlier life
         is_outdated = newest > self.own.peer.incarnation
-        if not is_outdated and self._prevails(rejected):
+        # Who withheld deaths counts as members whom it doesn't hear.
+        may_win = not is_outdated and not self.is_isolated()
+        if may_win and self._prevails(rejected):
             self.send(sender, self._rejected())
             return
         self.rejoin("rejected", rejected.records, after=newest)
@@ -254,6 +261,7 @@
     def request(self, target: peer.Peer, message: Any, timeout_s: float) -> Any:
         """Send a request; a rejection is acted on and raised as ``peer.PeerRefused``."""
         own = self.own.peer
+        sent_at = self.runtime.now()
         try:
             reply = self.peers.request(target, message, timeout_s)
         except peer.PeerOutdated as error:
@@ -266,6 +274,8 @@
             raise peer.PeerRefused(f"{target.name}: the own incarnation is over")
         if not peer.is_anyone(target) and self.rejection(target) is not None:
             raise peer.PeerGone(f"{target.name}: declared dead before it answered")
+        if target.data_centre == self.data_centre and target.name != own.name:
+            self.answered_at = max(self.answered_at, sent_at)
         return reply
 
     def send(self, target: peer.Peer, message: Any) -> None:
--- a/rosedyke/membership/events.py
+++ b/rosedyke/membership/events.py
@@ -47,6 +47,18 @@
     logging.INFO,
     "A relay of another data centre answers again.",
 )
+ISOLATED = event.define(
+    1108,
+    "isolated",
+    logging.WARNING,
+    "Too few members of the own data centre answer to know that they are gone; starts nothing.",
+)
+ISOLATION_ENDED = event.define(
+    1109,
+    "isolation_ended",
+    logging.INFO,
+    "Enough members answer again, or witnesses showed the silent ones to be gone.",
+)
 NAME_TAKEN = event.define(
     1107,
     "name_taken",
--- a/rosedyke/membership/messages.py
+++ b/rosedyke/membership/messages.py
@@ -67,6 +67,22 @@
     """The target didn't answer me either."""
 
 
+@codec.message("membership.witness")
+@attrs.frozen
+class Witness:
+    """Do you, in another data centre, reach the target?  Answered by ``Testified``."""
+
+    target: peer.Peer
+
+
+@codec.message("membership.testified")
+@attrs.frozen
+class Testified:
+    """Whether the target was missed by an instance that is not cut off itself."""
+
+    is_missed: bool
+
+
 @codec.message("membership.announce")
 @attrs.frozen
 class Announce:
--- a/rosedyke/membership/ports.py
+++ b/rosedyke/membership/ports.py
@@ -37,3 +37,10 @@
 
     def unreachable_data_centres(self) -> frozenset[str]:
         """Return the data centres that this one is cut off from; their members aren't dead."""
+
+    def is_isolated(self) -> bool:
+        """Return whether this instance may be cut off from its data centre.
+
+        While true, its peers may declare it dead and give its work to others, so nothing new
+        may be granted or taken here.
+        """
--- a/rosedyke/membership/probe.py
+++ b/rosedyke/membership/probe.py
@@ -33,7 +33,25 @@
 
     def reaches(self, target: record.Record) -> bool:
         """Return whether a member answers, directly or through others."""
-        return self._reaches_directly(target) or self._reaches_through_others(target)
+        return self.reaches_directly(target) or self._reaches_through_others(target)
+
+    def reaches_directly(self, target: record.Record) -> bool:
+        """Return whether a member answers a probe of this instance."""
+        metric.count(metrics.PROBES)
+        ping = messages.Ping(self._gossip_for(target))
+        try:
+            ack = self.core.request(target.peer, ping, self.options.probe_timeout_s)
+        except peer.PeerGone:
+            # Proof, not suspicion: another incarnation answers at the address.
+            self.core.put(target.dead())
+            return True
+        except peer.PeerRefused:
+            return True  # alive, though of another version or another opinion
+        except peer.PeerError:
+            metric.count(metrics.PROBES_MISSED)
+            return False
+        self.core.merge(ack.gossip)
+        return True
 
     def on_ping(self, sender: peer.Peer, ping: messages.Ping):
         """Answer a probe."""
@@ -52,7 +70,7 @@
         known = self.core.table.find(request.target.name)
         if known is None or known.peer != request.target:
             return messages.Nack()
-        if not self._reaches_directly(known):
+        if not self.reaches_directly(known):
             return messages.Nack()
         return messages.Ack(self.core.gossip.take())
 
@@ -91,23 +109,6 @@
             return attrs.evolve(chosen, records=(known, *chosen.records))
         return chosen
 
-    def _reaches_directly(self, target):
-        metric.count(metrics.PROBES)
-        ping = messages.Ping(self._gossip_for(target))
-        try:
-            ack = self.core.request(target.peer, ping, self.options.probe_timeout_s)
-        except peer.PeerGone:
-            # Proof, not suspicion: another incarnation answers at the address.
-            self.core.put(target.dead())
-            return True
-        except peer.PeerRefused:
-            return True  # alive, though of another version or another opinion
-        except peer.PeerError:
-            metric.count(metrics.PROBES_MISSED)
-            return False
-        self.core.merge(ack.gossip)
-        return True
-
     def _reaches_through_others(self, target):
         candidates = [r for r in self.core.others() if r.name != target.name]
         helpers = [
--- a/rosedyke/membership/settings.py
+++ b/rosedyke/membership/settings.py
@@ -29,6 +29,10 @@
     pause_bound_s : float
         An instance whose own loop stood still for longer re-joins.  Less than ``suspicion_s``,
         so that no instance goes on unaware that its peers have declared it dead.
+    isolation_s : float
+        An instance that no other member of its data centre has answered for so long starts
+        nothing new.  Less than ``probe_timeout_s`` and ``suspicion_s`` together, so that it
+        stops before its peers declare it dead.
     tick_s : float
         How often the own loop is watched.
     join_alone_s : float
@@ -63,6 +67,7 @@
     suspicion_s: float = 1.0
     tick_s: float = 0.2
     pause_bound_s: float = attrs.field(default=0.8)
+    isolation_s: float = attrs.field(default=0.8)
     join_alone_s: float = 3.0
     acknowledge_timeout_s: float = 0.3
     sync_period_s: float = 10.0
@@ -80,6 +85,13 @@
         if value + self.tick_s > self.suspicion_s:
             raise ValueError("pause_bound_s and a tick must be less than suspicion_s")
 
+    @isolation_s.validator
+    def _check_isolation(self, attribute, value):
+        if value + self.tick_s > self.probe_timeout_s + self.suspicion_s:
+            raise ValueError(
+                "isolation_s and a tick must be less than probe_timeout_s and suspicion_s"
+            )
+
     def period_s(self, members: int) -> float:
         """Return the probe period in a data centre of that many members."""
         if members <= FULL_RATE_MEMBERS:
--- a/rosedyke/membership/suspicion.py
+++ b/rosedyke/membership/suspicion.py
@@ -1,6 +1,15 @@
 """From suspicion to death: a suspected member gets time and further probes to be heard."""
 
-from rosedyke.membership import core, events, messages, metrics, probe, record, steps
+from rosedyke.membership import (
+    core,
+    events,
+    isolation,
+    messages,
+    metrics,
+    probe,
+    record,
+    steps,
+)
 from rosedyke.observe import event, metric, step
 
 # How much longer a member waits that only heard of a suspicion; usually the death that the first
@@ -12,9 +21,10 @@
 class Suspicions:
     """Watches each suspected member of the own data centre until it is heard or declared dead."""
 
-    def __init__(self, shared: core.Core, prober: probe.Prober):
+    def __init__(self, shared: core.Core, prober: probe.Prober, isolated: isolation.Isolation):
         self.core = shared
         self.prober = prober
+        self.isolation = isolated
         self.watched: set[tuple[str, int, int]] = set()
         prober.on_missed = self.begin
         shared.observers.append(self.observe)
@@ -29,6 +39,7 @@
 
     def observe(self, new: record.Record) -> None:
         """Watch a member that another one suspects, in case that one dies too."""
+        self.isolation.heard_of(new)
         if new.is_suspected and not new.is_dead and new.peer.data_centre == self.core.data_centre:
             duration = HEARSAY_FACTOR * self.core.options.suspicion_s
             self._start(new, duration, self._wait_then_verify)
@@ -50,6 +61,12 @@
         if self.core.last_stall is not None and self.core.last_stall >= began:
             self.observe(suspected)
             return
+        is_proved = self.isolation.may_declare_dead(suspected)
+        if not self._holds(suspected, own):
+            return
+        if not is_proved:
+            self._start(suspected, VERIFY_PERIOD_S, self._verify)
+            return
         metric.count(metrics.DEATHS)
         event.log(events.MEMBER_DEAD, name=suspected.name)
         step.reach(steps.DEATH_DECLARED, own.name)
--- a/rosedyke/membership/swim.py
+++ b/rosedyke/membership/swim.py
@@ -10,6 +10,7 @@
 from rosedyke import runtime as runtime_module
 from rosedyke.membership import (
     core,
+    isolation,
     join,
     member,
     messages,
@@ -49,7 +50,8 @@
         self.core = core.Core(options, runtime, peers)
         self.pause = pause.PauseWatch(self.core)
         self.prober = probe.Prober(self.core)
-        self.suspicions = suspicion.Suspicions(self.core, self.prober)
+        self.isolation = isolation.Isolation(self.core, self.prober)
+        self.suspicions = suspicion.Suspicions(self.core, self.prober, self.isolation)
         self.synchroniser = synchronise.Synchroniser(self.core)
         self.joiner = join.Joiner(self.core, self.synchroniser)
         self.relay = relay.Relay(self.core)
@@ -60,6 +62,7 @@
         handle = self.core.peers.handle
         handle(messages.Ping, self.prober.on_ping)
         handle(messages.PingRequest, self.prober.on_ping_request)
+        handle(messages.Witness, self.isolation.on_witness)
         handle(messages.Announce, self.joiner.on_announce)
         handle(messages.Forward, self.joiner.on_forward)
         handle(messages.Sync, self.synchroniser.on_sync)
@@ -134,7 +137,11 @@
 
     def is_confirmed(self) -> bool:
         """Return whether every member of the own data centre has acknowledged this one."""
-        return self.joiner.is_confirmed()
+        return self.joiner.is_confirmed() and not self.isolation.is_isolated()
+
+    def is_isolated(self) -> bool:
+        """Return whether this instance may be cut off from its data centre: starts nothing."""
+        return self.isolation.is_isolated()
 
     def wait_until_confirmed(self, timeout_s: float) -> bool:
         """Block until confirmed and return true, or return false after the timeout."""
--- a/rosedyke/standins/explore_region.py
+++ b/rosedyke/standins/explore_region.py
@@ -61,6 +61,10 @@
         """Return true."""
         return True
 
+    def is_isolated(self) -> bool:
+        """Return false: cuts within a data centre are not played here."""
+        return False
+
 
 @attrs.define
 class Run:
--- a/rosedyke/standins/fleet.py
+++ b/rosedyke/standins/fleet.py
@@ -48,6 +48,10 @@
         """Return true: joins are not played here."""
         return True
 
+    def is_isolated(self):
+        """Return false: cuts within a data centre are not played here."""
+        return False
+
 
 class FakeCurrent:
     """Implements ``configuration.ports.Current`` with a fixed configuration."""
