--- a/rosedyke/job/settings.py
+++ b/rosedyke/job/settings.py
@@ -70,7 +70,7 @@
     answer_margin_s: float = 0.05
     pause_bound_s: float = 0.8
     pause_clear_s: float = 3.0
-    pulse_s: float = 0.1
+    pulse_s: float = 0.2
     transfer_batch: int = 500
     transfer_bytes: int = 1024 * 1024
     transfer_slice: int = 200
