Play refused, unnumbered, changed and cancelled jobs in the fault matrix

The scenario lacked four things that the promises speak of: a delayed copy of a refused attempt, a resubmission without a number, one under another body, and a wave of 200 cancellations.

Without the digest in a start, the answer to another body (not run) was counted false because the first body had run; starts now carry the digest and the check compares it. The job is now looked up when its task is sent; every start has an attempt, which is stricter.

--- a/rosedyke/standins/scenario.py
+++ b/rosedyke/standins/scenario.py
@@ -20,6 +20,8 @@
 VICTIM = "b"
 LEAVING_SERVER = "scale-4"
 SLOTS = 4
+WAVE_JOBS = 10
+WAVE_CANCELS = 20
 TIMEOUT_S = 8.0
 RUN_TIME_S = 0.05
 # Longer than the task's timeout: the answer never comes, the slot is free again some time.
@@ -138,7 +140,16 @@
             (0.20, self.join),
             (0.60, lambda: self.submit("c", "job-3", 1, tasks=24)),
             (0.65, self.leave),
+            (0.66, lambda: self.submit("c", "job-late", 1)),
             (0.70, lambda: self.submit("e", "job-3", 2, tasks=24)),
+            # A copy of the attempt that was refused, and the attempt that follows it.
+            (0.90, lambda: self.submit("a", "job-late", 1)),
+            (1.00, lambda: self.submit("d", "job-late", 2)),
+            (1.10, lambda: self.submit("e", "job-1", None)),
+            (1.15, lambda: self.submit("d", "job-1", 3, digest=b"another body")),
+            (1.20, lambda: self.submit("a", "job-late", 1)),
+            (1.30, self.begin_wave),
+            (1.32, self.cancel_wave),
             (1.50, lambda: self.submit("b", "job-4", 1, tasks=24)),
             (1.53, lambda: self.region.instances[VICTIM].crash()),
             (1.60, lambda: self.submit("a", "job-4", 2, tasks=24)),
@@ -157,7 +168,25 @@
                 self.submit(name, f"job-last-{name}", 1)
         self.clock.run(self.clock.now() + TIMEOUT_S)
 
-    def submit(self, name: str, job_id: str, attempt: int, tasks: int = 6, memory_mb: float = 100):
+    def begin_wave(self) -> None:
+        """Submit the jobs that are all cancelled at once."""
+        for number in range(WAVE_JOBS):
+            self.submit("ad"[number % 2], f"job-wave-{number}", 1)
+
+    def cancel_wave(self) -> None:
+        """Cancel many jobs many times from everywhere."""
+        for number in range(WAVE_JOBS * WAVE_CANCELS):
+            self.cancel("ade"[number % 3], f"job-wave-{number % WAVE_JOBS}")
+
+    def submit(
+        self,
+        name: str,
+        job_id: str,
+        attempt: int | None,
+        tasks: int = 6,
+        memory_mb: float = 100,
+        digest: bytes | None = None,
+    ) -> None:
         """Submit a job in a task of its own, as a caller whose connection stays open."""
         instance = self.region.instances[name]
         began = self.clock.now()
@@ -170,7 +199,7 @@
             age_s=began - self.first_began[job_id],
             timeout_s=TIMEOUT_S,
             tasks=(call,) * tasks,
-            digest=job_id.encode(),
+            digest=digest or job_id.encode(),
         )
         made = Call(instance, request, began)
         self.calls.append(made)
@@ -276,6 +305,8 @@
             ran = [s for s in self.region.servers.history if is_under(s, request)]
             if ran:
                 found.append(f"{word}: told {call.answer.code.value}, not run, but it ran")
+        if request.digest != request.job_id.encode() and call.answer.is_complete:
+            found.append(f"{word}: got the answer to another body")
         if request.job_id.startswith("job-last-") and not call.answer.is_complete:
             found.append(f"{word}: {call.answer.code.value}, though every fault had ended")
         if request.job_id == "job-big" and call.answer.code is code.Code.COMPLETE:
@@ -310,9 +341,13 @@
 
 
 def is_under(start: whole.Start, request: submission.Submission) -> bool:
-    """Return whether a start happened under this attempt or an earlier one."""
+    """Return whether a start happened under this attempt or an earlier one, with this body."""
     if start.job_id != request.job_id:
         return False
+    if start.digest is not None and start.digest != request.digest:
+        return False
+    if request.attempt is None:
+        return True
     return start.attempt is None or start.attempt <= request.attempt
 
 
--- a/rosedyke/standins/whole.py
+++ b/rosedyke/standins/whole.py
@@ -145,6 +145,7 @@
     instance: str
     server: str
     time: float
+    digest: bytes | None = None
 
 
 class SharedServers(backend_fake.FakeGateway):
@@ -174,11 +175,13 @@
         """Run a task; its result names the job and the task."""
         self.instance.runtime.check()
         before = self.servers.starts[call.job_id, call.index]
+        # Looked up now: a job that fails or times out is gone when its task ends.
+        held = self.instance.manager.node.held.get(call.job_id)
         try:
             self.servers.run_task(server, call, timeout_s)
         finally:
             if self.servers.starts[call.job_id, call.index] > before:
-                self._remember(server, call)
+                self._remember(server, call, held)
             self.instance.runtime.check()
         return dispatch_ports.TaskReply(result_of(call.job_id, call.index))
 
@@ -186,8 +189,7 @@
         """Return how many tasks run."""
         return self.servers.probe(server, timeout_s)
 
-    def _remember(self, server, call):
-        held = self.instance.manager.node.held.get(call.job_id)
+    def _remember(self, server, call, held):
         attempt = held.job.request.attempt if held else None
         self.servers.history.append(
             Start(
@@ -197,6 +199,7 @@
                 self.instance.name,
                 server.name,
                 self.servers.runtime.now(),
+                held.job.request.digest if held else None,
             )
         )
 
