--- a/rosedyke/standins/matrix.py
+++ b/rosedyke/standins/matrix.py
@@ -22,6 +22,8 @@
 # The modules whose import fills the catalogue of steps.
 STEP_MODULES = (configuration_steps, dispatch_steps, job_steps, membership_steps)
 OUTAGE_S = 4.0
+# Longer than any job's timeout.
+LONG_CUT_S = 10.0
 STOP_S = 3.0
 SHORT_STOP_S = 0.5
 LATE_S = 1.5
@@ -110,10 +112,23 @@
     cut(run, near, [name for name in run.region.instances if name not in near])
 
 
-def cut(run: scenario.Scenario, left, right) -> None:
+def cut_long(run: scenario.Scenario, at: whole.Instance) -> None:
+    """Cut the data centres off from each other for longer than any job lasts."""
+    near = [n for n, one in run.region.instances.items() if one.data_centre == at.data_centre]
+    cut(run, near, [name for name in run.region.instances if name not in near], LONG_CUT_S)
+
+
+def lose_data_centre(run: scenario.Scenario, at: whole.Instance) -> None:
+    """Let all instances of the other data centre die."""
+    for one in run.region.instances.values():
+        if one.data_centre != at.data_centre and one.is_up:
+            one.crash()
+
+
+def cut(run: scenario.Scenario, left, right, seconds: float = OUTAGE_S) -> None:
     """Cut two groups of instances off from each other for a while."""
     run.region.network.partition(left, right)
-    after(run, OUTAGE_S, run.region.network.heal)
+    after(run, seconds, run.region.network.heal)
 
 
 def lose(run: scenario.Scenario, at: whole.Instance) -> None:
@@ -219,6 +234,9 @@
     "stop + crash of a peer": both(stop, crash_peer),
     "messages lost + join": both(lose, join),
     "isolation + servers mute": both(isolate, servers_mute),
+    "data centre lost": lose_data_centre,
+    "crash + long cut": both(crash, cut_long),
+    "crash of a peer + long cut": both(crash_peer, cut_long),
 }
 
 
