Take a relay's question as a sign of life, and time a start when it begins

Trace of crash of a peer + long cut at drain.ended#1: dc1 had lost three of four members, dc2's relays went on asking dead ones at random, so dc1 seemed unreachable 20 s after the cut and the pool's owner in dc2 kept dc1's survivor waiting. Who asks is now asked next.

The cells of mute servers that said a leaving server got late work were the harness: a start was recorded when its task ended, 5 s later.

--- a/rosedyke/membership/relay.py
+++ b/rosedyke/membership/relay.py
@@ -74,6 +74,9 @@
     def on_exchange(self, sender: peer.Peer, exchange: messages.Exchange):
         """Give the own data centre's news."""
         self.core.put(exchange.record)
+        # Who asks is alive.  After a cut in which a data centre's relays died, asking its members
+        # at random could take many periods, and all that time it would seem unreachable.
+        self.partners.setdefault(sender.data_centre, sender.name)
         records = self.core.table.of(self.core.data_centre)
         names = {r.name for r in records if not r.is_dead}
         page = self.core.adverts.since(exchange.cursor, names, self.options.exchange_bytes)
--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -544,6 +544,30 @@
             20,
         )
 
+    def test_only_survivor_of_a_data_centre_is_found_soon_after_a_cut(self):
+        # During a cut all members of a data centre but one die.  After the healing the others ask
+        # its relays, which are dead; the survivor asks them in turn.  Were that not taken as a
+        # sign of life, they would try members at random, and their jobs would wait as long.
+        for seed in range(1, 6):
+            running = instances.Instances(seed)
+            names = {f"a{n}": "dc1" for n in range(6)} | {"b1": "dc2", "b2": "dc2"}
+            for name, data_centre in names.items():
+                running.start(name, data_centre)
+            running.wait_for(lambda r=running: r.agree(State.LIVE), 30)
+            left = [name for name in names if names[name] == "dc1"]
+            running.network.partition(left, ["b1", "b2"])
+            relays = {relay.name for relay in running["a0"].relays("dc1")}
+            survivor = next(name for name in left if name not in relays)
+            for name in left:
+                if name != survivor:
+                    running.crash(name)
+            running.run(10)
+            running.network.heal()
+            running.run(8)
+            for viewer in ("b1", "b2"):
+                with self.subTest(seed=seed, viewer=viewer):
+                    self.assertEqual(running[viewer].unreachable_data_centres(), frozenset())
+
     def test_loss_of_all_relays_at_once_is_mended(self):
         # Both relays of a data centre die, and they are just those that the others pull from.
         # The others turn to any member that is left, which has become a relay meanwhile.
--- a/rosedyke/standins/whole.py
+++ b/rosedyke/standins/whole.py
@@ -175,13 +175,15 @@
         """Run a task; its result names the job and the task."""
         self.instance.runtime.check()
         before = self.servers.starts[call.job_id, call.index]
-        # Looked up now: a job that fails or times out is gone when its task ends.
+        # Taken now: a job that fails or times out is gone when its task ends, and a task that was
+        # sent in time can end late.
         held = self.instance.manager.node.held.get(call.job_id)
+        began = self.servers.runtime.now()
         try:
             self.servers.run_task(server, call, timeout_s)
         finally:
             if self.servers.starts[call.job_id, call.index] > before:
-                self._remember(server, call, held)
+                self._remember(server, call, held, began)
             self.instance.runtime.check()
         return dispatch_ports.TaskReply(result_of(call.job_id, call.index))
 
@@ -189,7 +191,7 @@
         """Return how many tasks run."""
         return self.servers.probe(server, timeout_s)
 
-    def _remember(self, server, call, held):
+    def _remember(self, server, call, held, began):
         attempt = held.job.request.attempt if held else None
         self.servers.history.append(
             Start(
@@ -198,7 +200,7 @@
                 attempt,
                 self.instance.name,
                 server.name,
-                self.servers.runtime.now(),
+                began,
                 held.job.request.digest if held else None,
             )
         )
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import concurrent.futures
 import logging
 import pathlib
 import sys
@@ -28,16 +29,23 @@
 }
 
 
-def run_all(visits: int) -> list[matrix.Outcome]:
+def run_cell(cell: matrix.Cell) -> matrix.Outcome:
+    """Run one cell in a worker process."""
+    logging.getLogger("rosedyke").addHandler(logging.NullHandler())
+    return matrix.run_cell(cell)
+
+
+def run_all(visits: int, pool: concurrent.futures.Executor) -> list[matrix.Outcome]:
     """Run every cell and print a line for each fault."""
     outcomes = []
     for fault in matrix.FAULTS:
         begun = time.monotonic()
-        row = [
-            matrix.run_cell(matrix.Cell(name, fault, visit))
+        cells = [
+            matrix.Cell(name, fault, visit)
             for name in matrix.steps()
             for visit in range(1, visits + 1)
         ]
+        row = list(pool.map(run_cell, cells, chunksize=4))
         outcomes.extend(row)
         counts = collections.Counter(one.verdict.value for one in row)
         summary = ", ".join(f"{count} {verdict}" for verdict, count in counts.items())
@@ -76,6 +84,7 @@
 
 def main(
     visits: Annotated[int, cyclopts.Parameter(help="Visits to each step that get a fault.")] = 2,
+    processes: Annotated[int, cyclopts.Parameter(help="Cells that run at one time.")] = 6,
     check: Annotated[bool, cyclopts.Parameter(help="Compare the page; don't write it.")] = False,
 ) -> int:
     """Run the matrix and return the exit code."""
@@ -83,7 +92,9 @@
     unreached = [name for name, count in matrix.count_visits().items() if not count]
     for name in unreached:
         print(f"never reached: {name}")
-    outcomes = run_all(visits)
+    # The cells don't know of each other, so their outcomes don't depend on how many run at once.
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        outcomes = run_all(visits, pool)
     page = place(PAGE.read_text(), render(outcomes))
     if check and page != PAGE.read_text():
         print("docs/FAULTS.md differs: run make faults")
