--- a/tools/faults.py
+++ b/tools/faults.py
@@ -22,11 +22,6 @@
 PAGE = ROOT / "docs" / "FAULTS.md"
 BEGIN = "<!-- matrix: written by tools/faults.py -->"
 END = "<!-- end of matrix -->"
-SIGNS = {
-    matrix.Verdict.HOLDS: "holds",
-    matrix.Verdict.RED: "**red**",
-    matrix.Verdict.NOT_REACHED: "-",
-}
 
 
 def run_cell(cell: matrix.Cell) -> matrix.Outcome:
@@ -58,23 +53,30 @@
 
 def render(outcomes: list[matrix.Outcome]) -> str:
     """Return the matrix as a table: a row for each step, a column for each fault."""
-    worst: dict[tuple[str, str], matrix.Verdict] = {}
-    order = list(SIGNS)
+    by_key: dict[tuple[str, str], list[matrix.Verdict]] = {}
     for one in outcomes:
-        key = (one.cell.step, one.cell.fault)
-        known = worst.get(key, matrix.Verdict.NOT_REACHED)
-        ranks = (matrix.Verdict.NOT_REACHED, matrix.Verdict.HOLDS, matrix.Verdict.RED)
-        worst[key] = max(known, one.verdict, key=ranks.index)
+        by_key.setdefault((one.cell.step, one.cell.fault), []).append(one.verdict)
     faults = list(matrix.FAULTS)
     lines = ["| step | " + " | ".join(faults) + " |", "|---" * (len(faults) + 1) + "|"]
     for name in matrix.steps():
-        signs = " | ".join(SIGNS[worst[name, fault]] for fault in faults)
+        signs = " | ".join(sign_of(by_key[name, fault]) for fault in faults)
         lines.append(f"| {name} | {signs} |")
     counts = collections.Counter(one.verdict for one in outcomes)
-    total = ", ".join(f"{counts[verdict]} {verdict.value}" for verdict in order)
+    total = ", ".join(f"{counts[verdict]} {verdict.value}" for verdict in matrix.Verdict)
     return f"{len(outcomes)} cells: {total}.\n\n" + "\n".join(lines)
 
 
+def sign_of(verdicts: list[matrix.Verdict]) -> str:
+    """Return how the visits to one step under one fault are shown together."""
+    if matrix.Verdict.RED in verdicts:
+        return "**red**"
+    held = verdicts.count(matrix.Verdict.HOLDS)
+    if held == len(verdicts):
+        return "holds"
+    # A visit that never came proves nothing.
+    return f"{held} of {len(verdicts)}" if held else "-"
+
+
 def place(page: str, table: str) -> str:
     """Return the page with the table between its marks."""
     head, _, rest = page.partition(BEGIN)
