--- a/rosedyke/callers/application_test.py
+++ b/rosedyke/callers/application_test.py
@@ -5,9 +5,10 @@
 import unittest
 import urllib.parse
 
-from rosedyke.callers import application, fakes, settings
+from rosedyke.callers import application, settings
 from rosedyke.daemon import green
 from rosedyke.job import answer, code
+from rosedyke.standins import callers_fake
 
 API_PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "API.md"
 EXAMPLE = re.compile(r"```sh\n(curl .*?)```\n\n```(json|text)\n(.*?)```", re.DOTALL)
@@ -39,9 +40,9 @@
 
 class ApplicationCase(unittest.TestCase):
     def setUp(self):
-        self.manager = fakes.FakeManager()
-        self.gate = fakes.FakeGate()
-        self.recorder = fakes.FakeRecorder()
+        self.manager = callers_fake.FakeManager()
+        self.gate = callers_fake.FakeGate()
+        self.recorder = callers_fake.FakeRecorder()
         self.application = application.Application(
             settings.CallersSettings(),
             green.GreenRuntime(),
--- a/rosedyke/callers/fuzz_test.py
+++ b/rosedyke/callers/fuzz_test.py
@@ -6,9 +6,10 @@
 from eventlet.green import socket
 from hypothesis import strategies
 
-from rosedyke.callers import application, body, fakes, server, settings
+from rosedyke.callers import application, body, server, settings
 from rosedyke.daemon import green
 from rosedyke.job import submission
+from rosedyke.standins import callers_fake
 
 LIMITS = settings.CallersSettings(
     header_timeout_s=0.1, body_timeout_s=0.1, max_header_bytes=2_000, max_body_bytes=2_000
@@ -76,15 +77,15 @@
 
 class Connection(unittest.TestCase):
     def setUp(self):
-        self.manager = fakes.FakeManager()
+        self.manager = callers_fake.FakeManager()
         self.server = server.Server(
             "127.0.0.1:0",
             application.Application(
                 LIMITS,
                 green.GreenRuntime(),
                 self.manager,
-                fakes.FakeGate(),
-                fakes.FakeRecorder(),
+                callers_fake.FakeGate(),
+                callers_fake.FakeRecorder(),
             ),
             LIMITS,
         )
--- a/rosedyke/callers/server_test.py
+++ b/rosedyke/callers/server_test.py
@@ -4,9 +4,10 @@
 import eventlet
 from eventlet.green import socket
 
-from rosedyke.callers import application, fakes, server, settings
+from rosedyke.callers import application, server, settings
 from rosedyke.daemon import green
 from rosedyke.job import answer, code, ports, status
+from rosedyke.standins import callers_fake
 
 JOB = b'{"job_id":"a","tasks":[{"name":"tag","payload":1}]}'
 LIMIT_S = 30.0
@@ -36,9 +37,9 @@
     limits = settings.CallersSettings()
 
     def setUp(self):
-        self.manager = fakes.FakeManager()
-        self.gate = fakes.FakeGate()
-        self.recorder = fakes.FakeRecorder()
+        self.manager = callers_fake.FakeManager()
+        self.gate = callers_fake.FakeGate()
+        self.recorder = callers_fake.FakeRecorder()
         self.application = application.Application(
             self.limits, green.GreenRuntime(), self.manager, self.gate, self.recorder
         )
--- a/rosedyke/daemon/operator_test.py
+++ b/rosedyke/daemon/operator_test.py
@@ -1,12 +1,11 @@
 import unittest
 
 from rosedyke.callers import application, settings
-from rosedyke.callers import fakes as callers_fakes
 from rosedyke.configuration import intent
-from rosedyke.daemon import fakes, gate, operator, recorder
+from rosedyke.daemon import gate, operator, recorder
 from rosedyke.job import code
 from rosedyke.membership import member
-from rosedyke.standins import virtual
+from rosedyke.standins import callers_fake, daemon_fake, virtual
 from rosedyke.wire import peer
 
 SERVER = intent.BackendServer("press-1", "10.0.0.1:80", "north")
@@ -21,11 +20,11 @@
 class OperatorCase(unittest.TestCase):
     def setUp(self):
         clock = virtual.VirtualRuntime()
-        self.current = fakes.FakeCurrent(CONFIGURATION)
-        self.membership = fakes.FakeMembership(own())
+        self.current = daemon_fake.FakeCurrent(CONFIGURATION)
+        self.membership = daemon_fake.FakeMembership(own())
         self.gate = gate.Gate(self.current, self.membership)
         self.recorder = recorder.Recorder(clock, self.current)
-        self.manager = callers_fakes.FakeManager()
+        self.manager = callers_fake.FakeManager()
         self.drained = []
         callers = application.Application(
             settings.CallersSettings(), clock, self.manager, self.gate, self.recorder
@@ -38,7 +37,7 @@
             self.gate,
             self.recorder,
             callers,
-            fakes.FakeLoads(),
+            daemon_fake.FakeLoads(),
             lambda: self.drained.append(1),
         )
 
@@ -87,15 +86,15 @@
         return refusal and refusal.code
 
     def test_open_only_with_a_configuration_and_a_serving_member(self):
-        with_file = fakes.FakeCurrent(CONFIGURATION)
-        self.assertIsNone(self.reason(with_file, fakes.FakeMembership(own())))
-        joining = fakes.FakeMembership(own(member.State.JOINING))
+        with_file = daemon_fake.FakeCurrent(CONFIGURATION)
+        self.assertIsNone(self.reason(with_file, daemon_fake.FakeMembership(own())))
+        joining = daemon_fake.FakeMembership(own(member.State.JOINING))
         self.assertIs(self.reason(with_file, joining), code.Code.NOT_READY)
-        without = fakes.FakeCurrent()
-        self.assertIs(self.reason(without, fakes.FakeMembership(own())), code.Code.NOT_READY)
+        without = daemon_fake.FakeCurrent()
+        self.assertIs(self.reason(without, daemon_fake.FakeMembership(own())), code.Code.NOT_READY)
 
     def test_draining_comes_first(self):
-        closed = gate.Gate(fakes.FakeCurrent(), fakes.FakeMembership(own()))
+        closed = gate.Gate(daemon_fake.FakeCurrent(), daemon_fake.FakeMembership(own()))
         closed.is_draining = True
         self.assertIs(closed.refusal().code, code.Code.DRAINING)
 
--- a/rosedyke/daemon/recorder_test.py
+++ b/rosedyke/daemon/recorder_test.py
@@ -1,10 +1,10 @@
 import unittest
 
 from rosedyke.configuration import intent
-from rosedyke.daemon import fakes, recorder
+from rosedyke.daemon import recorder
 from rosedyke.job import answer, code
 from rosedyke.observe import burn
-from rosedyke.standins import virtual
+from rosedyke.standins import daemon_fake, virtual
 
 
 def configuration(*names, generation=1):
@@ -39,7 +39,7 @@
 
 class Recorder(unittest.TestCase):
     def setUp(self):
-        self.current = fakes.FakeCurrent(configuration("weighing"))
+        self.current = daemon_fake.FakeCurrent(configuration("weighing"))
         self.recorder = recorder.Recorder(virtual.VirtualRuntime(), self.current)
 
     def test_counts_of_a_service(self):
@@ -59,7 +59,7 @@
         self.assertEqual(self.recorder.counts("one", "north").services, ())
 
     def test_without_a_configuration_nothing_is_counted(self):
-        empty = recorder.Recorder(virtual.VirtualRuntime(), fakes.FakeCurrent())
+        empty = recorder.Recorder(virtual.VirtualRuntime(), daemon_fake.FakeCurrent())
         empty.record("weighing", COMPLETE, 0.5)
         self.assertEqual(empty.counts("one", "north").services, ())
 
--- a/rosedyke/daemon/shutdown_test.py
+++ b/rosedyke/daemon/shutdown_test.py
@@ -1,8 +1,8 @@
 import unittest
 
-from rosedyke.daemon import fakes, gate, shutdown
+from rosedyke.daemon import gate, shutdown
 from rosedyke.membership import member
-from rosedyke.standins import virtual
+from rosedyke.standins import daemon_fake, virtual
 from rosedyke.wire import peer
 
 OWN = member.Member(peer.Peer("north-1", 1, "north", "127.0.0.1:1"), member.State.LIVE)
@@ -46,7 +46,7 @@
     def setUp(self):
         self.runtime = virtual.VirtualRuntime()
         self.log = []
-        self.gate = gate.Gate(fakes.FakeCurrent(), fakes.FakeMembership(OWN))
+        self.gate = gate.Gate(daemon_fake.FakeCurrent(), daemon_fake.FakeMembership(OWN))
 
     def build(self, jobs, timeout_s=60.0):
         return shutdown.Shutdown(
