--- a/rosedyke/job/safeguards_test.py
+++ b/rosedyke/job/safeguards_test.py
@@ -241,6 +241,14 @@
             self.assertEqual(report.runs, 200)
             self.assertIsNone(report.finding, shape)
 
+    def test_copy_of_a_first_attempt_that_outlives_both_registrars_starts_nothing(self):
+        # A copy of attempt 1 arrives at another instance a second late.  Meanwhile the holder, a
+        # registrar too, was paused and the other registrar's place went to a newcomer.  The new
+        # registrars never saw the claim and take the copy for a first attempt: the task starts
+        # twice.
+        report = explore.walk(explore_claims.scenario(SHAPES[5]), (10097,), rate=0.05)
+        self.assertIsNone(report.finding)
+
     def test_walks_find_faults_when_a_safeguard_is_out(self):
         patches = {name: patches for name, patches, _ in SAFEGUARDS}
         for name, shape in (
