Play the fault matrix in one place, and ask one function for the measured commit

The two ways to run the scenario repeated how the steps' hook is set and taken back; the two configuration benchmarks each asked git themselves and did not say when the code differed from the commit.

--- a/benchmarks/configuration_size.py
+++ b/benchmarks/configuration_size.py
@@ -13,10 +13,10 @@
 import pathlib
 import platform
 import statistics
-import subprocess
 import time
 import tracemalloc
 
+from benchmarks import figures
 from rosedyke.configuration import distribution, file, holding, messages, settings, stored
 from rosedyke.daemon import green
 from rosedyke.membership import member
@@ -169,11 +169,8 @@
     parser = argparse.ArgumentParser(description="Cost of a generation at one instance.")
     parser.add_argument("--output", type=pathlib.Path, default=RESULT)
     given = parser.parse_args()
-    commit = subprocess.run(
-        ["git", "rev-parse", "--short", "HEAD"], cwd=ROOT, capture_output=True, text=True
-    ).stdout.strip()
     document = {
-        "commit": commit,
+        "commit": figures.commit(),
         "machine": f"{platform.machine()}, python {platform.python_version()}",
         "files": [measure_file(servers) for servers in FILE_SIZES],
         "sets": [measure_set(teams) for teams in SETS],
--- a/benchmarks/configuration_spread.py
+++ b/benchmarks/configuration_spread.py
@@ -13,13 +13,13 @@
 import math
 import pathlib
 import platform
-import subprocess
 import sys
 import tempfile
 import time
 
 import urllib3
 
+from benchmarks import figures
 from rosedyke.configuration import change, file, plan, stored
 from rosedyke.daemon import green
 from rosedyke.gateways import etcd, settings
@@ -213,11 +213,8 @@
     for size in given.sizes:
         results.append(measure(size, given.rounds, given.idle_s, given.late))
         print(json.dumps(results[-1]), flush=True)
-    commit = subprocess.run(
-        ["git", "rev-parse", "--short", "HEAD"], cwd=ROOT, capture_output=True, text=True
-    ).stdout.strip()
     document = {
-        "commit": commit,
+        "commit": figures.commit(),
         "machine": f"{platform.machine()}, python {platform.python_version()}",
         "how": "real processes on loopback, stand-in store",
         "results": results,
--- a/rosedyke/standins/matrix.py
+++ b/rosedyke/standins/matrix.py
@@ -245,6 +245,16 @@
     return tuple(step.catalogue)
 
 
+def play(run: scenario.Scenario, hook: step.Hook) -> None:
+    """Run a prepared scenario to its end and call ``hook`` at each step."""
+    step.use(hook)
+    try:
+        run.run()
+        run.finish()
+    finally:
+        step.use(None)
+
+
 def run_cell(cell: Cell, seed: int = 1) -> Outcome:
     """Run the scenario with the cell's fault and check every promise."""
     run = scenario.Scenario(seed)
@@ -264,12 +274,7 @@
         if name == at.name and run.clock.hub is not greenlet.getcurrent():
             at.runtime.check()
 
-    step.use(hook)
-    try:
-        run.run()
-        run.finish()
-    finally:
-        step.use(None)
+    play(run, hook)
     if visits < cell.visit:
         return Outcome(cell, Verdict.NOT_REACHED)
     broken = tuple(run.broken())
@@ -288,10 +293,5 @@
     def hook(reached: step.Step, name: str) -> None:
         visits[reached.name] += 1
 
-    step.use(hook)
-    try:
-        run.run()
-        run.finish()
-    finally:
-        step.use(None)
+    play(run, hook)
     return visits, run.broken() + run.unexpected()
