--- a/rosedyke/callers/connection.py
+++ b/rosedyke/callers/connection.py
@@ -192,6 +192,7 @@
             return
         self.environ = self.get_environ()
         self.environ["rosedyke.refused"] = self._close_unless_read
+        self.environ["rosedyke.connection"] = self.connection
         self.application = self._call
         try:
             self.handle_one_response()
--- a/rosedyke/configuration/ports.py
+++ b/rosedyke/configuration/ports.py
@@ -118,10 +118,11 @@
 
 @attrs.frozen
 class Put:
-    """Set a key in a transaction."""
+    """Set a key in a transaction; with a lease, the key is removed when that ends."""
 
     key: str
     value: bytes
+    lease: int = 0
 
 
 @attrs.frozen
--- a/rosedyke/daemon/main.py
+++ b/rosedyke/daemon/main.py
@@ -1,6 +1,5 @@
 """The daemon's entry point: settings, signals and the exit code."""
 
-import os
 import signal
 import sys
 import warnings
@@ -11,10 +10,9 @@
 
 import cyclopts  # noqa: E402
 import eventlet  # noqa: E402
-import eventlet.hubs  # noqa: E402
 
 from rosedyke import fault  # noqa: E402
-from rosedyke.daemon import argument, events, settings  # noqa: E402
+from rosedyke.daemon import argument, events, settings, signals  # noqa: E402
 from rosedyke.observe import event, log  # noqa: E402
 
 OK = 0
@@ -70,31 +68,12 @@
     except fault.RosedykeError as error:
         event.log(events.START_FAILED, error=error)
         return START_FAILED
-    eventlet.spawn_n(watch_signals, built.shutdown.request)
+    stop = built.shutdown.request
+    eventlet.spawn_n(signals.watch, {signal.SIGTERM: stop, signal.SIGINT: stop})
     built.start()
     return OK if built.run() else FORCED
 
 
-def watch_signals(on_stop) -> None:
-    """Call ``on_stop`` for each SIGTERM and SIGINT.
-
-    A handler runs inside whatever the process does, also inside the event loop's wait, which it
-    can't end.  So the handler does nothing, and the signal's number comes through a pipe that the
-    loop waits for like for a socket.
-    """
-    reading, writing = os.pipe()
-    os.set_blocking(reading, False)
-    os.set_blocking(writing, False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda received, frame: None)
-    signal.set_wakeup_fd(writing)
-    while True:
-        eventlet.hubs.trampoline(reading, read=True)
-        for number in os.read(reading, 16):
-            if number in (signal.SIGTERM, signal.SIGINT):
-                on_stop()
-
-
 def main() -> None:
     """Run the daemon."""
     eventlet.monkey_patch()
--- a/rosedyke/gateways/etcd_format.py
+++ b/rosedyke/gateways/etcd_format.py
@@ -44,6 +44,8 @@
     """Return an operation of a transaction."""
     if isinstance(change, ports.Put):
         put = {"key": encode_text(change.key), "value": encode_bytes(change.value)}
+        if change.lease:
+            put["lease"] = str(change.lease)
         return {"request_put": put}
     return {"request_delete_range": {"key": encode_text(change.key)}}
 
--- /dev/null
+++ b/rosedyke/rerun/fleet.py
@@ -0,0 +1,147 @@
+"""What an instance knows of the others: who exists, who answers, and who owns which pool."""
+
+from collections.abc import Callable
+
+import attrs
+
+from rosedyke import runtime as runtime_module
+from rosedyke.observe import event
+from rosedyke.rerun import events, messages, ports, settings
+
+# An instance that has answered within this time counts as alive; seven missed renewals.
+ALIVE_S = 0.7
+# An instance that neither the platform lists nor anybody hears is forgotten.
+FORGET_S = 10.0
+
+
+@attrs.define
+class Known:
+    """What is known of one owner."""
+
+    claim: messages.Claim
+    heard_at: float
+    report: messages.PoolReport | None = None
+
+
+class Fleet:
+    """The instances and owners as this instance sees them.
+
+    Parameters
+    ----------
+    own : Instance
+        This instance.
+    """
+
+    def __init__(
+        self,
+        own: messages.Instance,
+        times: settings.RerunSettings,
+        runtime: runtime_module.Runtime,
+        directory: ports.Directory,
+    ):
+        self.own = own
+        self.times = times
+        self.runtime = runtime
+        self.directory = directory
+        self.heard: dict[str, float] = {}
+        self.since: dict[str, float] = {}
+        self.met: dict[str, messages.Instance] = {}
+        self.pools: dict[str, Known] = {}
+        self.highest: dict[str, int] = {}
+        self.on_claim: list[Callable[[messages.Claim], None]] = []
+
+    def instances(self) -> dict[str, messages.Instance]:
+        """Return all known instances by name, without the own one."""
+        found = {each.name: each for each in self.directory.instances()}
+        found.update(self.met)
+        found.pop(self.own.name, None)
+        return found
+
+    def note(self, instance: messages.Instance) -> None:
+        """Note that an instance was heard."""
+        if instance.name == self.own.name:
+            return
+        now = self.runtime.now()
+        if now - self.heard.get(instance.name, -ALIVE_S) >= ALIVE_S:
+            self.since[instance.name] = now
+        self.heard[instance.name] = now
+        self.met[instance.name] = instance
+
+    def is_alive(self, name: str) -> bool:
+        """Return whether an instance was heard lately."""
+        return self.runtime.now() - self.heard.get(name, -ALIVE_S) < ALIVE_S
+
+    def alive_for(self, name: str) -> float:
+        """Return for how many seconds an instance has been heard without a gap, 0 if it isn't."""
+        return self.runtime.now() - self.since[name] if self.is_alive(name) else 0.0
+
+    def forget_old(self) -> None:
+        """Drop instances that have been silent for long."""
+        now = self.runtime.now()
+        for name in [name for name, at in self.heard.items() if now - at > FORGET_S]:
+            del self.heard[name]
+            self.met.pop(name, None)
+
+    def after_pause(self) -> None:
+        """Begin to listen anew: the own loop stood still, so silence proves nothing."""
+        now = self.runtime.now()
+        for known in self.pools.values():
+            known.heard_at = now
+
+    # Owners.
+
+    def take_claim(self, claim: messages.Claim, is_own: bool = False) -> bool:
+        """Take a claim in if it is newer than what is known; return whether it was.
+
+        A claim in the own name that others tell of is from an earlier life of this instance, so
+        only its token counts.
+        """
+        if claim.token <= self.highest.get(claim.pool, 0):
+            return False
+        self.highest[claim.pool] = claim.token
+        if claim.owner.name == self.own.name and not is_own:
+            self.pools.pop(claim.pool, None)
+            return False
+        self.pools[claim.pool] = Known(claim, self.runtime.now())
+        event.log(events.OWNER_CHANGED, pool=claim.pool, owner=claim.owner.name, token=claim.token)
+        for callback in self.on_claim:
+            callback(claim)
+        return True
+
+    def take_report(self, sender: messages.Instance, report: messages.PoolReport) -> None:
+        """Take in what an owner says of its pool."""
+        self.take_claim(messages.Claim(report.pool, sender, report.token))
+        known = self.pools.get(report.pool)
+        if known is not None and known.claim.token == report.token:
+            known.heard_at = self.runtime.now()
+            known.report = report
+
+    def disclaim(self, pool: str, owner: str) -> None:
+        """Forget an owner that says that it doesn't own the pool."""
+        known = self.pools.get(pool)
+        if known is not None and known.claim.owner.name == owner:
+            del self.pools[pool]
+
+    def owner_of(self, pool: str) -> messages.Claim | None:
+        """Return the newest claim of a pool."""
+        known = self.pools.get(pool)
+        return known.claim if known else None
+
+    def silence_s(self, pool: str) -> float:
+        """Return for how long a pool's owner has not been heard."""
+        known = self.pools[pool]
+        if known.claim.owner.name == self.own.name:
+            return 0.0
+        return self.runtime.now() - known.heard_at
+
+    def newer_claims(self, tokens: dict[str, int]) -> tuple[messages.Claim, ...]:
+        """Return the claims that an instance with these tokens doesn't know."""
+        return tuple(
+            known.claim
+            for pool, known in self.pools.items()
+            if known.claim.token > tokens.get(pool, 0)
+        )
+
+    def tokens(self) -> dict[str, int]:
+        """Return the token of each pool's owner."""
+        return {pool: known.claim.token for pool, known in self.pools.items()}
--- /dev/null
+++ b/rosedyke/rerun/messages.py
@@ -0,0 +1,210 @@
+"""Messages between the instances about rerunnable jobs."""
+
+import attrs
+
+from rosedyke.rerun import job
+from rosedyke.wire import codec
+
+
+@attrs.frozen
+class Instance:
+    """An entry instance as the others reach it, whichever incarnation runs there."""
+
+    name: str
+    address: str
+    data_centre: str
+
+
+@attrs.frozen
+class PoolReport:
+    """What an owner says about its pool with each renewal.
+
+    Attributes
+    ----------
+    pool : str
+        The pool.
+    token : int
+        The owner's fencing token; of two owners the one with the higher token counts.
+    backlog_s : float
+        How long the waiting work would keep all servers of the pool busy.
+    free_millicores : int
+        What no task takes up, on servers that may get some.
+    capacity_millicores : int
+        Of the servers that answer.
+    waiting : dict of str to int
+        Jobs of each queue of which no task has started.
+    """
+
+    pool: str
+    token: int
+    backlog_s: float
+    free_millicores: int
+    capacity_millicores: int
+    waiting: dict[str, int]
+
+
+@codec.message("rerun.claim")
+@attrs.frozen
+class Claim:
+    """An instance owns a pool from now on."""
+
+    pool: str
+    owner: Instance
+    token: int
+
+
+@codec.message("rerun.renew")
+@attrs.frozen
+class Renew:
+    """A holder is alive, and these jobs of the receiving owner are still wanted.
+
+    Attributes
+    ----------
+    sender : Instance
+        The holder.
+    jobs : tuple of str
+        Ids.
+    tokens : dict of str to int
+        The token of each pool's owner, as far as the sender knows.
+    revisions : dict of str to int
+        The newest revision of each shared document that the sender holds.
+    """
+
+    sender: Instance
+    jobs: tuple[str, ...]
+    tokens: dict[str, int]
+    revisions: dict[str, int]
+
+
+@codec.message("rerun.report")
+@attrs.frozen
+class Report:
+    """The answer to ``Renew``.
+
+    Attributes
+    ----------
+    unknown : tuple of str
+        Renewed jobs that the sender doesn't have.
+    pools : tuple of PoolReport
+        The pools that it owns.
+    claims : tuple of Claim
+        Owners that the asking instance doesn't know of yet.
+    """
+
+    sender: Instance
+    unknown: tuple[str, ...]
+    pools: tuple[PoolReport, ...]
+    claims: tuple[Claim, ...]
+    revisions: dict[str, int]
+
+
+@codec.message("rerun.submit")
+@attrs.frozen
+class Submit:
+    """A holder hands a job to a pool's owner.
+
+    Attributes
+    ----------
+    pool : str
+        The pool that shall run it.
+    work : Job
+        The job.
+    holder : Instance
+        Who answers the caller.
+    age_s : float
+        Time since the holder got the job.
+    may_have_run : bool
+        An earlier owner of the pool had the job, so some of it may be running or done.
+    """
+
+    pool: str
+    work: job.Job
+    holder: Instance
+    age_s: float
+    may_have_run: bool
+
+
+@codec.message("rerun.ended")
+@attrs.frozen
+class JobEnded:
+    """An owner tells a holder how a job ended."""
+
+    job_id: str
+    pool: str
+    token: int
+    outcome: job.Outcome
+
+
+@codec.message("rerun.not_owner")
+@attrs.frozen
+class NotOwner:
+    """The receiver of a ``Submit`` doesn't own that pool and has done nothing."""
+
+    job_id: str
+    pool: str
+    sender: Instance
+
+
+@codec.message("rerun.cancel")
+@attrs.frozen
+class Cancel:
+    """The holder no longer wants a job."""
+
+    job_id: str
+    sender: Instance
+
+
+@codec.message("rerun.cancel_held")
+@attrs.frozen
+class CancelHeld:
+    """A caller cancelled a job at an instance that may not be its holder."""
+
+    job_id: str
+
+
+@codec.message("rerun.query")
+@attrs.frozen
+class Query:
+    """A candidate asks whether anyone still hears a silent owner."""
+
+    pool: str
+    token: int
+
+
+@codec.message("rerun.heard")
+@attrs.frozen
+class Heard:
+    """How long ago the answering instance heard that owner; None: never, or it isn't its owner."""
+
+    age_s: float | None
+
+
+@codec.message("rerun.resign")
+@attrs.frozen
+class Resign:
+    """An owner gives its pool to the receiver, for example since it shuts down."""
+
+    pool: str
+    token: int
+
+
+@codec.message("rerun.fetch")
+@attrs.frozen
+class Fetch:
+    """Asks for a shared document, such as the configuration, that the sender has an older one of.
+
+    A document is spread between instances so that one that the platform's store turns away, or
+    that starts while the store is down, follows the others.
+    """
+
+    topic: str
+
+
+@codec.message("rerun.copy")
+@attrs.frozen
+class Copy:
+    """A shared document; revision 0 means that the sender has none."""
+
+    topic: str
+    revision: int
+    content: bytes
--- /dev/null
+++ b/rosedyke/rerun/node.py
@@ -0,0 +1,393 @@
+"""An instance's part in running rerunnable jobs: holder, owner of pools, and candidate for others."""
+
+from collections.abc import Callable
+
+from rosedyke import runtime as runtime_module
+from rosedyke.observe import event
+from rosedyke.rerun import (
+    documents,
+    election,
+    events,
+    fleet,
+    holder,
+    job,
+    messages,
+    owner,
+    ports,
+    settings,
+    speed,
+    succession,
+    token,
+)
+from rosedyke.wire import peer
+
+# Instances of the own data centre that own nothing are asked this often, to know who is alive.
+NEIGHBOUR_S = 0.3
+# A renewal without answer is given up; the next ones are on their way by then.
+RENEWAL_TIMEOUT_S = 0.3
+FETCH_TIMEOUT_S = 0.5
+# How long a leaving owner waits for its successor to announce itself.
+HANDOVER_S = 0.3
+
+
+class Node:
+    """Everything about rerunnable jobs in one instance.
+
+    Parameters
+    ----------
+    own : Instance
+        This instance.
+    wall_s : callable
+        Returns seconds since 1970, for fencing tokens only.
+    seeds : tuple of str
+        Addresses of instances to ask while no other is known.
+    """
+
+    def __init__(
+        self,
+        own: messages.Instance,
+        times: settings.RerunSettings,
+        runtime: runtime_module.Runtime,
+        peers: peer.Peers,
+        registry: ports.Registry,
+        directory: ports.Directory,
+        gateway: ports.Servers,
+        shared: documents.Documents,
+        wall_s: Callable[[], float],
+        seeds: tuple[str, ...] = (),
+    ):
+        self.own = own
+        self.times = times
+        self.runtime = runtime
+        self.peers = peers
+        self.registry = registry
+        self.gateway = gateway
+        self.documents = shared
+        self.wall_s = wall_s
+        self.seeds = [messages.Instance(each, each, "") for each in seeds if each != own.address]
+        self.maker = token.maker_of(own.address)
+        self.owned: dict[str, owner.PoolOwner] = {}
+        self.speeds = speed.Speeds()
+        self.fleet = fleet.Fleet(own, times, runtime, directory)
+        self.holder = holder.Holder(times, runtime, peers, self.fleet, registry, self._submit)
+        self.succession = succession.Succession(
+            times, runtime, peers, self.fleet, registry, gateway, self.take_pool
+        )
+        self.fleet.on_claim.append(self._on_foreign_claim)
+        self.renewing: set[str] = set()
+        self.fetching: set[str] = set()
+        self.ticked_at = runtime.now()
+        self.is_running = True
+
+    def start(self) -> None:
+        """Register the handlers and begin."""
+        handle = self.peers.handle
+        handle(messages.Renew, self._on_renew)
+        handle(messages.Submit, self._on_submit)
+        handle(messages.JobEnded, lambda sender, message: self.holder.on_ended(message))
+        handle(messages.NotOwner, self._on_not_owner)
+        handle(messages.Cancel, self._on_cancel)
+        handle(messages.CancelHeld, lambda sender, m: self._end_held(m.job_id))
+        handle(messages.Claim, self._on_claim)
+        handle(messages.Query, self._on_query)
+        handle(messages.Resign, self._on_resign)
+        handle(messages.Fetch, self._on_fetch)
+        self.registry.subscribe(self._on_servers)
+        self.runtime.spawn(self._renew_all)
+        self.runtime.spawn(self.succession.run)
+
+    def stop(self) -> None:
+        """End; pools that nobody has taken over are left to their candidates."""
+        self.is_running = self.succession.is_running = False
+        for each in list(self.owned.values()):
+            each.stand_down("the instance ends")
+
+    def run(self, work: job.Job, gone: runtime_module.Signal) -> job.Outcome:
+        """Run a job for a caller and block until it has ended."""
+        return self.holder.run(work, gone)
+
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a job for its caller, whoever holds it; return whether it was held here."""
+        if self.holder.cancel(job_id):
+            return True
+        for instance in self.fleet.instances().values():
+            self.holder.send(instance, messages.CancelHeld(job_id))
+        return False
+
+    def _end_held(self, job_id):
+        self.holder.cancel(job_id)
+
+    def is_useful(self) -> bool:
+        """Return whether this instance reaches the owner of any pool."""
+        return any(
+            known.report is not None and self.fleet.silence_s(pool) < holder.FRESH_S
+            for pool, known in self.fleet.pools.items()
+        )
+
+    # Pools.
+
+    def take_pool(self, pool: str, reason: str) -> None:
+        """Own a pool from now on."""
+        if pool in self.owned or self.succession.is_standing_by:
+            return
+        number = token.make(self.maker, self.wall_s(), self.fleet.highest.get(pool, 0))
+        event.log(events.POOL_CLAIMED, pool=pool, token=number, reason=reason)
+        taken = owner.PoolOwner(
+            self.times,
+            self.runtime,
+            self.gateway,
+            pool,
+            number,
+            lambda: [each for each in self.registry.servers() if ports.pool_of(each) == pool],
+            self,
+            self.speeds,
+        )
+        self.owned[pool] = taken
+        taken.start()
+        self._announce(taken)
+
+    def _announce(self, taken):
+        claim = messages.Claim(taken.name, self.own, taken.token)
+        self.fleet.take_claim(claim, is_own=True)
+        self.fleet.take_report(self.own, taken.report())
+        for instance in self.fleet.instances().values():
+            self.holder.send(instance, claim)
+
+    def _on_foreign_claim(self, claim):
+        held = self.owned.get(claim.pool)
+        if held is not None and claim.owner.name != self.own.name and claim.token > held.token:
+            held.stand_down(f"{claim.owner.name} owns it now")
+
+    # What owners ask of the instance: ``owner.Listener``.
+
+    def tell(self, target: messages.Instance, message: messages.JobEnded) -> None:
+        """Hand a job's end to its holder."""
+        if target.name == self.own.name:
+            self.holder.on_ended(message)
+        else:
+            self.holder.send(target, message)
+
+    def on_stand_down(self, pool: owner.PoolOwner, reason: str) -> None:
+        """Drop a pool and leave it to others for a while."""
+        if self.owned.get(pool.name) is pool:
+            del self.owned[pool.name]
+        self.succession.rest(pool.name)
+        self.fleet.disclaim(pool.name, self.own.name)
+
+    def on_token(self, pool: owner.PoolOwner) -> None:
+        """Tell everybody about a raised token."""
+        self._announce(pool)
+
+    def _on_servers(self):
+        for each in list(self.owned.values()):
+            each.on_servers()
+
+    # Renewals.
+
+    def _renew_all(self):
+        while self.is_running:
+            self._check_pause()
+            for instance in self._targets():
+                if instance.name not in self.renewing:
+                    self.renewing.add(instance.name)
+                    self.runtime.spawn(self._renew, instance)
+            for each in self.owned.values():
+                self.fleet.take_report(self.own, each.report())
+            self._return_pools()
+            self.holder.check_owners()
+            self.fleet.forget_old()
+            self.runtime.sleep(self.times.renew_s)
+
+    def _check_pause(self):
+        now = self.runtime.now()
+        if now - self.ticked_at > self.times.pause_s + self.times.renew_s:
+            self.fleet.after_pause()
+            for each in list(self.owned.values()):
+                each.stand_down("the process stood still")
+        self.ticked_at = now
+
+    def _return_pools(self):
+        """Give a pool of another data centre back to it once an instance there is steady."""
+        for name in list(self.owned):
+            data_centre = ports.data_centre_of(name)
+            if data_centre == self.own.data_centre:
+                continue
+            steady = [
+                each
+                for each in self.fleet.instances().values()
+                if each.data_centre == data_centre
+                and self.fleet.alive_for(each.name) > self.times.return_s
+            ]
+            order = election.order(name, data_centre, steady)
+            if order:
+                self.holder.send(order[0], messages.Resign(name, self.owned[name].token))
+
+    def _targets(self):
+        """Return who is to be renewed now: all owners, and at times the neighbours."""
+        found = {
+            known.claim.owner.name: known.claim.owner for known in self.fleet.pools.values()
+        }
+        now = self.runtime.now()
+        is_blind = len(self.fleet.pools) < len(self.succession.pools()) or not found
+        for instance in self.fleet.instances().values():
+            is_near = instance.data_centre == self.own.data_centre
+            silent_s = now - self.fleet.heard.get(instance.name, -NEIGHBOUR_S)
+            if (is_near and silent_s >= NEIGHBOUR_S) or is_blind:
+                found[instance.name] = instance
+        if not found:
+            found = {each.name: each for each in self.seeds}
+        found.pop(self.own.name, None)
+        return list(found.values())
+
+    def _renew(self, instance):
+        asked_at = self.runtime.now()
+        message = messages.Renew(
+            self.own,
+            self.holder.renewed(instance.name),
+            self.fleet.tokens(),
+            self.documents.revisions(),
+        )
+        try:
+            report = self.peers.request(
+                peer.at_address(instance.address), message, RENEWAL_TIMEOUT_S
+            )
+        except peer.PeerOutdated as error:
+            # The wall clock was behind at the start, so peers take this life for an earlier one.
+            self.peers.new_incarnation(error.newest)
+            return
+        except peer.PeerError:
+            return  # how long the peer has been silent is judged, and logged, where it matters
+        finally:
+            self.renewing.discard(instance.name)
+        self._on_report(report, asked_at)
+
+    def _on_report(self, report, asked_at):
+        self.fleet.note(report.sender)
+        for claim in report.claims:
+            self.fleet.take_claim(claim)
+        named = {each.pool for each in report.pools}
+        for pool, known in list(self.fleet.pools.items()):
+            if known.claim.owner.name == report.sender.name and pool not in named:
+                self.fleet.disclaim(pool, report.sender.name)
+        for each in report.pools:
+            self.fleet.take_report(report.sender, each)
+        self.holder.on_unknown(report.unknown, asked_at)
+        self._follow(report.sender, report.revisions)
+
+    def _on_renew(self, sender, message):
+        self.fleet.note(message.sender)
+        unknown = set(message.jobs)
+        for each in self.owned.values():
+            unknown &= set(each.renew(message.sender.name, message.jobs))
+            self._repeat_ends(each, message)
+        self._follow(message.sender, message.revisions)
+        return messages.Report(
+            self.own,
+            tuple(sorted(unknown)),
+            tuple(each.report() for each in self.owned.values()),
+            self.fleet.newer_claims(message.tokens),
+            self.documents.revisions(),
+        )
+
+    def _repeat_ends(self, pool, message):
+        """Tell a holder again how a job ended that it still renews: the message was lost."""
+        for job_id in message.jobs:
+            outcome = pool.outcome_of(job_id)
+            if outcome is not None:
+                self.tell(
+                    message.sender, messages.JobEnded(job_id, pool.name, pool.token, outcome)
+                )
+
+    # Shared documents.
+
+    def _follow(self, instance, revisions):
+        for topic in self.documents.behind(revisions):
+            if topic not in self.fetching:
+                self.fetching.add(topic)
+                self.runtime.spawn(self._fetch, instance, topic)
+
+    def _fetch(self, instance, topic):
+        try:
+            copy = self.peers.request(
+                peer.at_address(instance.address), messages.Fetch(topic), FETCH_TIMEOUT_S
+            )
+        except peer.PeerError as error:
+            event.log(events.DOCUMENT_NOT_FETCHED, topic=topic, peer=instance.name, error=error)
+            return
+        finally:
+            self.fetching.discard(topic)
+        if copy.revision:
+            self.documents.take(topic, copy.revision, copy.content, instance.name)
+
+    def _on_fetch(self, sender, message):
+        found = self.documents.by_topic.get(message.topic)
+        if found is None:
+            return messages.Copy(message.topic, 0, b"")
+        return messages.Copy(message.topic, found.revision, found.content)
+
+    # Other messages.
+
+    def _submit(self, target, message):
+        if target.name == self.own.name:
+            self._on_submit(None, message)
+        else:
+            self.holder.send(target, message)
+
+    def _on_submit(self, sender, message):
+        pool = self.owned.get(message.pool)
+        if pool is not None:
+            pool.submit(message)
+            return
+        refusal = messages.NotOwner(message.work.id, message.pool, self.own)
+        if message.holder.name == self.own.name:
+            self.runtime.spawn(self.holder.on_not_owner, refusal)
+        else:
+            self.holder.send(message.holder, refusal)
+
+    def _on_not_owner(self, sender, message):
+        self.fleet.disclaim(message.pool, message.sender.name)
+        self.holder.on_not_owner(message)
+
+    def _on_cancel(self, sender, message):
+        for each in list(self.owned.values()):
+            each.cancel(message.job_id, message.sender.name)
+
+    def _on_claim(self, sender, message):
+        self.fleet.note(message.owner)
+        held = self.owned.get(message.pool)
+        if not self.fleet.take_claim(message) and held is not None:
+            # An instance that doesn't know of us: two candidates took the pool at once.
+            if message.owner.name != self.own.name:
+                claim = messages.Claim(held.name, self.own, held.token)
+                self.holder.send(message.owner, claim)
+
+    def _on_query(self, sender, message):
+        known = self.fleet.pools.get(message.pool)
+        if known is None or known.claim.token < message.token:
+            return messages.Heard(None)
+        return messages.Heard(self.fleet.silence_s(message.pool))
+
+    def _on_resign(self, sender, message):
+        self.take_pool(message.pool, "its owner gave it up")
+
+    # Leaving.
+
+    def hand_pools_over(self) -> None:
+        """Give every pool to the best candidate and wait a moment for its claim."""
+        self.succession.is_standing_by = True
+        for each in list(self.owned.values()):
+            successor = self._successor(each.name)
+            if successor is not None:
+                self.holder.send(successor, messages.Resign(each.name, each.token))
+        give_up = self.runtime.now() + HANDOVER_S
+        while self.owned and self.runtime.now() < give_up:
+            self.runtime.sleep(0.01)
+
+    def _successor(self, pool):
+        alive = [
+            each
+            for each in self.fleet.instances().values()
+            if self.fleet.is_alive(each.name)
+        ]
+        order = election.order(pool, ports.data_centre_of(pool), alive)
+        return order[0] if order else None
--- /dev/null
+++ b/rosedyke/rerun/owned.py
@@ -0,0 +1,108 @@
+"""A job as its pool's owner keeps it."""
+
+import enum
+
+import attrs
+
+from rosedyke.rerun import job, messages
+
+
+class TaskState(enum.Enum):
+    """Where a task of an owned job is."""
+
+    WAITING = "waiting"
+    PLACED = "placed"  # a server may be running it
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class OwnedTask:
+    """One task.
+
+    Attributes
+    ----------
+    name : str
+        Its name on the servers.
+    run : int
+        The number of its last run; a new one is higher.
+    failures : int
+        Runs that failed.
+    server_id : str
+        Where it was placed last.
+    failed_on : set of str
+        Servers where it failed or stood still; others are tried first.
+    """
+
+    name: str
+    step: job.Step
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    failures: int = 0
+    server_id: str = ""
+    failed_on: set[str] = attrs.Factory(set)
+
+
+@attrs.define(eq=False)
+class OwnedJob:
+    """One job.
+
+    Attributes
+    ----------
+    work : Job
+        What was submitted.
+    holder : Instance
+        Who answers the caller.
+    arrived_at : float
+        When the holder got it, on the own clock.
+    renewed_at : float
+        When the holder last said that it is wanted.
+    may_have_run : bool
+        An earlier owner had it.  Tasks that were not found on any server wait until every
+        server has shown its runs or its leases are over.
+    has_started : bool
+        An order for one of its tasks has left, here or, perhaps, at an earlier owner.
+    """
+
+    work: job.Job
+    holder: messages.Instance
+    arrived_at: float
+    renewed_at: float
+    may_have_run: bool
+    tasks: dict[str, OwnedTask]
+    has_started: bool = False
+
+    @classmethod
+    def of(cls, message: messages.Submit, now: float) -> "OwnedJob":
+        """Return the job of a message."""
+        tasks = {name: OwnedTask(name, step) for name, step in message.work.task_names()}
+        return cls(
+            message.work,
+            message.holder,
+            now - message.age_s,
+            now,
+            message.may_have_run,
+            tasks,
+            message.may_have_run,
+        )
+
+    @property
+    def due_at(self) -> float:
+        """When its caller hopes for the answer."""
+        return self.arrived_at + self.work.objective_s
+
+    def waiting(self) -> list[OwnedTask]:
+        """Return the tasks that no server has, the longest first."""
+        found = [task for task in self.tasks.values() if task.state is TaskState.WAITING]
+        return sorted(found, key=lambda task: -task.step.estimate_s)
+
+    def is_done(self) -> bool:
+        """Return whether every task is done."""
+        return all(task.state is TaskState.DONE for task in self.tasks.values())
+
+    def work_left_s(self) -> float:
+        """Return the estimated core-seconds of the waiting tasks."""
+        return sum(
+            task.step.estimate_s * task.step.demand.millicores / 1000
+            for task in self.tasks.values()
+            if task.state is TaskState.WAITING
+        )
--- /dev/null
+++ b/rosedyke/rerun/queue.py
@@ -0,0 +1,32 @@
+"""In which order waiting jobs get room.
+
+The load that this answers: bursts of a third over capacity for some seconds, of jobs whose tasks
+take between 60 ms and 0.9 s.  First come, first served would let short jobs miss their objective
+behind long ones that have time to spare.
+"""
+
+from rosedyke.rerun import owned
+
+
+def latest_start(item: owned.OwnedJob) -> float:
+    """Return when the job has to start to meet its objective, by its estimate."""
+    longest_s = max((step.estimate_s for step in item.work.steps), default=0.0)
+    return item.due_at - longest_s
+
+
+def order(items: list[owned.OwnedJob], now: float) -> list[owned.OwnedJob]:
+    """Return waiting jobs, the next one first.
+
+    Jobs that can still meet their objective go first, by the latest moment at which they have to
+    start; this is optimal while all can make it.  What is late anyway comes after, more important
+    queues first, since there the order decides only who gets an answer at all.  A job that has
+    begun goes before its equals: its work is wasted if it doesn't end.
+    """
+
+    def key(item):
+        start = latest_start(item)
+        is_late = start < now
+        rank = item.work.priority if is_late else 0
+        return (is_late, rank, not item.has_started, start)
+
+    return sorted(items, key=key)
--- /dev/null
+++ b/rosedyke/rerun/server_runs.py
@@ -0,0 +1,217 @@
+"""One backend server as its owner knows it: what runs there, what is free, how old that is.
+
+Room is given back only when the server lists a run as over.  A stop or a lost answer frees
+nothing: a server that does not guard its own capacity would otherwise be started beyond it.
+"""
+
+import enum
+
+import attrs
+
+from rosedyke.rerun import job, ports, settings
+
+
+class RunState(enum.Enum):
+    """What the owner knows of a run."""
+
+    STARTING = "starting"  # the order is on its way
+    STARTED = "started"  # the server has confirmed it
+    STOPPING = "stopping"  # to be stopped; still takes up room
+    ORPHAN = "orphan"  # found there; no holder has claimed it yet
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a task on one server.
+
+    Attributes
+    ----------
+    task, number
+        Its name.
+    demand : Demand or None
+        What it takes up; None of an orphan, so its server has no room until it is settled.
+    since : float
+        When the order was sent or the orphan was found.
+    confirmed_at : float or None
+        When an answer proved that the order was carried out.  A listing that was asked for
+        later and doesn't have the run proves that it is over.
+    percent : int
+        How much of its work is done.
+    progress_at : float
+        When ``percent`` last grew.
+    is_over : bool
+        Its lease has ended, so its task may start elsewhere; the room stays taken until the
+        server lists what runs there.
+    """
+
+    task: str
+    number: int
+    demand: job.Demand | None
+    state: RunState
+    since: float
+    estimate_s: float = 0.0
+    confirmed_at: float | None = None
+    percent: int = 0
+    progress_at: float = 0.0
+    is_over: bool = False
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Its name on the server."""
+        return (self.task, self.number)
+
+
+@attrs.define(eq=False)
+class ServerRuns:
+    """What one owner knows of one server.
+
+    Attributes
+    ----------
+    server : Server
+        As the platform lists it.
+    runs : dict of (str, int) to Run
+        All that may be running there.
+    acknowledged : int
+        The last end that was taken note of.
+    is_listed : bool
+        The server has answered this owner since it was last silent, so ``runs`` is whole.
+    is_fenced : bool
+        The server has seen this owner's token, so no earlier owner can start anything there.
+    clock_ms, clock_at
+        The server's clock and the own time when it said so.
+    renewed_at : float
+        When the last order that may have extended the lease was sent.
+    contact_at : float
+        When it last answered.
+    suspended_until : float
+        No tasks before that.
+    has_lapsed : bool
+        The lease was over while orders had no answer.  It is not renewed before each of them is
+        settled: an order that is carried out late would come alive with it.
+    is_unlisted : bool
+        The platform's list no longer has the server.
+    failures : int
+        Runs in a row that failed there.
+    """
+
+    server: ports.Server
+    runs: dict[tuple[str, int], Run] = attrs.Factory(dict)
+    acknowledged: int = 0
+    is_listed: bool = False
+    is_fenced: bool = False
+    born_ms: int = 0
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    renewed_at: float = 0.0
+    contact_at: float = 0.0
+    suspended_until: float = 0.0
+    has_lapsed: bool = False
+    is_unlisted: bool = False
+    failures: int = 0
+
+    def used(self) -> job.Demand:
+        """Return what all known runs take up."""
+        total = job.Demand()
+        for run in self.runs.values():
+            if run.demand is not None:
+                total = total.plus(run.demand)
+        return total
+
+    def free_millicores(self) -> int:
+        """Return the cores that no run takes up, 0 while that is unknown."""
+        if self.has_orphans():
+            return 0
+        return max(0, self.server.capacity.millicores - self.used().millicores)
+
+    def has_orphans(self) -> bool:
+        """Return whether something runs here whose demand is unknown."""
+        return any(run.demand is None for run in self.runs.values())
+
+    def may_start(self, now: float, contact_s: float) -> bool:
+        """Return whether new tasks may come here at all."""
+        return (
+            self.is_listed
+            and not self.server.is_draining
+            and not self.has_lapsed
+            and not self.is_unlisted
+            and now >= self.suspended_until
+            and now - self.contact_at <= contact_s
+            and not self.has_orphans()
+        )
+
+    def lease_end_ms(self, now: float, times: settings.RerunSettings) -> int:
+        """Return the end of a lease that is renewed now, on the server's clock."""
+        self.renewed_at = now
+        return int(self.clock_ms + (now - self.clock_at + times.lease_s) * 1000)
+
+    def is_lease_over(self, now: float, times: settings.RerunSettings) -> bool:
+        """Return whether nothing that was started here can still run."""
+        return now - self.renewed_at > times.lease_end_s
+
+    def settle_lapse(self) -> None:
+        """End the time after a lapsed lease once every order from before is settled."""
+        if self.has_lapsed and self.is_listed:
+            open_orders = (run.confirmed_at is None for run in self.runs.values())
+            self.has_lapsed = any(open_orders)
+
+    def on_reborn(self, born_ms: int) -> list[Run]:
+        """Begin with a new incarnation and return the runs that ended with the old one."""
+        lost = list(self.runs.values())
+        self.runs.clear()
+        self.acknowledged = 0
+        self.born_ms = born_ms
+        self.is_listed = self.is_fenced = self.has_lapsed = False
+        self.failures = 0
+        return lost
+
+    def take(
+        self, listing: ports.Listing, asked_at: float, now: float
+    ) -> tuple[list[tuple[Run | None, ports.Ended]], list[Run]]:
+        """Take a listing in.
+
+        Parameters
+        ----------
+        asked_at : float
+            When it was asked for; it says nothing of orders that were answered later.
+
+        Returns
+        -------
+        list of (Run or None, Ended)
+            The new ends, with the run where it was known.
+        list of Run
+            Runs that are over without a listed end.
+        """
+        self.clock_ms, self.clock_at = listing.clock_ms, now
+        self.contact_at = now
+        self.is_listed = self.is_fenced = True
+        ended = self._take_ends(listing)
+        present = {(each.task, each.run): each for each in listing.running}
+        vanished = []
+        for run in list(self.runs.values()):
+            if run.key in present:
+                self._note_progress(run, present[run.key], now)
+            elif run.confirmed_at is not None and run.confirmed_at < asked_at:
+                vanished.append(self.runs.pop(run.key))
+        for key in present:
+            if key not in self.runs:
+                self.runs[key] = Run(
+                    *key, None, RunState.ORPHAN, now, confirmed_at=now, progress_at=now
+                )
+        return ended, vanished
+
+    def _take_ends(self, listing):
+        ended = []
+        for end in listing.ended:
+            if end.number > self.acknowledged:
+                ended.append((self.runs.pop((end.task, end.run), None), end))
+        self.acknowledged = max([self.acknowledged, *(end.number for end in listing.ended)])
+        return ended
+
+    @staticmethod
+    def _note_progress(run, running, now):
+        if running.percent > run.percent or not run.progress_at:
+            run.percent, run.progress_at = running.percent, now
+        if run.state is RunState.STARTING:
+            run.state = RunState.STARTED
+        if run.confirmed_at is None:
+            run.confirmed_at = now
--- /dev/null
+++ b/rosedyke/rerun/succession.py
@@ -0,0 +1,201 @@
+"""Who takes a pool over, and when.
+
+Every instance watches the owners.  A candidate whose turn has come makes sure that it isn't the
+one that is cut off: another instance must agree that the owner is silent, or, if there is none,
+the platform must be in reach.  A wrong takeover would be safe, since servers refuse the lower
+token, but it would stop all work on the pool for a moment and could go back and forth.
+"""
+
+from collections.abc import Callable
+
+from rosedyke import runtime as runtime_module
+from rosedyke.observe import event
+from rosedyke.rerun import election, events, fleet, messages, ports, settings
+from rosedyke.wire import peer
+
+TICK_S = 0.04
+# A pool without any known owner is taken after this long, in which peers may tell of one.
+UNKNOWN_S = 0.15
+# Heard by another instance within this time: the owner lives and this instance is cut off.
+HEARD_S = 0.35
+# Others that are asked about a silent owner.
+WITNESSES = 6
+# After an attempt that others or the servers spoke against.
+AGAIN_S = 0.3
+
+
+class Succession:
+    """Takes pools over when it is this instance's turn.
+
+    Parameters
+    ----------
+    take : callable
+        ``take(pool, reason)`` makes this instance the owner.
+    """
+
+    def __init__(
+        self,
+        times: settings.RerunSettings,
+        runtime: runtime_module.Runtime,
+        peers: peer.Peers,
+        known: fleet.Fleet,
+        registry: ports.Registry,
+        gateway: ports.Servers,
+        take: Callable[[str, str], None],
+    ):
+        self.times = times
+        self.runtime = runtime
+        self.peers = peers
+        self.fleet = known
+        self.registry = registry
+        self.gateway = gateway
+        self.take = take
+        self.unknown_since: dict[str, float] = {}
+        self.not_before: dict[str, float] = {}
+        self.trying: set[str] = set()
+        self.is_running = True
+        # Set while the instance shuts down or starts: it takes no pool.
+        self.is_standing_by = False
+
+    def run(self) -> None:
+        """Watch the pools until stopped."""
+        while self.is_running:
+            if not self.is_standing_by:
+                for pool in self.pools():
+                    self._consider(pool)
+            self.runtime.sleep(TICK_S)
+
+    def pools(self) -> set[str]:
+        """Return all pools that have servers."""
+        return {ports.pool_of(server) for server in self.registry.servers()}
+
+    def rest(self, pool: str) -> None:
+        """Leave a pool alone for a while, so that two owners don't take turns."""
+        self.not_before[pool] = self.runtime.now() + self.times.rest_s
+
+    def _consider(self, pool):
+        now = self.runtime.now()
+        claim = self.fleet.owner_of(pool)
+        if claim is not None and claim.owner.name == self.fleet.own.name:
+            self.unknown_since.pop(pool, None)
+            return
+        if claim is None:
+            silent_s = now - self.unknown_since.setdefault(pool, now)
+            needed_s = UNKNOWN_S
+        else:
+            self.unknown_since.pop(pool, None)
+            silent_s = self.fleet.silence_s(pool)
+            needed_s = self.times.owner_suspected_s
+        needed_s += self._delay_s(pool, claim)
+        if silent_s < needed_s or now < self.not_before.get(pool, 0.0) or pool in self.trying:
+            return
+        self.trying.add(pool)
+        self.runtime.spawn(self._try, pool, claim)
+
+    def _delay_s(self, pool, claim):
+        """Return how much later than the first candidate this one acts."""
+        own = self.fleet.own
+        silent = claim.owner.name if claim else ""
+        alive = [
+            each
+            for each in self.fleet.instances().values()
+            if self.fleet.is_alive(each.name) and each.name != silent
+        ]
+        data_centre = ports.data_centre_of(pool)
+        order = election.order(pool, data_centre, [*alive, own])
+        rank = [each.name for each in order].index(own.name)
+        is_foreign = own.data_centre != data_centre
+        return rank * self.times.rank_delay_s + is_foreign * self.times.foreign_delay_s
+
+    def _try(self, pool, claim):
+        try:
+            if self._is_confirmed(pool, claim) and not self.is_standing_by:
+                reason = "its owner is silent" if claim else "it has no owner"
+                if self.fleet.owner_of(pool) == claim:
+                    self.take(pool, reason)
+            else:
+                self.not_before[pool] = max(
+                    self.not_before.get(pool, 0.0), self.runtime.now() + AGAIN_S
+                )
+        finally:
+            self.trying.discard(pool)
+
+    def _is_confirmed(self, pool, claim):
+        if self.fleet.own.data_centre != ports.data_centre_of(pool):
+            return self._is_abandoned(pool)
+        if claim is None:
+            return True
+        answers = self._ask_witnesses(pool, claim)
+        event.log(
+            events.OWNER_SUSPECTED,
+            pool=pool,
+            owner=claim.owner.name,
+            silent_ms=round(self.fleet.silence_s(pool) * 1000),
+            witnesses=len(answers),
+            heard=[age for age in answers if age is not None],
+        )
+        if any(age is not None and age < HEARD_S for age in answers):
+            return False
+        return bool(answers) or self.fleet.directory.is_reachable()
+
+    def _ask_witnesses(self, pool, claim):
+        """Return what other instances say about when they heard the owner."""
+        others = [
+            each
+            for each in self.fleet.instances().values()
+            if each.name != claim.owner.name and self.fleet.is_alive(each.name)
+        ]
+        own = self.fleet.own.data_centre
+        nearest = sorted(others, key=lambda each: each.data_centre != own)[:WITNESSES]
+        query = messages.Query(pool, claim.token)
+        answers = []
+        tasks = [self.runtime.spawn(self._ask, each, query, answers) for each in nearest]
+        for task in tasks:
+            task.wait(self.times.query_s)
+        return [answer.age_s for answer in answers]
+
+    def _ask(self, instance, query, answers):
+        try:
+            answers.append(
+                self.peers.request(
+                    peer.at_address(instance.address), query, self.times.query_s
+                )
+            )
+        except peer.PeerError:
+            return  # a witness that doesn't answer says nothing; the number is logged
+
+    def _is_abandoned(self, pool):
+        """Return whether a pool of another data centre has nobody of its own left.
+
+        When a cut between data centres ends, the servers come into reach at the same moment as
+        their owner.  So the servers are asked first and the instances after that.
+        """
+        if not self._reaches_server(pool):
+            return False
+        data_centre = ports.data_centre_of(pool)
+        locals_ = [
+            each for each in self.fleet.instances().values() if each.data_centre == data_centre
+        ]
+        claim = self.fleet.owner_of(pool)
+        if claim is not None:
+            locals_.append(claim.owner)
+        answers = []
+        query = messages.Query(pool, 0)
+        tasks = [self.runtime.spawn(self._ask, each, query, answers) for each in locals_]
+        for task in tasks:
+            task.wait(self.times.query_s)
+        return not answers
+
+    def _reaches_server(self, pool):
+        for server in self.registry.servers():
+            if ports.pool_of(server) != pool:
+                continue
+            try:
+                # Token 0 is below every owner's: the server does nothing but answer.
+                self.gateway.hold(server, 0, 0, None, 0.0, self.times.order_s)
+            except ports.Refused:
+                return True
+            except ports.ServerError:
+                continue
+            return True
+        return False
--- a/rosedyke/wire/settings.py
+++ b/rosedyke/wire/settings.py
@@ -34,6 +34,9 @@
         A connection is replaced when requests on it went unanswered for this many seconds.
     unacknowledged_s : float
         TCP gives a connection up when sent bytes stay unacknowledged for this many seconds.
+    is_network_trusted : bool
+        Only instances of ours can reach the address, so no key is needed although it is not on
+        loopback; for platforms that keep the ports between instances to themselves.
     protocol_version : int
         The version that this instance speaks; None is the version of the codec.
     """
@@ -48,6 +51,7 @@
     idle_s: float = 60.0
     silence_s: float = 0.5
     unacknowledged_s: float = 3.0
+    is_network_trusted: bool = False
     protocol_version: int | None = None
 
     @property
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -207,7 +207,7 @@
     def _check_key(self):
         if self.keys is not None:
             return
-        if not self.options.is_loopback:
+        if not self.options.is_loopback and not self.options.is_network_trusted:
             raise KeyMissing(f"{self.options.address} is not on loopback and no key is set")
         event.log(events.TRANSPORT_UNPROTECTED, address=self.options.address)
 
