--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -191,7 +191,9 @@
                 if instance.name not in self.renewing:
                     self.renewing.add(instance.name)
                     self.runtime.spawn(self._renew, instance)
-            for each in self.owned.values():
+            held_here = self.holder.renewed(self.own.name)
+            for each in list(self.owned.values()):
+                each.renew(self.own.name, held_here)
                 self.fleet.take_report(self.own, each.report())
             self._return_pools()
             self.holder.check_owners()
