--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -1,4 +1,4 @@
-"""An instance's part in running rerunnable jobs: holder, owner of pools, and candidate for others."""
+"""An instance's part in rerunnable jobs: holder, owner of pools, and candidate for others."""
 
 from collections.abc import Callable
 
@@ -226,9 +226,7 @@
 
     def _targets(self):
         """Return who is to be renewed now: all owners, and at times the neighbours."""
-        found = {
-            known.claim.owner.name: known.claim.owner for known in self.fleet.pools.values()
-        }
+        found = {known.claim.owner.name: known.claim.owner for known in self.fleet.pools.values()}
         now = self.runtime.now()
         is_blind = len(self.fleet.pools) < len(self.succession.pools()) or not found
         for instance in self.fleet.instances().values():
@@ -296,9 +294,7 @@
         for job_id in message.jobs:
             outcome = pool.outcome_of(job_id)
             if outcome is not None:
-                self.tell(
-                    message.sender, messages.JobEnded(job_id, pool.name, pool.token, outcome)
-                )
+                self.tell(message.sender, messages.JobEnded(job_id, pool.name, pool.token, outcome))
 
     # Shared documents.
 
@@ -357,11 +353,11 @@
     def _on_claim(self, sender, message):
         self.fleet.note(message.owner)
         held = self.owned.get(message.pool)
-        if not self.fleet.take_claim(message) and held is not None:
+        is_foreign = message.owner.name != self.own.name
+        if not self.fleet.take_claim(message) and held is not None and is_foreign:
             # An instance that doesn't know of us: two candidates took the pool at once.
-            if message.owner.name != self.own.name:
-                claim = messages.Claim(held.name, self.own, held.token)
-                self.holder.send(message.owner, claim)
+            claim = messages.Claim(held.name, self.own, held.token)
+            self.holder.send(message.owner, claim)
 
     def _on_query(self, sender, message):
         known = self.fleet.pools.get(message.pool)
@@ -386,10 +382,6 @@
             self.runtime.sleep(0.01)
 
     def _successor(self, pool):
-        alive = [
-            each
-            for each in self.fleet.instances().values()
-            if self.fleet.is_alive(each.name)
-        ]
+        alive = [each for each in self.fleet.instances().values() if self.fleet.is_alive(each.name)]
         order = election.order(pool, ports.data_centre_of(pool), alive)
         return order[0] if order else None
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -580,9 +580,7 @@
         elif listing.born_ms:
             state.born_ms = listing.born_ms
         if not state.is_listed:
-            event.log(
-                events.SERVER_LISTED, server=state.server.id, running=len(listing.running)
-            )
+            event.log(events.SERVER_LISTED, server=state.server.id, running=len(listing.running))
         ended, vanished = state.take(listing, asked_at, now)
         for run, end in ended:
             self._on_end(state, run, end, now)
@@ -653,9 +651,7 @@
         state.failures += 1
         if state.failures >= FAILURES_IN_A_ROW:
             state.suspended_until = self.runtime.now() + SUSPENDED_S
-            event.log(
-                events.SERVER_SUSPENDED, server=state.server.id, failures=state.failures
-            )
+            event.log(events.SERVER_SUSPENDED, server=state.server.id, failures=state.failures)
 
     def _requeue(self, state, run):
         if state.runs.get(run.key) is run:
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -157,9 +157,7 @@
     def _ask(self, instance, query, answers):
         try:
             answers.append(
-                self.peers.request(
-                    peer.at_address(instance.address), query, self.times.query_s
-                )
+                self.peers.request(peer.at_address(instance.address), query, self.times.query_s)
             )
         except peer.PeerError:
             return  # a witness that doesn't answer says nothing; the number is logged
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -23,6 +23,7 @@
     "configuration",
     "job",
     "dispatch",
+    "rerun",
     "gateways",
     "callers",
     "daemon",
@@ -35,7 +36,7 @@
 NETWORK_LAYERS = {"observe", "wire", "gateways", "callers", "daemon", "command", "standins"}
 # The codec and the peers' interface are part of ``wire`` that aggregates may see; this is not.
 TRANSPORT_MODULES = {"rosedyke.wire.transport"}
-AGGREGATES = {"membership", "configuration", "job", "dispatch"}
+AGGREGATES = {"membership", "configuration", "job", "dispatch", "rerun"}
 
 
 @attrs.frozen
