Take a foreign pool over only after a second of proof, and look for every run first

Its own list lacked servers whose entries had lapsed in the cut, so it missed runs that were under way. Ruled out: a lower token (the servers refused the old owner at once).

--- a/rosedyke/rerun/messages.py
+++ b/rosedyke/rerun/messages.py
@@ -33,6 +33,9 @@
         Of the servers that answer.
     waiting : dict of str to int
         Jobs of each queue of which no task has started.
+    servers : tuple of str
+        The servers that it may have started something on.  A successor whose own list lacks one
+        of them knows that it doesn't see all runs yet.
     """
 
     pool: str
@@ -41,6 +44,7 @@
     free_millicores: int
     capacity_millicores: int
     waiting: dict[str, int]
+    servers: tuple[str, ...]
 
 
 @codec.message("rerun.claim")
@@ -186,6 +190,7 @@
 
     pool: str
     token: int
+    servers: tuple[str, ...]
 
 
 @codec.message("rerun.fetch")
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -126,8 +126,8 @@
 
     # Pools.
 
-    def take_pool(self, pool: str, reason: str) -> None:
-        """Own a pool from now on."""
+    def take_pool(self, pool: str, reason: str, expected: frozenset[str] | None = None) -> None:
+        """Own a pool from now on; ``expected`` are the servers that the predecessor used."""
         if pool in self.owned or self.succession.is_standing_by:
             return
         number = token.make(self.maker, self.wall_s(), self.fleet.highest.get(pool, 0))
@@ -141,11 +141,21 @@
             lambda: [each for each in self.registry.servers() if ports.pool_of(each) == pool],
             self,
             self.speeds,
+            expected or self._servers_of_predecessor(pool),
         )
         self.owned[pool] = taken
         taken.start()
         self._announce(taken)
 
+    def _servers_of_predecessor(self, pool):
+        """Return the servers that a silent owner used, None if its last report is too old."""
+        known = self.fleet.pools.get(pool)
+        if known is None or known.report is None:
+            return None
+        if self.fleet.silence_s(pool) > self.times.owner_lost_s:
+            return None
+        return frozenset(known.report.servers)
+
     def _announce(self, taken):
         claim = messages.Claim(taken.name, self.own, taken.token)
         self.fleet.take_claim(claim, is_own=True)
@@ -222,7 +232,7 @@
             ]
             order = election.order(name, data_centre, steady)
             if order:
-                self.holder.send(order[0], messages.Resign(name, self.owned[name].token))
+                self.holder.send(order[0], self.owned[name].resignation())
 
     def _targets(self):
         """Return who is to be renewed now: all owners, and at times the neighbours."""
@@ -366,7 +376,7 @@
         return messages.Heard(self.fleet.silence_s(message.pool))
 
     def _on_resign(self, sender, message):
-        self.take_pool(message.pool, "its owner gave it up")
+        self.take_pool(message.pool, "its owner gave it up", frozenset(message.servers))
 
     # Leaving.
 
@@ -376,7 +386,7 @@
         for each in list(self.owned.values()):
             successor = self._successor(each.name)
             if successor is not None:
-                self.holder.send(successor, messages.Resign(each.name, each.token))
+                self.holder.send(successor, each.resignation())
         give_up = self.runtime.now() + HANDOVER_S
         while self.owned and self.runtime.now() < give_up:
             self.runtime.sleep(0.01)
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -73,6 +73,8 @@
         The fencing token to begin with.
     servers : callable
         Returns the servers that the platform lists for the pool.
+    expected : frozenset of str or None
+        The servers that the predecessor used, None if that isn't known for sure.
     """
 
     def __init__(
@@ -85,7 +87,9 @@
         servers: Callable[[], list[ports.Server]],
         listener: Listener,
         speeds: speed.Speeds,
+        expected: frozenset[str] | None = None,
     ):
+        self.expected = expected
         self.times = times
         self.runtime = runtime
         self.gateway = gateway
@@ -356,10 +360,14 @@
 
     def is_recovered(self, now: float) -> bool:
         """Return whether nothing of an earlier owner can run unseen."""
-        if all(state.is_fenced for state in self.states.values()):
-            return bool(self.states)
-        # A server that doesn't answer us may answer the earlier owner.  That one stands down as
-        # soon as any other server refuses its token, within a look; then the leases end.
+        if self.expected is not None:
+            fenced = {each for each, state in self.states.items() if state.is_fenced}
+            if fenced >= self.expected and fenced >= set(self.states):
+                return True
+        # The own list may lack servers, since their entries lapse while they are cut off from
+        # the platform; a task whose run there is not seen would then run twice.  And a server
+        # that doesn't answer us may answer the earlier owner.  That one stands down as soon as
+        # any other server refuses its token, within a look; then the leases end.
         return now - self.began_at > self.times.look_s + self.times.lease_end_s
 
     def _place_all(self):
@@ -672,6 +680,10 @@
 
     # Reports.
 
+    def resignation(self) -> messages.Resign:
+        """Return the message that hands the pool to a successor."""
+        return messages.Resign(self.name, self.token, tuple(sorted(self.states)))
+
     def report(self) -> messages.PoolReport:
         """Return what holders need to choose a pool."""
         now = self.runtime.now()
@@ -688,4 +700,5 @@
             sum(s.free_millicores() for s in usable),
             sum(s.server.capacity.millicores for s in usable),
             dict(waiting),
+            tuple(sorted(self.states)),
         )
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -20,6 +20,11 @@
 HEARD_S = 0.35
 # Others that are asked about a silent owner.
 WITNESSES = 6
+# A candidate of another data centre asks the pool's own instances so many times in a row, and the
+# servers before that.  When a cut ends, the servers are in reach at once, but connections to the
+# instances that were open during the cut can take half a second to be replaced.
+FOREIGN_ROUNDS = 4
+FOREIGN_ROUND_S = 0.3
 # After an attempt that others or the servers spoke against.
 AGAIN_S = 0.3
 
@@ -170,6 +175,14 @@
         """
         if not self._reaches_server(pool):
             return False
+        for _ in range(FOREIGN_ROUNDS):
+            if self._is_local_heard(pool):
+                return False
+            self.runtime.sleep(FOREIGN_ROUND_S)
+        return not self._is_local_heard(pool)
+
+    def _is_local_heard(self, pool):
+        """Return whether any instance of a pool's own data centre, or its owner, answers."""
         data_centre = ports.data_centre_of(pool)
         locals_ = [
             each for each in self.fleet.instances().values() if each.data_centre == data_centre
@@ -182,7 +195,7 @@
         tasks = [self.runtime.spawn(self._ask, each, query, answers) for each in locals_]
         for task in tasks:
             task.wait(self.times.query_s)
-        return not answers
+        return bool(answers)
 
     def _reaches_server(self, pool):
         for server in self.registry.servers():
