Let a task be placed again after a refusal for an old run

Cause: a job sent again after its holder was lost starts with run 1, which its server refuses; the run's number was doubled before the task was released, so the task stayed placed for ever and the caller's time ran out. Found by the stand-in servers, which come with this change and check every start for a second run, capacity and shared tokens. Before: LostHolder.test_runs_are_over_before_the_caller_may_come_back red. After: green.

--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -460,19 +460,16 @@
     def _on_refused_start(self, state, run, order, error):
         if error.reason is ports.Refusal.FENCED and order.token == self.token:
             self._on_fenced(state)
-        elif error.reason is ports.Refusal.UNHEALTHY:
-            state.suspended_until = self.runtime.now() + AVOID_S
+        elif error.reason in (ports.Refusal.UNHEALTHY, ports.Refusal.INVALID):
+            self._avoid(state)
         elif error.reason is ports.Refusal.OTHER_INCARNATION:
             state.is_listed = False
-        elif error.reason is ports.Refusal.OLD_RUN:
+        self._requeue(state, run)
+        task = self._task_of(run)
+        if error.reason is ports.Refusal.OLD_RUN and task is not None:
             # An earlier run of the task ended there, started by an owner that we know nothing
             # of; doubling passes its number after a few tries.
-            task = self._task_of(run)
-            if task is not None:
-                task.run = 2 * task.run
-        elif error.reason is ports.Refusal.INVALID:
-            state.suspended_until = self.runtime.now() + AVOID_S
-        self._requeue(state, run)
+            task.run = max(task.run, 2 * run.number)
 
     def _on_no_answer(self, state, run):
         if run.key not in state.runs or run.state is server_runs.RunState.STOPPING:
--- /dev/null
+++ b/rosedyke/standins/leased_servers.py
@@ -0,0 +1,275 @@
+"""Backend servers that run tasks under leases, on a virtual clock, with every rule checked.
+
+They do what the protocol says and no more: they start whatever they are told to, also beyond
+their capacity or a second time, and note it in ``violations``.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from rosedyke.rerun import job, ports
+from rosedyke.standins import virtual
+
+DELAY_S = 0.0005
+MILLISECONDS = 1000
+
+
+@attrs.define(eq=False)
+class LiveRun:
+    """A run under way."""
+
+    task: str
+    number: int
+    payload: str
+    began_at: float
+    duration_s: float
+
+
+class LeasedServer:
+    """One backend server.
+
+    Parameters
+    ----------
+    world : World
+        Who checks what runs where.
+    listed : Server
+        What the platform says of it.
+    speed : float
+        Tasks take their duration divided by it.
+    """
+
+    def __init__(self, world: "World", listed: ports.Server, speed: float = 1.0):
+        self.world = world
+        self.runtime = world.runtime
+        self.listed = listed
+        self.speed = speed
+        self.is_up = True
+        self.is_hanging = False
+        self.fails_all = False
+        self.born_ms = listed.born_ms or 1
+        self.highest_token = 0
+        self.lease_end_s = 0.0
+        self.runs: dict[tuple[str, int], LiveRun] = {}
+        self.ended: list[ports.Ended] = []
+        self.count = 0
+        self.barred: dict[str, int] = {}
+        self.tokens: dict[int, str] = {}
+        self.something_ended = self.runtime.signal()
+        self.runtime.spawn(self._watch_lease)
+
+    def clock_ms(self) -> int:
+        """Return the server's steady clock."""
+        return int(self.runtime.now() * MILLISECONDS) + 7_000
+
+    def crash(self) -> None:
+        """Lose everything at once."""
+        self.is_up = False
+        self.runs.clear()
+
+    def restart(self) -> None:
+        """Come back empty under the same name."""
+        self.born_ms += 1000
+        self.is_up = True
+        self.highest_token = self.count = 0
+        self.ended, self.barred = [], {}
+
+    def _check(self, token, sender):
+        if token < self.highest_token:
+            raise ports.Refused(ports.Refusal.FENCED)
+        self.highest_token = token
+        owner = self.tokens.setdefault(token, sender)
+        if token and owner != sender:
+            self.world.violations.append(f"token {token} of {owner} used by {sender}")
+
+    def start(self, order: ports.Start, sender: str) -> None:
+        """Start a run."""
+        self._check(order.token, sender)
+        self._extend(order.lease_end_ms)
+        key = (order.task, order.run)
+        if key in self.runs:
+            return
+        if order.run <= self.barred.get(order.task, 0):
+            raise ports.Refused(ports.Refusal.OLD_RUN)
+        if self.clock_ms() >= order.lease_end_ms:
+            raise ports.Refused(ports.Refusal.LATE)
+        duration_s = self.world.duration_s(order.task) / self.speed
+        run = LiveRun(*key, order.payload, self.runtime.now(), duration_s)
+        self.world.on_start(self, run)
+        self.runs[key] = run
+        self.runtime.spawn(self._run, run)
+
+    def _run(self, run):
+        self.runtime.sleep(0.01 if self.fails_all else run.duration_s)
+        while self.is_hanging:
+            self.runtime.sleep(0.05)
+        if self.runs.get((run.task, run.number)) is run:
+            how = ports.RunEnd.FAILED if self.fails_all else ports.RunEnd.DONE
+            self._end(run, how)
+
+    def _end(self, run, how):
+        del self.runs[(run.task, run.number)]
+        self.barred[run.task] = max(run.number, self.barred.get(run.task, 0))
+        self.count += 1
+        self.ended.append(ports.Ended(self.count, run.task, run.number, how))
+        self.something_ended.set()
+        self.something_ended = self.runtime.signal()
+
+    def stop(self, task: str, number: int, token: int, sender: str) -> None:
+        """End a run or bar it from starting."""
+        self._check(token, sender)
+        run = self.runs.get((task, number))
+        if run is not None:
+            self.runtime.sleep(0.03)
+            if self.runs.get((task, number)) is run:
+                self._end(run, ports.RunEnd.STOPPED)
+        self.barred[task] = max(number, self.barred.get(task, 0))
+
+    def hold(self, token, acknowledged, lease_end_ms, wait_s, sender) -> ports.Listing:
+        """Renew the lease and list what runs."""
+        self._check(token, sender)
+        if lease_end_ms is not None:
+            self._extend(lease_end_ms)
+        self.ended = [each for each in self.ended if each.number > acknowledged]
+        if not self.ended and wait_s:
+            self.something_ended.wait(wait_s)
+        now = self.runtime.now()
+        running = tuple(
+            ports.Running(run.task, run.number, self._percent(run, now))
+            for run in self.runs.values()
+        )
+        return ports.Listing(self.clock_ms(), self.born_ms, running, tuple(self.ended))
+
+    def _percent(self, run, now):
+        if self.is_hanging:
+            return 0
+        return min(99, int(100 * (now - run.began_at) / run.duration_s))
+
+    def _extend(self, lease_end_ms):
+        now = self.runtime.now()
+        asked_s = now + (lease_end_ms - self.clock_ms()) / MILLISECONDS
+        self.lease_end_s = max(self.lease_end_s, min(asked_s, now + self.world.max_lease_s))
+
+    def _watch_lease(self):
+        while True:
+            self.runtime.sleep(0.01)
+            if self.runtime.now() > self.lease_end_s:
+                for run in list(self.runs.values()):
+                    self._end(run, ports.RunEnd.STOPPED)
+
+
+class World:
+    """All backend servers of a test, and what they saw that must not happen.
+
+    Attributes
+    ----------
+    violations : list of str
+        Tasks that ran twice at once, servers over their capacity, tokens of two owners.
+    starts : list of (float, str, str)
+        Time, task and server of every start.
+    durations : dict of str to float
+        Run time of a job's tasks at speed 1, by job id.
+    cut : set of (str, str)
+        Pairs of instance and server that can't reach each other.
+    fate : callable
+        ``fate(kind, instance, server)`` returns None for an order that passes, or the seconds
+        after which it is carried out without an answer.
+    """
+
+    def __init__(self, runtime: virtual.VirtualRuntime, max_lease_s: float = 1.0):
+        self.runtime = runtime
+        self.max_lease_s = max_lease_s
+        self.servers: dict[str, LeasedServer] = {}
+        self.violations: list[str] = []
+        self.starts: list[tuple[float, str, str]] = []
+        self.durations: dict[str, float] = {}
+        self.demands: dict[str, job.Demand] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.fate: Callable[[str, str, str], float | None] = lambda kind, instance, server: None
+
+    def add(self, listed: ports.Server, speed: float = 1.0) -> LeasedServer:
+        """Add a server."""
+        self.servers[listed.id] = LeasedServer(self, listed, speed)
+        return self.servers[listed.id]
+
+    def duration_s(self, task: str) -> float:
+        """Return a task's run time at speed 1."""
+        return self.durations.get(job.job_id(task), 0.1)
+
+    def on_start(self, server: LeasedServer, run: LiveRun) -> None:
+        """Check a start before it happens."""
+        now = self.runtime.now()
+        self.starts.append((now, run.task, server.listed.id))
+        for other in self.servers.values():
+            for live in other.runs.values():
+                if live.task == run.task:
+                    self.violations.append(
+                        f"{now:.3f}: {run.task} runs on {other.listed.id} and {server.listed.id}"
+                    )
+        used = self._demand(run)
+        for live in server.runs.values():
+            used = used.plus(self._demand(live))
+        if not job.Demand().fits(used, server.listed.capacity):
+            self.violations.append(f"{now:.3f}: {server.listed.id} is over its capacity")
+
+    def _demand(self, run):
+        return self.demands.get(job.job_id(run.task), job.Demand(1000))
+
+
+class WorldGateway:
+    """Implements ``ports.Servers`` for one instance."""
+
+    def __init__(self, world: World, instance: str):
+        self.world = world
+        self.runtime = world.runtime
+        self.instance = instance
+
+    def start(self, server: ports.Server, order: ports.Start, timeout_s: float) -> None:
+        """Start a run."""
+        self._order("start", server, timeout_s, lambda at: at.start(order, self.instance))
+
+    def stop(self, server, task: str, run: int, token: int, timeout_s: float) -> None:
+        """End a run."""
+        self._order("stop", server, timeout_s, lambda at: at.stop(task, run, token, self.instance))
+
+    def hold(self, server, token, acknowledged, lease_end_ms, wait_s, timeout_s) -> ports.Listing:
+        """Renew the lease and list what runs."""
+        return self._order(
+            "hold",
+            server,
+            timeout_s,
+            lambda at: at.hold(token, acknowledged, lease_end_ms, wait_s, self.instance),
+        )
+
+    def forget(self, server_id: str) -> None:
+        """Do nothing: there are no connections."""
+
+    def _order(self, kind, server, timeout_s, action):
+        target = self.world.servers[server.id]
+        late_s = self.world.fate(kind, self.instance, server.id)
+        if not self._is_reached(server.id):
+            self.runtime.sleep(timeout_s)
+            raise ports.NoAnswer("cut")
+        if late_s is not None:
+            self.runtime.spawn(self._carry_out_late, target, late_s, action)
+            self.runtime.sleep(timeout_s)
+            raise ports.NoAnswer("lost")
+        self.runtime.sleep(DELAY_S)
+        answer = action(target)
+        if not self._is_reached(server.id):
+            self.runtime.sleep(timeout_s)
+            raise ports.NoAnswer("cut")
+        self.runtime.sleep(DELAY_S)
+        return answer
+
+    def _is_reached(self, server_id):
+        is_cut = (self.instance, server_id) in self.world.cut
+        return self.world.servers[server_id].is_up and not is_cut
+
+    def _carry_out_late(self, target, late_s, action):
+        self.runtime.sleep(late_s)
+        try:
+            if target.is_up:
+                action(target)
+        except ports.Refused:
+            return  # as intended: a late order that the server refuses does nothing
--- /dev/null
+++ b/rosedyke/standins/rerun_region.py
@@ -0,0 +1,177 @@
+"""Several instances that run rerunnable jobs, on a virtual clock, network and servers."""
+
+from collections.abc import Callable
+
+import attrs
+
+from rosedyke.rerun import documents, job, messages, node, ports, settings
+from rosedyke.standins import leased_servers, virtual
+from rosedyke.wire import peer
+
+SERVICE = "weighing"
+WALL_S = 1_800_000_000
+
+
+class Listed:
+    """The platform's lists as one instance sees them: ``ports.Registry`` and ``Directory``."""
+
+    def __init__(self, region: "Region"):
+        self.region = region
+        self.hidden: set[str] = set()
+        self.reachable = True
+        self.callbacks: list[Callable[[], None]] = []
+
+    def servers(self) -> tuple[ports.Server, ...]:
+        """Return the servers that are not hidden from this instance."""
+        return tuple(
+            each.listed
+            for each in self.region.world.servers.values()
+            if each.listed.id not in self.hidden
+        )
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call ``callback()`` after each change."""
+        self.callbacks.append(callback)
+
+    def changed(self) -> None:
+        """Tell that the list has changed."""
+        for callback in self.callbacks:
+            callback()
+
+    def instances(self) -> tuple[messages.Instance, ...]:
+        """Return all instances."""
+        return tuple(one.own for one in self.region.members.values())
+
+    def is_reachable(self) -> bool:
+        """Return whether the platform is in reach."""
+        return self.reachable
+
+
+@attrs.define(eq=False)
+class Member:
+    """One instance."""
+
+    own: messages.Instance
+    peers: virtual.VirtualPeers
+    listed: Listed
+    node: node.Node
+    clock_s: float = 0.0
+
+
+class Region:
+    """Instances ``a-1``, ``a-2``, ``b-1`` ... in data centres ``a``, ``b`` ... with servers each.
+
+    Parameters
+    ----------
+    sizes : dict of str to int
+        Instances in each data centre.
+    servers : int
+        Servers in each, of four cores.
+    """
+
+    def __init__(self, sizes: dict[str, int], servers: int = 3, seed: int = 1):
+        self.runtime = virtual.VirtualRuntime(seed)
+        self.network = virtual.VirtualNetwork(self.runtime)
+        self.world = leased_servers.World(self.runtime)
+        self.times = settings.RerunSettings()
+        self.members: dict[str, Member] = {}
+        for data_centre in sizes:
+            for number in range(servers):
+                self.add_server(data_centre, number)
+        for index, (data_centre, count) in enumerate(sizes.items()):
+            for number in range(1, count + 1):
+                self.add(f"{data_centre}-{number}", data_centre, f"10.{index}.0.{number}:7000")
+
+    def add_server(self, data_centre: str, number: int) -> leased_servers.LeasedServer:
+        """Add a server."""
+        return self.world.add(
+            ports.Server(
+                f"s-{data_centre}-{number}",
+                f"10.9.{number}.1:80",
+                SERVICE,
+                data_centre,
+                "r1",
+                job.Demand(4000, 4096),
+                born_ms=1,
+            )
+        )
+
+    def add(self, name: str, data_centre: str, address: str, clock_s: float = 0.0) -> Member:
+        """Start an instance whose wall clock is off by ``clock_s``."""
+        own = messages.Instance(name, address, data_centre)
+        peers = virtual.VirtualPeers(self.network, peer.Peer(name, 1, data_centre, address))
+        listed = Listed(self)
+        built = node.Node(
+            own,
+            self.times,
+            self.runtime,
+            peers,
+            listed,
+            listed,
+            leased_servers.WorldGateway(self.world, name),
+            documents.Documents(),
+            lambda: WALL_S + self.runtime.now() + clock_s,
+        )
+        self.members[name] = Member(own, peers, listed, built, clock_s)
+        built.start()
+        return self.members[name]
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.runtime.run(self.runtime.now() + seconds)
+
+    def owner(self, data_centre: str) -> str:
+        """Return the live instance that owns a data centre's pool with the highest token."""
+        owned = [
+            (one.node.owned[f"{data_centre}/r1"].token, name)
+            for name, one in self.members.items()
+            if f"{data_centre}/r1" in one.node.owned
+        ]
+        return max(owned)[1] if owned else ""
+
+    def other(self, data_centre: str) -> str:
+        """Return an instance of a data centre that doesn't own its pool."""
+        owner = self.owner(data_centre)
+        return next(
+            name
+            for name, one in self.members.items()
+            if one.own.data_centre == data_centre and name != owner
+        )
+
+    def kill(self, name: str) -> None:
+        """End an instance without notice."""
+        member = self.members.pop(name)
+        member.peers.crash()
+        member.node.stop()
+
+    def cut(self, left: list[str], right: list[str]) -> None:
+        """Cut two groups of instances from each other."""
+        self.network.partition(left, right)
+
+    def submit(
+        self, name: str, job_id: str, count: int = 1, duration_s: float = 0.1, timeout_s: float = 5
+    ) -> "Submission":
+        """Hand a job to an instance as a caller does."""
+        self.world.durations[job_id] = duration_s
+        step = job.Step(count, job.Demand(1000, 64), duration_s)
+        work = job.Job(
+            job_id, "tags", SERVICE, "{}", (step,), 0, 3, 1.6 * duration_s + 1.0, timeout_s
+        )
+        submission = Submission(self.runtime.signal())
+        member = self.members[name]
+
+        def call():
+            submission.outcome = member.node.run(work, submission.gone)
+            submission.ended_at = self.runtime.now()
+
+        self.runtime.spawn(call)
+        return submission
+
+
+@attrs.define(eq=False)
+class Submission:
+    """A caller's request."""
+
+    gone: virtual.VirtualSignal
+    outcome: job.Outcome | None = None
+    ended_at: float = 0.0
