--- a/rosedyke/rerun/events.py
+++ b/rosedyke/rerun/events.py
@@ -76,6 +76,12 @@
     logging.WARNING,
     "A run makes no progress or far too little; it is stopped and placed elsewhere.",
 )
+LOOK_REFUSED = event.define(
+    8017,
+    "look_refused",
+    logging.WARNING,
+    "A backend server refused to renew its lease and to list its runs; it gets no tasks.",
+)
 JOB_ENDED = event.define(
     8020,
     "rerunnable_job_ended",
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -9,8 +9,8 @@
 from rosedyke.rerun import events, fleet, job, messages, ports, settings
 from rosedyke.wire import peer
 
-# A report that is older says nothing about the room in a pool.
-FRESH_S = 0.4
+# A report that is older says nothing about the room in a pool; owners far away send one each 0.3 s.
+FRESH_S = 0.5
 # Another data centre's pool has to promise at least this much less waiting: the way there and
 # back, and a cut between the data centres would cost the job.
 FAR_S = 0.02
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -21,7 +21,7 @@
 )
 from rosedyke.wire import peer
 
-# Instances of the own data centre that own nothing are asked this often, to know who is alive.
+# Instances that neither own a near pool nor have jobs of this one are asked this often.
 NEIGHBOUR_S = 0.3
 # A renewal without answer is given up; the next ones are on their way by then.
 RENEWAL_TIMEOUT_S = 0.3
@@ -75,6 +75,7 @@
         )
         self.fleet.on_claim.append(self._on_foreign_claim)
         self.renewing: set[str] = set()
+        self.asked: dict[str, float] = {}
         self.fetching: set[str] = set()
         self.ticked_at = runtime.now()
         self.is_running = True
@@ -235,22 +236,35 @@
                 self.holder.send(order[0], self.owned[name].resignation())
 
     def _targets(self):
-        """Return who is to be renewed now: all owners, and at times the neighbours."""
-        found = {known.claim.owner.name: known.claim.owner for known in self.fleet.pools.values()}
-        now = self.runtime.now()
-        is_blind = len(self.fleet.pools) < len(self.succession.pools()) or not found
-        for instance in self.fleet.instances().values():
-            is_near = instance.data_centre == self.own.data_centre
-            silent_s = now - self.fleet.heard.get(instance.name, -NEIGHBOUR_S)
-            if (is_near and silent_s >= NEIGHBOUR_S) or is_blind:
-                found[instance.name] = instance
-        if not found:
+        """Return who is to be renewed now.
+
+        Owners that have jobs of this instance, and those of the own data centre, are renewed each
+        time: the first for the jobs, the others to notice at once when they fall silent.  All
+        others are asked less often, which leaves out half of all messages on a quiet day.
+        """
+        instances = self.fleet.instances()
+        is_blind = len(self.fleet.pools) < len(self.succession.pools()) or not self.fleet.pools
+        found = {}
+        for known in self.fleet.pools.values():
+            target = known.claim.owner
+            is_near = target.data_centre == self.own.data_centre
+            if is_near or self._is_due(target) or self.holder.renewed(target.name):
+                found[target.name] = target
+        for target in instances.values():
+            is_near = target.data_centre == self.own.data_centre
+            if is_blind or (is_near and self._is_due(target)):
+                found[target.name] = target
+        if not found and not self.fleet.pools:
             found = {each.name: each for each in self.seeds}
         found.pop(self.own.name, None)
         return list(found.values())
 
+    def _is_due(self, instance):
+        asked_s = self.runtime.now() - self.asked.get(instance.name, -NEIGHBOUR_S)
+        return asked_s >= NEIGHBOUR_S
+
     def _renew(self, instance):
-        asked_at = self.runtime.now()
+        asked_at = self.asked[instance.name] = self.runtime.now()
         message = messages.Renew(
             self.own,
             self.holder.renewed(instance.name),
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -540,7 +540,8 @@
     def _on_refused_look(self, state, used, error):
         if error.reason is ports.Refusal.FENCED and used == self.token:
             self._on_fenced(state)
-        elif error.reason is ports.Refusal.OTHER_INCARNATION:
+        else:
+            event.log(events.LOOK_REFUSED, server=state.server.id, error=error)
             state.is_listed = False
         self.runtime.sleep(RAISE_PAUSE_S)
 
--- a/tools/update_catalogues.py
+++ b/tools/update_catalogues.py
@@ -7,8 +7,9 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT))
+sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
+from adapter import events  # noqa: E402, F401  (adds its events to the catalogue)
 from rosedyke.daemon import argument_page  # noqa: E402
 from rosedyke.observe import catalogue  # noqa: E402
 
