--- a/rosedyke/rerun/events.py
+++ b/rosedyke/rerun/events.py
@@ -94,6 +94,12 @@
     logging.INFO,
     "A job was handed to another owner or followed its caller to another holder.",
 )
+TASKS_RELEASED = event.define(
+    8023,
+    "tasks_released",
+    logging.DEBUG,
+    "A full pool gave tasks back that it hadn't started, toward a pool that has room.",
+)
 JOB_LOST_BY_HOLDER = event.define(
     8022,
     "holder_lost",
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -21,19 +21,41 @@
 
 
 @attrs.define(eq=False)
-class HeldJob:
-    """One job that a caller waits for.
+class Part:
+    """The tasks of a job that one pool runs.
 
     Attributes
     ----------
-    pool, token
-        Where it was sent; empty and 0 while it has no owner.
+    token : int
+        Of the owner that they were sent to.
     sent_at : float
         When.
     may_have_run : bool
-        It was sent to an owner, so something of it may have started.
+        They were sent to an owner, so some may have started.
     might_before : bool
-        ``may_have_run`` before it was sent the last time.
+        ``may_have_run`` before they were sent the last time.
+    moves : int
+        How often a pool has released them.
+    """
+
+    pool: str
+    tasks: set[str]
+    token: int = 0
+    sent_at: float = 0.0
+    may_have_run: bool = False
+    might_before: bool = False
+    is_done: bool = False
+    moves: int = 0
+
+
+@attrs.define(eq=False)
+class HeldJob:
+    """One job that a caller waits for.
+
+    Attributes
+    ----------
+    parts : dict of str to Part
+        By pool; empty while no pool has an owner.
     waiters : int
         Requests of callers that wait for it.
     """
@@ -41,13 +63,13 @@
     work: job.Job
     arrived_at: float
     ended: runtime_module.Signal
-    pool: str = ""
-    token: int = 0
-    sent_at: float = 0.0
-    may_have_run: bool = False
-    might_before: bool = False
+    parts: dict[str, Part] = attrs.Factory(dict)
     waiters: int = 0
 
+    def may_have_run(self) -> bool:
+        """Return whether something of the job may have started."""
+        return any(part.may_have_run for part in self.parts.values())
+
 
 class Holder:
     """Holds the jobs of this instance's callers.
@@ -108,7 +130,7 @@
             self.end(held, job.Outcome(job.End.CANCELLED, "the caller is gone"))
 
     def _unfinished(self, held, reason):
-        if held.may_have_run:
+        if held.may_have_run():
             return job.Outcome(job.End.LOST, reason)
         return job.Outcome(job.End.REFUSED, reason, RETRY_AFTER_S)
 
@@ -117,7 +139,7 @@
         if held.ended.is_set():
             return
         self.jobs.pop(held.work.id, None)
-        if held.pool and outcome.end in (job.End.CANCELLED, job.End.LOST):
+        if outcome.end is not job.End.SUCCEEDED:
             self._cancel(held)
         if outcome.end is not job.End.SUCCEEDED:
             event.log(
@@ -128,14 +150,20 @@
                 after_ms=round((self.runtime.now() - held.arrived_at) * 1000),
                 objective_ms=round(held.work.objective_s * 1000),
                 queue=held.work.queue,
-                pool=held.pool,
+                pools=sorted(held.parts),
             )
         held.ended.set(outcome)
 
     def _cancel(self, held):
-        claim = self.fleet.owner_of(held.pool)
-        if claim is not None:
-            self.send(claim.owner, messages.Cancel(held.work.id, self.fleet.own))
+        """Stop what still runs of a job."""
+        message = messages.Cancel(held.work.id, self.fleet.own)
+        owners = {}
+        for part in held.parts.values():
+            claim = self.fleet.owner_of(part.pool)
+            if claim is not None and not part.is_done:
+                owners[claim.owner.name] = claim.owner
+        for target in owners.values():
+            self.send(target, message)
 
     def send(self, instance: messages.Instance, message: object) -> None:
         """Send a message that is repeated or made good by the next renewal if it is lost."""
@@ -154,7 +182,7 @@
 
     def waiting(self, queue: str) -> int:
         """Return the jobs of a queue that have not begun, as far as the pools report."""
-        unsent = sum(held.work.queue == queue and not held.pool for held in self.jobs.values())
+        unsent = sum(held.work.queue == queue and not held.parts for held in self.jobs.values())
         reports = [known.report for known in self.fleet.pools.values() if known.report]
         return unsent + sum(report.waiting.get(queue, 0) for report in reports)
 
@@ -186,92 +214,149 @@
     def _wait_s(report, work):
         """Return roughly how long a job would wait in a pool."""
         needed = sum(step.count * step.demand.millicores for step in work.steps)
-        missing = max(0, needed - report.free_millicores)
+        missing = max(0, needed - sum(report.rooms))
         longest_s = max((step.estimate_s for step in work.steps), default=0.0)
         if not report.capacity_millicores:
             return 60.0
         return report.backlog_s + longest_s * missing / report.capacity_millicores
 
-    def _find_pool(self, held):
-        """Hand a job to a pool, waiting for a moment if none has an owner just now."""
+    def _find_pool(self, held, tasks=None, moves=0):
+        """Hand a job, or some tasks of it, to a pool; wait for a moment if none has an owner."""
         give_up = self.runtime.now() + self.times.wait_for_owner_s
+        names = tasks or {name for name, _ in held.work.task_names()}
         while not held.ended.is_set():
             pool = self.choose_pool(held.work)
             claim = self.fleet.owner_of(pool) if pool else None
             if claim is not None:
-                self._hand_over(held, claim)
+                self._add_part(held, claim, names, moves)
                 return
             if self.runtime.now() >= give_up:
                 self.end(held, self._unfinished(held, "no pool has an owner in reach"))
                 return
             self.runtime.sleep(WAIT_STEP_S)
 
-    def _hand_over(self, held, claim):
+    def _add_part(self, held, claim, names, moves):
+        part = held.parts.get(claim.pool)
+        if part is None or part.is_done:
+            part = held.parts[claim.pool] = Part(claim.pool, set())
+        part.tasks |= names
+        part.moves = max(part.moves, moves)
+        self._hand_over(held, part, claim)
+
+    def _hand_over(self, held, part, claim):
         now = self.runtime.now()
         message = messages.Submit(
             claim.pool,
             held.work,
             self.fleet.own,
             now - held.arrived_at,
-            held.may_have_run,
+            tuple(sorted(part.tasks)),
+            part.may_have_run,
+            held.may_have_run(),
+            part.moves,
         )
-        held.pool, held.token, held.sent_at = claim.pool, claim.token, now
-        held.might_before, held.may_have_run = held.may_have_run, True
+        part.token, part.sent_at = claim.token, now
+        part.might_before, part.may_have_run = part.may_have_run, True
         self.submit(claim.owner, message)
 
     def _on_claim(self, claim):
-        """Hand the jobs of a pool to its new owner, which finds what still runs of them."""
+        """Hand the tasks of a pool to its new owner, which finds what still runs of them."""
         for held in list(self.jobs.values()):
-            if held.pool == claim.pool and held.token < claim.token:
-                self._hand_over(held, claim)
+            part = held.parts.get(claim.pool)
+            if part is not None and not part.is_done and part.token < claim.token:
+                self._hand_over(held, part, claim)
 
     # What owners say.
 
     def renewed(self, owner: str) -> tuple[str, ...]:
-        """Return the ids of the jobs that an owner has."""
-        return tuple(
-            held.work.id
-            for held in self.jobs.values()
-            if held.pool and self._owner_name(held.pool) == owner
-        )
+        """Return the ids of the jobs that an owner has tasks of."""
+        return tuple(held.work.id for held in self.jobs.values() if self._parts_at(held, owner))
+
+    def _parts_at(self, held, owner):
+        return [
+            part
+            for part in held.parts.values()
+            if not part.is_done and self._owner_name(part.pool) == owner
+        ]
 
     def _owner_name(self, pool):
         claim = self.fleet.owner_of(pool)
         return claim.owner.name if claim else ""
 
-    def on_unknown(self, job_ids: tuple[str, ...], asked_at: float) -> None:
+    def on_unknown(self, owner: str, job_ids: tuple[str, ...], asked_at: float) -> None:
         """Hand over again what an owner doesn't know although it was sent before the renewal."""
         for job_id in job_ids:
             held = self.jobs.get(job_id)
-            if held is None or held.sent_at > asked_at - SETTLE_S:
+            if held is None:
                 continue
-            claim = self.fleet.owner_of(held.pool)
-            if claim is not None:
-                self._hand_over(held, claim)
+            for part in self._parts_at(held, owner):
+                claim = self.fleet.owner_of(part.pool)
+                if claim is not None and part.sent_at <= asked_at - SETTLE_S:
+                    self._hand_over(held, part, claim)
 
-    def on_ended(self, message: messages.JobEnded) -> None:
-        """Take a job's end from its owner."""
+    def _part_of(self, message):
         held = self.jobs.get(message.job_id)
-        if held is None or held.pool != message.pool:
+        part = held.parts.get(message.pool) if held else None
+        return (held, part) if part is not None and not part.is_done else (None, None)
+
+    def on_ended(self, message: messages.JobEnded) -> None:
+        """Take the end of a part of a job from its owner."""
+        held, part = self._part_of(message)
+        if held is None:
             return
         # A success is true whoever says it.  A former owner's other news is not: its successor
-        # may be running the job.
-        is_current = message.token >= held.token
-        if is_current or message.outcome.end is job.End.SUCCEEDED:
+        # may be running the tasks.
+        if message.outcome.end is not job.End.SUCCEEDED:
+            if message.token >= part.token:
+                self.end(held, self._told(held, part, message.outcome))
+            return
+        if not part.tasks & set(message.tasks):
+            return  # of an earlier part there; these tasks came later
+        missing = part.tasks - set(message.tasks)
+        if missing:
+            # The owner has released these, and its message was lost.
+            part.tasks = set(message.tasks) & part.tasks
+            self.runtime.spawn(self._find_pool, held, missing, part.moves + 1)
+        part.is_done = True
+        if not missing and all(each.is_done for each in held.parts.values()):
             self.end(held, message.outcome)
 
+    @staticmethod
+    def _told(held, part, outcome):
+        """Return a job's outcome by that of one part: only a whole job can be refused."""
+        if outcome.end is job.End.REFUSED and len(held.parts) > 1:
+            return job.Outcome(job.End.LOST, outcome.reason)
+        return outcome
+
+    def on_released(self, message: messages.Released) -> None:
+        """Hand tasks that a full pool gives back to the one that has room."""
+        held, part = self._part_of(message)
+        if held is None or message.token < part.token:
+            return
+        names = part.tasks & set(message.tasks)
+        part.tasks -= names
+        if not part.tasks:
+            del held.parts[part.pool]
+        if not names:
+            return
+        claim = self.fleet.owner_of(message.toward)
+        if claim is not None:
+            self._add_part(held, claim, names, message.moves)
+        else:
+            self.runtime.spawn(self._find_pool, held, names, message.moves)
+
     def on_not_owner(self, message: messages.NotOwner) -> None:
-        """Look for another pool: the one asked has done nothing with the job."""
-        held = self.jobs.get(message.job_id)
-        if held is None or held.pool != message.pool:
+        """Look for another pool: the one asked has done nothing with the tasks."""
+        held, part = self._part_of(message)
+        if held is None:
             return
-        held.may_have_run = held.might_before
+        part.may_have_run = part.might_before
         claim = self.fleet.owner_of(message.pool)
         if claim is not None and claim.owner.name != message.sender.name:
-            self._hand_over(held, claim)
-        elif not held.may_have_run:
-            held.pool = ""
-            self.runtime.spawn(self._find_pool, held)
+            self._hand_over(held, part, claim)
+        elif not part.may_have_run:
+            del held.parts[part.pool]
+            self.runtime.spawn(self._find_pool, held, part.tasks, part.moves)
 
     def check_owners(self) -> None:
         """Give up the jobs of owners that have been silent for too long.
@@ -280,10 +365,14 @@
         caller may send its job again.
         """
         for held in list(self.jobs.values()):
-            if not held.pool:
-                continue
-            is_known = held.pool in self.fleet.pools
-            since = self.runtime.now() - held.sent_at
-            silence_s = self.fleet.silence_s(held.pool) if is_known else since
-            if min(silence_s, since) > self.times.owner_lost_s:
-                self.end(held, job.Outcome(job.End.LOST, "the pool's owner does not answer"))
+            for part in list(held.parts.values()):
+                if not part.is_done and self._is_owner_lost(part):
+                    lost = job.Outcome(job.End.LOST, "a pool's owner does not answer")
+                    self.end(held, lost)
+                    break
+
+    def _is_owner_lost(self, part):
+        since = self.runtime.now() - part.sent_at
+        is_known = part.pool in self.fleet.pools
+        silence_s = self.fleet.silence_s(part.pool) if is_known else since
+        return min(silence_s, since) > self.times.owner_lost_s
--- /dev/null
+++ b/rosedyke/rerun/load_test.py
@@ -0,0 +1,170 @@
+import unittest
+
+from rosedyke.rerun import (
+    admission,
+    job,
+    messages,
+    owned,
+    placement,
+    ports,
+    queue,
+    server_runs,
+    settings,
+    speed,
+    spill,
+)
+from rosedyke.standins import rerun_region
+
+HOLDER = messages.Instance("a-1", "10.0.0.1:7000", "a")
+SETTLE_S = 1.5
+DONE = job.Outcome(job.End.SUCCEEDED)
+
+
+def waiting_job(job_id, arrived_at, estimate_s, objective_s, count=1, priority=0, cores=14):
+    step = job.Step(count, job.Demand(cores * 1000), estimate_s)
+    work = job.Job(job_id, "q", "s", "", (step,), priority, 2, objective_s, 3.0)
+    names = tuple(name for name, _ in work.task_names())
+    message = messages.Submit("a/r1", work, HOLDER, 0.0, names, False, False)
+    return owned.OwnedJob.of(message, arrived_at)
+
+
+def server(server_id, cores=32):
+    listed = ports.Server(server_id, "10.0.0.9:80", "s", "a", "r1", job.Demand(cores * 1000))
+    return server_runs.ServerRuns(listed)
+
+
+def report(pool, *cores, backlog_s=0.0):
+    rooms = tuple(each * 1000 for each in cores)
+    return messages.PoolReport(pool, 1, backlog_s, rooms, 64_000, {}, ())
+
+
+class Order(unittest.TestCase):
+    def test_short_jobs_go_before_long_ones_that_have_time(self):
+        long = waiting_job("long", 0.0, 0.9, 1.5)
+        short = waiting_job("short", 0.1, 0.06, 0.16)
+        self.assertEqual(queue.order([long, short], 0.1), [short, long])
+
+    def test_what_is_late_anyway_waits_behind_what_can_make_it(self):
+        late = waiting_job("late", 0.0, 0.06, 0.16)
+        fresh = waiting_job("fresh", 0.9, 0.2, 0.4)
+        self.assertEqual(queue.order([late, fresh], 1.0), [fresh, late])
+
+    def test_of_late_jobs_the_more_important_queue_goes_first(self):
+        first = waiting_job("first", 0.0, 0.06, 0.16, priority=2)
+        second = waiting_job("second", 0.1, 0.06, 0.16, priority=0)
+        self.assertEqual(queue.order([first, second], 5.0), [second, first])
+
+
+class Placement(unittest.TestCase):
+    def setUp(self):
+        self.speeds = speed.Speeds({"slow": 0.6, "fast": 1.6})
+        self.slow, self.fast = server("slow"), server("fast", 48)
+        self.task = waiting_job("j", 0.0, 0.1, 0.2).waiting()[0]
+
+    def choose(self, **used):
+        return placement.choose(self.task, "s", [self.slow, self.fast], self.speeds, used)
+
+    def test_fastest_with_room(self):
+        empty, full = job.Demand(), job.Demand(40_000)
+        self.assertIs(self.choose(slow=empty, fast=empty), self.fast)
+        self.assertIs(self.choose(slow=empty, fast=full), self.slow)
+        self.assertIsNone(self.choose(slow=full, fast=full))
+        self.assertIsNone(self.choose())
+
+    def test_server_that_failed_the_task_is_the_last_choice(self):
+        self.task.failed_on.add("fast")
+        self.assertIs(self.choose(slow=job.Demand(), fast=job.Demand()), self.slow)
+        self.assertIs(self.choose(fast=job.Demand()), self.fast)
+
+    def test_speed_is_learned_within_a_dozen_runs_and_bounded_in_one(self):
+        learned = speed.Speeds()
+        learned.learn("s", 0.1, 10.0)
+        self.assertGreater(learned.of("s"), 0.9)
+        for _ in range(30):
+            learned.learn("s", 0.1, 0.2)
+        self.assertAlmostEqual(learned.of("s"), 0.5, delta=0.05)
+
+
+class Admission(unittest.TestCase):
+    def test_hopeless_only_when_even_the_fastest_server_is_too_late(self):
+        times = settings.RerunSettings()
+        item = waiting_job("j", 0.0, 0.3, 0.5)
+        self.assertFalse(admission.is_hopeless(item, 1.1, 1.0, times))
+        self.assertTrue(admission.is_hopeless(item, 1.3, 1.0, times))
+        self.assertFalse(admission.is_hopeless(item, 1.3, 1.6, times))
+
+
+class Spill(unittest.TestCase):
+    def test_room_opens_with_each_end(self):
+        self.assertEqual(spill.waits([1.2, 1.1], 3, 1.0), [1.1 - 1.0, 1.2 - 1.0, 1.2 - 1.0])
+        self.assertEqual(spill.waits([], 2, 1.0), [1.0, 1.0])
+
+    def test_tasks_of_a_job_stay_together_as_far_as_there_is_room(self):
+        item = waiting_job("j", 0.0, 0.1, 0.2, count=4)
+        tasks = [(item, task) for task in item.waiting()]
+        found = spill.assign(tasks, [report("b", 14, 32), report("c", 28), report("d", 10)])
+        self.assertEqual(
+            {toward: len(each) for (_, toward), each in found.items()}, {"b": 3, "c": 1}
+        )
+
+    def test_pool_that_has_a_queue_gets_none(self):
+        item = waiting_job("j", 0.0, 0.1, 0.2)
+        tasks = [(item, task) for task in item.waiting()]
+        self.assertEqual(spill.assign(tasks, [report("b", 32, backlog_s=0.1)]), {})
+
+    def test_job_wider_than_its_pool_uses_those_beside_it(self):
+        # A single wide job is late on an idle fleet: its pool has room for 12 of its 24 tasks.
+        region = rerun_region.Region({"a": 2, "b": 2})
+        region.run(SETTLE_S)
+        began = region.runtime.now()
+        held = region.submit(region.other("a"), "j1", count=24, duration_s=0.5)
+        region.run(2.0)
+        self.assertEqual((held.outcome, region.world.violations), (DONE, []))
+        self.assertLess(held.ended_at - began, 0.55)
+        self.assertEqual(len(region.world.starts), 24)
+
+    def test_released_tasks_whose_message_is_lost_run_all_the_same(self):
+        # The caller is told that its job succeeded although a part of it never ran.  A full pool
+        # gives tasks back to the holder, and that message is lost.
+        region = rerun_region.Region({"a": 2, "b": 2})
+        region.run(SETTLE_S)
+        delay = region.network.delay_s
+        region.network.delay_s = lambda source, target, message: (
+            None if isinstance(message, messages.Released) else delay(source, target, message)
+        )
+        held = region.submit(region.other("a"), "j1", count=24, duration_s=0.3)
+        region.run(3.0)
+        self.assertEqual((held.outcome, region.world.violations), (DONE, []))
+        done = {task for _, task, _ in region.world.starts}
+        self.assertEqual(len(done), 24)
+
+    def test_pool_lost_with_a_part_of_a_job(self):
+        region = rerun_region.Region({"a": 2, "b": 2})
+        region.run(SETTLE_S)
+        held = region.submit(region.other("a"), "j1", count=24, duration_s=1.2)
+        region.run(0.4)
+        region.kill(region.owner("b"))
+        region.run(4.0)
+        self.assertEqual((held.outcome, region.world.violations), (DONE, []))
+
+
+class Burst(unittest.TestCase):
+    def test_every_job_of_a_burst_gets_a_timely_answer(self):
+        # Twice what the servers can do for two seconds: what can't be answered in time is refused
+        # while its caller still waits, nothing of it has started, and nobody waits in vain.
+        region = rerun_region.Region({"a": 2})
+        region.run(SETTLE_S)
+        held = []
+        for number in range(200):
+            held.append(region.submit("a-1", f"j{number}", count=3, duration_s=0.4, timeout_s=6.0))
+            region.run(0.01)
+        region.run(8.0)
+        ends = {one.outcome.end for one in held}
+        self.assertEqual(ends, {job.End.SUCCEEDED, job.End.REFUSED})
+        started = {job.job_id(task) for _, task, _ in region.world.starts}
+        refused = {f"j{n}" for n, one in enumerate(held) if one.outcome.end is job.End.REFUSED}
+        self.assertEqual(started & refused, set())
+        self.assertEqual(region.world.violations, [])
+        # 12 tasks at once for 0.4 s each are 10 jobs a second, for 2 s and the 4.9 s after that
+        # in which an answer is still of use.
+        self.assertGreater(len(held) - len(refused), 60)
--- a/rosedyke/rerun/messages.py
+++ b/rosedyke/rerun/messages.py
@@ -27,8 +27,8 @@
         The owner's fencing token; of two owners the one with the higher token counts.
     backlog_s : float
         How long the waiting work would keep all servers of the pool busy.
-    free_millicores : int
-        What no task takes up, on servers that may get some.
+    rooms : tuple of int
+        Millicores that no task takes up on each server that may get some.
     capacity_millicores : int
         Of the servers that answer.
     waiting : dict of str to int
@@ -41,7 +41,7 @@
     pool: str
     token: int
     backlog_s: float
-    free_millicores: int
+    rooms: tuple[int, ...]
     capacity_millicores: int
     waiting: dict[str, int]
     servers: tuple[str, ...]
@@ -117,26 +117,71 @@
         Who answers the caller.
     age_s : float
         Time since the holder got the job.
+    tasks : tuple of str
+        The tasks that this pool shall run; the others run elsewhere.
     may_have_run : bool
-        An earlier owner of the pool had the job, so some of it may be running or done.
+        An earlier owner of the pool had these tasks, so some may be running or done.
+    has_started : bool
+        Something of the job may have started, so it can't be refused any more.
+    moves : int
+        How often these tasks were released by a pool before.
     """
 
     pool: str
     work: job.Job
     holder: Instance
     age_s: float
+    tasks: tuple[str, ...]
     may_have_run: bool
+    has_started: bool
+    moves: int = 0
 
 
 @codec.message("rerun.ended")
 @attrs.frozen
 class JobEnded:
-    """An owner tells a holder how a job ended."""
+    """An owner tells a holder how its part of a job ended; ``tasks`` are all that it had."""
 
     job_id: str
     pool: str
     token: int
     outcome: job.Outcome
+    tasks: tuple[str, ...]
+
+
+@codec.message("rerun.released")
+@attrs.frozen
+class Released:
+    """An owner gives back tasks that it hasn't started, since another pool has room for them.
+
+    Attributes
+    ----------
+    toward : str
+        The pool that has room.
+    moves : int
+        How often these tasks have been released, this time included.
+    """
+
+    job_id: str
+    pool: str
+    token: int
+    tasks: tuple[str, ...]
+    toward: str
+    moves: int
+
+
+@codec.message("rerun.ask_rooms")
+@attrs.frozen
+class AskRooms:
+    """An owner whose pool is full asks another one for its room at this moment."""
+
+
+@codec.message("rerun.rooms")
+@attrs.frozen
+class Rooms:
+    """The answer to ``AskRooms``."""
+
+    pools: tuple[PoolReport, ...]
 
 
 @codec.message("rerun.not_owner")
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -26,6 +26,10 @@
 # A renewal without answer is given up; the next ones are on their way by then.
 RENEWAL_TIMEOUT_S = 0.3
 FETCH_TIMEOUT_S = 0.5
+# An owner whose pool is full asks this many others for room, at random among more, and waits this
+# long for them: twice the way there and back between data centres.
+ASKED_POOLS = 4
+ROOMS_TIMEOUT_S = 0.01
 # How long a leaving owner waits for its successor to announce itself.
 HANDOVER_S = 0.3
 
@@ -86,6 +90,8 @@
         handle(messages.Renew, self._on_renew)
         handle(messages.Submit, self._on_submit)
         handle(messages.JobEnded, lambda sender, message: self.holder.on_ended(message))
+        handle(messages.Released, lambda sender, message: self.holder.on_released(message))
+        handle(messages.AskRooms, self._on_ask_rooms)
         handle(messages.NotOwner, self._on_not_owner)
         handle(messages.Cancel, self._on_cancel)
         handle(messages.CancelHeld, lambda sender, m: self._end_held(m.job_id))
@@ -171,12 +177,46 @@
 
     # What owners ask of the instance: ``owner.Listener``.
 
-    def tell(self, target: messages.Instance, message: messages.JobEnded) -> None:
-        """Hand a job's end to its holder."""
-        if target.name == self.own.name:
-            self.holder.on_ended(message)
-        else:
+    def tell(
+        self, target: messages.Instance, message: messages.JobEnded | messages.Released
+    ) -> None:
+        """Hand a job's end, or tasks that have room elsewhere, to its holder."""
+        if target.name != self.own.name:
             self.holder.send(target, message)
+        elif isinstance(message, messages.Released):
+            self.holder.on_released(message)
+        else:
+            self.holder.on_ended(message)
+
+    def rooms(self, service: str, pool: str) -> list[messages.PoolReport]:
+        """Ask some other pools of a service for their room; blocks for their answers."""
+        others = self.holder.pools_of(service) - {pool}
+        reports = [each.report() for name, each in self.owned.items() if name in others]
+        owners = {
+            known.claim.owner.name: known.claim.owner
+            for name, known in self.fleet.pools.items()
+            if name in others and known.claim.owner.name != self.own.name
+        }
+        chosen = list(owners.values())
+        while len(chosen) > ASKED_POOLS:
+            chosen.pop(int(self.runtime.random() * len(chosen)))
+        answers: list[messages.Rooms] = []
+        asked = [self.runtime.spawn(self._ask_rooms, each, answers) for each in chosen]
+        for task in asked:
+            task.wait(ROOMS_TIMEOUT_S)
+        return reports + [
+            report for answer in answers for report in answer.pools if report.pool in others
+        ]
+
+    def _ask_rooms(self, instance, answers):
+        try:
+            answers.append(
+                self.peers.request(
+                    peer.at_address(instance.address), messages.AskRooms(), ROOMS_TIMEOUT_S
+                )
+            )
+        except peer.PeerError:
+            return  # no room from there; how long it has been silent is judged by the renewals
 
     def on_stand_down(self, pool: owner.PoolOwner, reason: str) -> None:
         """Drop a pool and leave it to others for a while."""
@@ -295,7 +335,7 @@
                 self.fleet.disclaim(pool, report.sender.name)
         for each in report.pools:
             self.fleet.take_report(report.sender, each)
-        self.holder.on_unknown(report.unknown, asked_at)
+        self.holder.on_unknown(report.sender.name, report.unknown, asked_at)
         self._follow(report.sender, report.revisions)
 
     def _on_renew(self, sender, message):
@@ -303,7 +343,8 @@
         unknown = set(message.jobs)
         for each in self.owned.values():
             unknown &= set(each.renew(message.sender.name, message.jobs))
-            self._repeat_ends(each, message)
+            for job_id in message.jobs:
+                each.tell_again(message.sender, job_id)
         self._follow(message.sender, message.revisions)
         return messages.Report(
             self.own,
@@ -313,13 +354,6 @@
             self.documents.revisions(),
         )
 
-    def _repeat_ends(self, pool, message):
-        """Tell a holder again how a job ended that it still renews: the message was lost."""
-        for job_id in message.jobs:
-            outcome = pool.outcome_of(job_id)
-            if outcome is not None:
-                self.tell(message.sender, messages.JobEnded(job_id, pool.name, pool.token, outcome))
-
     # Shared documents.
 
     def _follow(self, instance, revisions):
@@ -383,6 +417,9 @@
             claim = messages.Claim(held.name, self.own, held.token)
             self.holder.send(message.owner, claim)
 
+    def _on_ask_rooms(self, sender, message):
+        return messages.Rooms(tuple(each.report() for each in self.owned.values()))
+
     def _on_query(self, sender, message):
         known = self.fleet.pools.get(message.pool)
         if known is None or known.claim.token < message.token:
--- a/rosedyke/rerun/owned.py
+++ b/rosedyke/rerun/owned.py
@@ -60,7 +60,9 @@
         An earlier owner had it.  Tasks that were not found on any server wait until every
         server has shown its runs or its leases are over.
     has_started : bool
-        An order for one of its tasks has left, here or, perhaps, at an earlier owner.
+        An order for one of its tasks has left, here or, perhaps, at another owner.
+    moves : int
+        How often its tasks were released by a pool before.
     """
 
     work: job.Job
@@ -70,20 +72,30 @@
     may_have_run: bool
     tasks: dict[str, OwnedTask]
     has_started: bool = False
+    moves: int = 0
 
     @classmethod
     def of(cls, message: messages.Submit, now: float) -> "OwnedJob":
         """Return the job of a message."""
-        tasks = {name: OwnedTask(name, step) for name, step in message.work.task_names()}
-        return cls(
+        item = cls(
             message.work,
             message.holder,
             now - message.age_s,
             now,
             message.may_have_run,
-            tasks,
-            message.may_have_run,
+            {},
+            message.may_have_run or message.has_started,
+            message.moves,
         )
+        item.add(message.tasks)
+        return item
+
+    def add(self, names: tuple[str, ...]) -> None:
+        """Take tasks in that are not here yet."""
+        wanted = set(names) - set(self.tasks)
+        for name, step in self.work.task_names():
+            if name in wanted:
+                self.tasks[name] = OwnedTask(name, step)
 
     @property
     def due_at(self) -> float:
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -24,10 +24,13 @@
     server_runs,
     settings,
     speed,
+    spill,
     token,
 )
 
 TICK_S = 0.05
+# Other pools are asked for their room no more often than this.
+SPILL_PERIOD_S = 0.015
 # A server that a start or look failed on is left alone for this long.
 AVOID_S = 0.2
 # More runs in a row than this that failed on a server are its own fault, not the tasks'.
@@ -44,8 +47,13 @@
 class Listener(Protocol):
     """What an owner tells the instance that it belongs to."""
 
-    def tell(self, holder: messages.Instance, message: messages.JobEnded) -> None:
-        """Hand a job's end to its holder."""
+    def tell(
+        self, holder: messages.Instance, message: messages.JobEnded | messages.Released
+    ) -> None:
+        """Hand a job's end, or tasks that have room elsewhere, to its holder."""
+
+    def rooms(self, service: str, pool: str) -> list[messages.PoolReport]:
+        """Ask some other pools of a service for their room; blocks for their answers."""
 
     def on_stand_down(self, pool: "PoolOwner", reason: str) -> None:
         """Note that a pool is no longer owned here."""
@@ -59,8 +67,15 @@
     """How an ended job ended, for a holder that missed it."""
 
     outcome: job.Outcome
+    tasks: tuple[str, ...]
     until: float
 
+    def covers(self, message: messages.Submit) -> bool:
+        """Return whether this answers a submission of the same job."""
+        if not set(self.tasks) >= set(message.tasks):
+            return False
+        return message.may_have_run or self.outcome.end is job.End.SUCCEEDED
+
 
 class PoolOwner:
     """Owns one pool while it is active.
@@ -106,6 +121,8 @@
         self.jobs: dict[str, owned.OwnedJob] = {}
         self.kept: dict[str, Kept] = {}
         self.found_done: dict[str, float] = {}
+        self.is_spilling = False
+        self.spilled_at = self.began_at
         self.is_dirty = False
         self.wake = runtime.signal()
 
@@ -158,10 +175,13 @@
         known = self.jobs.get(message.work.id)
         if known is not None:
             self._move(known, message.holder, now)
+            known.add(message.tasks)
+            known.moves = max(known.moves, message.moves)
+            self.schedule()
             return
         kept = self.kept.get(message.work.id)
-        if kept is not None and (message.may_have_run or kept.outcome.end is job.End.SUCCEEDED):
-            self._tell(message.holder, message.work.id, kept.outcome)
+        if kept is not None and kept.covers(message):
+            self._tell(message.holder, message.work.id, kept)
             return
         item = owned.OwnedJob.of(message, now)
         self.jobs[message.work.id] = item
@@ -176,7 +196,8 @@
             return
         # The caller has sent the job again elsewhere: its newest connection gets the answer.
         event.log(events.JOB_MOVED, job=known.work.id, old=known.holder.name, new=holder.name)
-        self._tell(known.holder, known.work.id, job.Outcome(job.End.LOST, "sent again elsewhere"))
+        lost = job.Outcome(job.End.LOST, "sent again elsewhere")
+        self._tell(known.holder, known.work.id, Kept(lost, tuple(known.tasks), now))
         known.holder = holder
 
     def _adopt(self, item):
@@ -210,10 +231,12 @@
                 unknown.append(job_id)
         return tuple(unknown)
 
-    def outcome_of(self, job_id: str) -> job.Outcome | None:
-        """Return how a job ended here lately."""
+    def tell_again(self, holder: messages.Instance, job_id: str) -> None:
+        """Tell a holder again how a job ended that it still renews: the message was lost."""
         kept = self.kept.get(job_id)
-        return kept.outcome if kept else None
+        # Other tasks of the same job may have come since.
+        if kept is not None and job_id not in self.jobs:
+            self._tell(holder, job_id, kept)
 
     def cancel(self, job_id: str, holder: str) -> None:
         """Stop a job that its holder no longer wants."""
@@ -243,7 +266,8 @@
 
     def _finish(self, item, outcome):
         now = self.runtime.now()
-        self.kept[item.work.id] = Kept(outcome, now + self.times.kept_s)
+        kept = Kept(outcome, tuple(item.tasks), now + self.times.kept_s)
+        self.kept[item.work.id] = kept
         places = sorted({task.server_id for task in item.tasks.values() if task.server_id})
         event.log(
             events.JOB_ENDED,
@@ -258,10 +282,11 @@
             runs=sum(task.run for task in item.tasks.values()),
         )
         self._drop(item)
-        self._tell(item.holder, item.work.id, outcome)
+        self._tell(item.holder, item.work.id, kept)
 
-    def _tell(self, holder, job_id, outcome):
-        self.listener.tell(holder, messages.JobEnded(job_id, self.name, self.token, outcome))
+    def _tell(self, holder, job_id, kept):
+        message = messages.JobEnded(job_id, self.name, self.token, kept.outcome, kept.tasks)
+        self.listener.tell(holder, message)
 
     def _check_done(self, item):
         if item.work.id in self.jobs and item.is_done():
@@ -377,21 +402,92 @@
             for state in self.states.values()
             if state.may_start(now, self.times.contact_s)
         }
-        if not used or not self.is_active:
+        if not self.is_active:
             return
         is_recovered = self.is_recovered(now)
         waiting = [item for item in self.jobs.values() if is_recovered or not item.may_have_run]
+        left = []
         for item in queue.order(waiting, now):
-            for task in item.waiting():
-                state = placement.choose(
-                    task, item.work.service, self.states.values(), self.speeds, used
-                )
-                if state is None:
-                    break
-                if self._is_running(task.name):
-                    continue
-                used[state.server.id] = used[state.server.id].plus(task.step.demand)
-                self._place(item, task, state, now)
+            left += self._place_job(item, used, now)
+        if left and now - self.spilled_at >= SPILL_PERIOD_S and not self.is_spilling:
+            self._consider_spill(left, now)
+
+    def _place_job(self, item, used, now):
+        """Place what fits of a job and return the tasks that are left."""
+        left = []
+        for task in item.waiting():
+            if self._is_running(task.name):
+                continue
+            state = placement.choose(
+                task, item.work.service, self.states.values(), self.speeds, used
+            )
+            if state is None:
+                left.append((item, task))
+                continue
+            used[state.server.id] = used[state.server.id].plus(task.step.demand)
+            self._place(item, task, state, now)
+        return left
+
+    # Tasks that other pools have room for.
+
+    def _consider_spill(self, left, now):
+        movable = [(item, task) for item, task in left if item.moves < spill.MAX_MOVES]
+        waits = spill.waits(self._expected_ends(), len(left), now)
+        if any(wait_s > spill.WORTH_S for wait_s in waits) and movable:
+            self.is_spilling = True
+            self.runtime.spawn(self._spill, movable[0][0].work.service)
+
+    def _expected_ends(self):
+        """Return when each run is expected to end."""
+        return [
+            run.since + self.speeds.run_time_s(state.server.id, run.estimate_s)
+            for state in self.states.values()
+            for run in state.runs.values()
+        ]
+
+    def _spill(self, service):
+        """Release waiting tasks toward pools that say that they have room at this moment."""
+        try:
+            reports = self.listener.rooms(service, self.name)
+            if self._may_send():
+                self._release(service, reports)
+        finally:
+            self.is_spilling = False
+            self.spilled_at = self.runtime.now()
+
+    def _release(self, service, reports):
+        now = self.runtime.now()
+        is_recovered = self.is_recovered(now)
+        waiting = [
+            (item, task)
+            for item in queue.order(list(self.jobs.values()), now)
+            if is_recovered or not item.may_have_run
+            for task in item.waiting()
+            if not self._is_running(task.name)
+        ]
+        waits = spill.waits(self._expected_ends(), len(waiting), now)
+        candidates = [
+            (item, task)
+            for (item, task), wait_s in zip(waiting, waits, strict=True)
+            if wait_s > spill.WORTH_S
+            and item.work.service == service
+            and item.moves < spill.MAX_MOVES
+        ]
+        for (item, toward), tasks in spill.assign(candidates, reports).items():
+            self._release_part(item, tasks, toward)
+
+    def _release_part(self, item, tasks, toward):
+        for task in tasks:
+            del item.tasks[task.name]
+        names = tuple(task.name for task in tasks)
+        event.log(events.TASKS_RELEASED, job=item.work.id, tasks=len(names), toward=toward)
+        released = messages.Released(
+            item.work.id, self.name, self.token, names, toward, item.moves + 1
+        )
+        if not item.tasks:
+            del self.jobs[item.work.id]
+        self.listener.tell(item.holder, released)
+        self._check_done(item)
 
     def _is_running(self, task_name):
         """Return whether a run of a task may be under way on any server.
@@ -695,7 +791,7 @@
             self.name,
             self.token,
             backlog / (rate / 1000) if rate else 60.0,
-            sum(s.free_millicores() for s in usable),
+            tuple(s.free_millicores() for s in usable),
             sum(s.server.capacity.millicores for s in usable),
             dict(waiting),
             tuple(sorted(self.states)),
