--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -1,6 +1,7 @@
 """A holder's side of a job: finds a pool for it, keeps it renewed, and gives its caller the end."""
 
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -22,10 +23,12 @@
 
 @attrs.define(eq=False)
 class Part:
-    """The tasks of a job that one pool runs.
+    """Tasks of a job that one pool runs.
 
     Attributes
     ----------
+    number : int
+        Its name between holder and owner.
     token : int
         Of the owner that they were sent to.
     sent_at : float
@@ -38,6 +41,7 @@
         How often a pool has released them.
     """
 
+    number: int
     pool: str
     tasks: set[str]
     token: int = 0
@@ -54,8 +58,10 @@
 
     Attributes
     ----------
-    parts : dict of str to Part
-        By pool; empty while no pool has an owner.
+    parts : dict of int to Part
+        By number; empty while no pool has an owner.
+    numbers : iterator of int
+        Of the parts to come.
     waiters : int
         Requests of callers that wait for it.
     """
@@ -63,7 +69,8 @@
     work: job.Job
     arrived_at: float
     ended: runtime_module.Signal
-    parts: dict[str, Part] = attrs.Factory(dict)
+    parts: dict[int, Part] = attrs.Factory(dict)
+    numbers: Iterator[int] = attrs.Factory(itertools.count)
     waiters: int = 0
 
     def may_have_run(self) -> bool:
@@ -150,7 +157,7 @@
                 after_ms=round((self.runtime.now() - held.arrived_at) * 1000),
                 objective_ms=round(held.work.objective_s * 1000),
                 queue=held.work.queue,
-                pools=sorted(held.parts),
+                pools=sorted({part.pool for part in held.parts.values()}),
             )
         held.ended.set(outcome)
 
@@ -236,17 +243,15 @@
             self.runtime.sleep(WAIT_STEP_S)
 
     def _add_part(self, held, claim, names, moves):
-        part = held.parts.get(claim.pool)
-        if part is None or part.is_done:
-            part = held.parts[claim.pool] = Part(claim.pool, set())
-        part.tasks |= names
-        part.moves = max(part.moves, moves)
+        part = Part(next(held.numbers), claim.pool, names, moves=moves)
+        held.parts[part.number] = part
         self._hand_over(held, part, claim)
 
     def _hand_over(self, held, part, claim):
         now = self.runtime.now()
         message = messages.Submit(
             claim.pool,
+            part.number,
             held.work,
             self.fleet.own,
             now - held.arrived_at,
@@ -262,46 +267,45 @@
     def _on_claim(self, claim):
         """Hand the tasks of a pool to its new owner, which finds what still runs of them."""
         for held in list(self.jobs.values()):
-            part = held.parts.get(claim.pool)
-            if part is not None and not part.is_done and part.token < claim.token:
-                self._hand_over(held, part, claim)
+            for part in list(held.parts.values()):
+                is_there = part.pool == claim.pool and not part.is_done
+                if is_there and part.token < claim.token:
+                    self._hand_over(held, part, claim)
 
     # What owners say.
 
-    def renewed(self, owner: str) -> tuple[str, ...]:
-        """Return the ids of the jobs that an owner has tasks of."""
-        return tuple(held.work.id for held in self.jobs.values() if self._parts_at(held, owner))
-
-    def _parts_at(self, held, owner):
-        return [
-            part
+    def renewed(self, owner: str) -> tuple[messages.PartKey, ...]:
+        """Return the parts of jobs that an owner has."""
+        return tuple(
+            (held.work.id, part.number)
+            for held in self.jobs.values()
             for part in held.parts.values()
             if not part.is_done and self._owner_name(part.pool) == owner
-        ]
+        )
 
     def _owner_name(self, pool):
         claim = self.fleet.owner_of(pool)
         return claim.owner.name if claim else ""
 
-    def on_unknown(self, owner: str, job_ids: tuple[str, ...], asked_at: float) -> None:
+    def on_unknown(self, keys: tuple[messages.PartKey, ...], asked_at: float) -> None:
         """Hand over again what an owner doesn't know although it was sent before the renewal."""
-        for job_id in job_ids:
-            held = self.jobs.get(job_id)
-            if held is None:
+        for job_id, number in keys:
+            held, part = self._part(job_id, number)
+            if held is None or part.sent_at > asked_at - SETTLE_S:
                 continue
-            for part in self._parts_at(held, owner):
-                claim = self.fleet.owner_of(part.pool)
-                if claim is not None and part.sent_at <= asked_at - SETTLE_S:
-                    self._hand_over(held, part, claim)
+            claim = self.fleet.owner_of(part.pool)
+            if claim is not None:
+                self._hand_over(held, part, claim)
 
-    def _part_of(self, message):
-        held = self.jobs.get(message.job_id)
-        part = held.parts.get(message.pool) if held else None
+    def _part(self, job_id, number):
+        """Return a job and its part as long as it isn't done, else None for both."""
+        held = self.jobs.get(job_id)
+        part = held.parts.get(number) if held else None
         return (held, part) if part is not None and not part.is_done else (None, None)
 
     def on_ended(self, message: messages.JobEnded) -> None:
         """Take the end of a part of a job from its owner."""
-        held, part = self._part_of(message)
+        held, part = self._part(message.job_id, message.part)
         if held is None:
             return
         # A success is true whoever says it.  A former owner's other news is not: its successor
@@ -310,8 +314,6 @@
             if message.token >= part.token:
                 self.end(held, self._told(held, part, message.outcome))
             return
-        if not part.tasks & set(message.tasks):
-            return  # of an earlier part there; these tasks came later
         missing = part.tasks - set(message.tasks)
         if missing:
             # The owner has released these, and its message was lost.
@@ -330,13 +332,13 @@
 
     def on_released(self, message: messages.Released) -> None:
         """Hand tasks that a full pool gives back to the one that has room."""
-        held, part = self._part_of(message)
+        held, part = self._part(message.job_id, message.part)
         if held is None or message.token < part.token:
             return
         names = part.tasks & set(message.tasks)
         part.tasks -= names
         if not part.tasks:
-            del held.parts[part.pool]
+            del held.parts[part.number]
         if not names:
             return
         claim = self.fleet.owner_of(message.toward)
@@ -347,7 +349,7 @@
 
     def on_not_owner(self, message: messages.NotOwner) -> None:
         """Look for another pool: the one asked has done nothing with the tasks."""
-        held, part = self._part_of(message)
+        held, part = self._part(message.job_id, message.part)
         if held is None:
             return
         part.may_have_run = part.might_before
@@ -355,7 +357,7 @@
         if claim is not None and claim.owner.name != message.sender.name:
             self._hand_over(held, part, claim)
         elif not part.may_have_run:
-            del held.parts[part.pool]
+            del held.parts[part.number]
             self.runtime.spawn(self._find_pool, held, part.tasks, part.moves)
 
     def check_owners(self) -> None:
--- a/rosedyke/rerun/load_test.py
+++ b/rosedyke/rerun/load_test.py
@@ -24,7 +24,7 @@
     step = job.Step(count, job.Demand(cores * 1000), estimate_s)
     work = job.Job(job_id, "q", "s", "", (step,), priority, 2, objective_s, 3.0)
     names = tuple(name for name, _ in work.task_names())
-    message = messages.Submit("a/r1", work, HOLDER, 0.0, names, False, False)
+    message = messages.Submit("a/r1", 0, work, HOLDER, 0.0, names, False, False)
     return owned.OwnedJob.of(message, arrived_at)
 
 
@@ -153,6 +153,35 @@
         self.assertLess(held.ended_at - began, 0.55)
         self.assertEqual(len(region.world.starts), 24)
 
+    def test_parts_that_meet_again_in_a_pool_are_not_mixed_up(self):
+        # Tasks run twice at once, or again.  Full pools pass tasks of one job on, and some come
+        # to a pool that has others of it; the end of those crosses the new ones on their way.
+        region = rerun_region.Region({"a": 2, "b": 2, "c": 2}, servers=2)
+        region.run(SETTLE_S)
+        region.network.delay_s = lambda source, target, message: (
+            0.02 if isinstance(message, messages.JobEnded) else 0.0005
+        )
+        names = sorted(region.members)
+        draw = region.runtime.generator
+        held = []
+        for number in range(150):
+            held.append(
+                region.submit(
+                    draw.choice(names),
+                    f"j{number}",
+                    count=draw.randint(1, 14),
+                    duration_s=draw.choice((0.02, 0.05, 0.2)),
+                    timeout_s=8.0,
+                )
+            )
+            region.run(0.025)
+        region.run(8.0)
+        tasks = [task for _, task, _ in region.world.starts]
+        self.assertEqual(region.world.violations, [])
+        self.assertEqual(len(tasks), len(set(tasks)))
+        ends = {one.outcome.end for one in held}
+        self.assertLessEqual(ends, {job.End.SUCCEEDED, job.End.REFUSED})
+
     def test_released_tasks_whose_message_is_lost_run_all_the_same(self):
         # The caller is told that its job succeeded although a part of it never ran.  A full pool
         # gives tasks back to the holder, and that message is lost.
--- a/rosedyke/rerun/messages.py
+++ b/rosedyke/rerun/messages.py
@@ -5,6 +5,9 @@
 from rosedyke.rerun import job
 from rosedyke.wire import codec
 
+# A job's id and the number of one of its parts.
+PartKey = tuple[str, int]
+
 
 @attrs.frozen
 class Instance:
@@ -60,14 +63,14 @@
 @codec.message("rerun.renew")
 @attrs.frozen
 class Renew:
-    """A holder is alive, and these jobs of the receiving owner are still wanted.
+    """A holder is alive, and these parts of jobs at the receiving owner are still wanted.
 
     Attributes
     ----------
     sender : Instance
         The holder.
-    jobs : tuple of str
-        Ids.
+    parts : tuple of (str, int)
+        Job ids and numbers of their parts.
     tokens : dict of str to int
         The token of each pool's owner, as far as the sender knows.
     revisions : dict of str to int
@@ -75,7 +78,7 @@
     """
 
     sender: Instance
-    jobs: tuple[str, ...]
+    parts: tuple[PartKey, ...]
     tokens: dict[str, int]
     revisions: dict[str, int]
 
@@ -87,8 +90,8 @@
 
     Attributes
     ----------
-    unknown : tuple of str
-        Renewed jobs that the sender doesn't have.
+    unknown : tuple of (str, int)
+        Renewed parts that the sender doesn't have.
     pools : tuple of PoolReport
         The pools that it owns.
     claims : tuple of Claim
@@ -96,7 +99,7 @@
     """
 
     sender: Instance
-    unknown: tuple[str, ...]
+    unknown: tuple[PartKey, ...]
     pools: tuple[PoolReport, ...]
     claims: tuple[Claim, ...]
     revisions: dict[str, int]
@@ -105,12 +108,15 @@
 @codec.message("rerun.submit")
 @attrs.frozen
 class Submit:
-    """A holder hands a job to a pool's owner.
+    """A holder hands a job, or a part of one, to a pool's owner.
 
     Attributes
     ----------
     pool : str
         The pool that shall run it.
+    part : int
+        Numbers the parts of the job.  Each is handed over, ended and released by itself, also
+        when two come to one pool: the end of one must not be taken for that of both.
     work : Job
         The job.
     holder : Instance
@@ -128,6 +134,7 @@
     """
 
     pool: str
+    part: int
     work: job.Job
     holder: Instance
     age_s: float
@@ -143,6 +150,7 @@
     """An owner tells a holder how its part of a job ended; ``tasks`` are all that it had."""
 
     job_id: str
+    part: int
     pool: str
     token: int
     outcome: job.Outcome
@@ -163,6 +171,7 @@
     """
 
     job_id: str
+    part: int
     pool: str
     token: int
     tasks: tuple[str, ...]
@@ -190,6 +199,7 @@
     """The receiver of a ``Submit`` doesn't own that pool and has done nothing."""
 
     job_id: str
+    part: int
     pool: str
     sender: Instance
 
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -244,7 +244,7 @@
                     self.runtime.spawn(self._renew, instance)
             held_here = self.holder.renewed(self.own.name)
             for each in list(self.owned.values()):
-                each.renew(self.own.name, held_here)
+                each.renew(self.own, held_here)
                 self.fleet.take_report(self.own, each.report())
             self._return_pools()
             self.holder.check_owners()
@@ -335,16 +335,14 @@
                 self.fleet.disclaim(pool, report.sender.name)
         for each in report.pools:
             self.fleet.take_report(report.sender, each)
-        self.holder.on_unknown(report.sender.name, report.unknown, asked_at)
+        self.holder.on_unknown(report.unknown, asked_at)
         self._follow(report.sender, report.revisions)
 
     def _on_renew(self, sender, message):
         self.fleet.note(message.sender)
-        unknown = set(message.jobs)
+        unknown = set(message.parts)
         for each in self.owned.values():
-            unknown &= set(each.renew(message.sender.name, message.jobs))
-            for job_id in message.jobs:
-                each.tell_again(message.sender, job_id)
+            unknown &= set(each.renew(message.sender, message.parts))
         self._follow(message.sender, message.revisions)
         return messages.Report(
             self.own,
@@ -394,7 +392,7 @@
         if pool is not None:
             pool.submit(message)
             return
-        refusal = messages.NotOwner(message.work.id, message.pool, self.own)
+        refusal = messages.NotOwner(message.work.id, message.part, message.pool, self.own)
         if message.holder.name == self.own.name:
             self.runtime.spawn(self.holder.on_not_owner, refusal)
         else:
--- a/rosedyke/rerun/owned.py
+++ b/rosedyke/rerun/owned.py
@@ -1,4 +1,4 @@
-"""A job as its pool's owner keeps it."""
+"""A job, or the part of one that a pool runs, as the pool's owner keeps it."""
 
 import enum
 
@@ -44,12 +44,14 @@
 
 @attrs.define(eq=False)
 class OwnedJob:
-    """One job.
+    """One job, or a part of one.
 
     Attributes
     ----------
     work : Job
         What was submitted.
+    part : int
+        Which part of it.
     holder : Instance
         Who answers the caller.
     arrived_at : float
@@ -66,6 +68,7 @@
     """
 
     work: job.Job
+    part: int
     holder: messages.Instance
     arrived_at: float
     renewed_at: float
@@ -77,25 +80,28 @@
     @classmethod
     def of(cls, message: messages.Submit, now: float) -> "OwnedJob":
         """Return the job of a message."""
-        item = cls(
+        wanted = set(message.tasks)
+        tasks = {
+            name: OwnedTask(name, step)
+            for name, step in message.work.task_names()
+            if name in wanted
+        }
+        return cls(
             message.work,
+            message.part,
             message.holder,
             now - message.age_s,
             now,
             message.may_have_run,
-            {},
+            tasks,
             message.may_have_run or message.has_started,
             message.moves,
         )
-        item.add(message.tasks)
-        return item
-
-    def add(self, names: tuple[str, ...]) -> None:
-        """Take tasks in that are not here yet."""
-        wanted = set(names) - set(self.tasks)
-        for name, step in self.work.task_names():
-            if name in wanted:
-                self.tasks[name] = OwnedTask(name, step)
+
+    @property
+    def key(self) -> messages.PartKey:
+        """Its name between holder and owner."""
+        return (self.work.id, self.part)
 
     @property
     def due_at(self) -> float:
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -118,8 +118,9 @@
         self.ticked_at = self.began_at
         self.raises = 0
         self.states: dict[str, server_runs.ServerRuns] = {}
-        self.jobs: dict[str, owned.OwnedJob] = {}
-        self.kept: dict[str, Kept] = {}
+        self.jobs: dict[messages.PartKey, owned.OwnedJob] = {}
+        self.by_job: dict[str, list[owned.OwnedJob]] = {}
+        self.kept: dict[messages.PartKey, Kept] = {}
         self.found_done: dict[str, float] = {}
         self.is_spilling = False
         self.spilled_at = self.began_at
@@ -172,33 +173,50 @@
     def submit(self, message: messages.Submit) -> None:
         """Take a job over from a holder, or let a known one follow its caller to a new holder."""
         now = self.runtime.now()
-        known = self.jobs.get(message.work.id)
+        for known in self._items(message.work.id):
+            if known.holder.name != message.holder.name:
+                self._leave(known, message, now)
+        known = self.jobs.get((message.work.id, message.part))
         if known is not None:
-            self._move(known, message.holder, now)
-            known.add(message.tasks)
-            known.moves = max(known.moves, message.moves)
-            self.schedule()
+            known.renewed_at = now
             return
-        kept = self.kept.get(message.work.id)
+        kept = self.kept.get((message.work.id, message.part))
         if kept is not None and kept.covers(message):
-            self._tell(message.holder, message.work.id, kept)
+            self._tell(message.holder, (message.work.id, message.part), kept)
             return
         item = owned.OwnedJob.of(message, now)
-        self.jobs[message.work.id] = item
+        self.jobs[item.key] = item
+        self.by_job.setdefault(item.work.id, []).append(item)
         if message.may_have_run:
             self._adopt(item)
             self._check_done(item)
         self.schedule()
 
-    def _move(self, known, holder, now):
-        known.renewed_at = now
-        if holder.name == known.holder.name:
-            return
-        # The caller has sent the job again elsewhere: its newest connection gets the answer.
-        event.log(events.JOB_MOVED, job=known.work.id, old=known.holder.name, new=holder.name)
+    def _items(self, job_id):
+        return list(self.by_job.get(job_id, ()))
+
+    def _remove(self, item):
+        del self.jobs[item.key]
+        self.by_job[item.work.id].remove(item)
+        if not self.by_job[item.work.id]:
+            del self.by_job[item.work.id]
+
+    def _leave(self, known, message, now):
+        """Let a job follow its caller, who has sent it again to another holder.
+
+        What runs goes on if the new holder wants just that here; else it is stopped, and the new
+        submission starts once it is over.
+        """
+        event.log(
+            events.JOB_MOVED, job=known.work.id, old=known.holder.name, new=message.holder.name
+        )
         lost = job.Outcome(job.End.LOST, "sent again elsewhere")
-        self._tell(known.holder, known.work.id, Kept(lost, tuple(known.tasks), now))
-        known.holder = holder
+        self._tell(known.holder, known.key, Kept(lost, tuple(known.tasks), now))
+        if (known.part, set(known.tasks)) == (message.part, set(message.tasks)):
+            known.holder = message.holder
+            known.renewed_at = now
+        else:
+            self._drop(known)
 
     def _adopt(self, item):
         """Claim what is running of a job that an earlier owner started."""
@@ -217,36 +235,34 @@
             if name in self.found_done and task.state is owned.TaskState.WAITING:
                 task.state = owned.TaskState.DONE
 
-    def renew(self, holder: str, wanted: tuple[str, ...]) -> tuple[str, ...]:
-        """Renew a holder's jobs, cancel those it no longer names, return those unknown here."""
+    def renew(
+        self, holder: messages.Instance, wanted: tuple[messages.PartKey, ...]
+    ) -> tuple[messages.PartKey, ...]:
+        """Renew a holder's jobs and return those unknown here.
+
+        The end of one that has ended is told again: that message was lost.
+        """
         now = self.runtime.now()
         unknown = []
-        for job_id in wanted:
-            item = self.jobs.get(job_id)
-            if item is not None and item.holder.name == holder:
+        for key in wanted:
+            item = self.jobs.get(key)
+            if item is not None and item.holder.name == holder.name:
                 item.renewed_at = now
-            elif item is None and job_id in self.kept:
-                pass  # its end is on its way; told again below
+            elif item is None and key in self.kept:
+                self._tell(holder, key, self.kept[key])
             else:
-                unknown.append(job_id)
+                unknown.append(key)
         return tuple(unknown)
 
-    def tell_again(self, holder: messages.Instance, job_id: str) -> None:
-        """Tell a holder again how a job ended that it still renews: the message was lost."""
-        kept = self.kept.get(job_id)
-        # Other tasks of the same job may have come since.
-        if kept is not None and job_id not in self.jobs:
-            self._tell(holder, job_id, kept)
-
     def cancel(self, job_id: str, holder: str) -> None:
         """Stop a job that its holder no longer wants."""
-        item = self.jobs.get(job_id)
-        if item is not None and item.holder.name == holder:
-            self._drop(item)
+        for item in self._items(job_id):
+            if item.holder.name == holder:
+                self._drop(item)
 
     def _drop(self, item):
         """Forget a job and stop what runs of it."""
-        del self.jobs[item.work.id]
+        self._remove(item)
         for task in item.tasks.values():
             if task.state is owned.TaskState.PLACED:
                 self._stop_task(task)
@@ -267,7 +283,7 @@
     def _finish(self, item, outcome):
         now = self.runtime.now()
         kept = Kept(outcome, tuple(item.tasks), now + self.times.kept_s)
-        self.kept[item.work.id] = kept
+        self.kept[item.key] = kept
         places = sorted({task.server_id for task in item.tasks.values() if task.server_id})
         event.log(
             events.JOB_ENDED,
@@ -282,14 +298,14 @@
             runs=sum(task.run for task in item.tasks.values()),
         )
         self._drop(item)
-        self._tell(item.holder, item.work.id, kept)
+        self._tell(item.holder, item.key, kept)
 
-    def _tell(self, holder, job_id, kept):
-        message = messages.JobEnded(job_id, self.name, self.token, kept.outcome, kept.tasks)
+    def _tell(self, holder, key, kept):
+        message = messages.JobEnded(*key, self.name, self.token, kept.outcome, kept.tasks)
         self.listener.tell(holder, message)
 
     def _check_done(self, item):
-        if item.work.id in self.jobs and item.is_done():
+        if item.key in self.jobs and item.is_done():
             self._finish(item, job.Outcome(job.End.SUCCEEDED))
 
     # Scheduling.
@@ -497,12 +513,13 @@
         names = tuple(task.name for task in tasks)
         event.log(events.TASKS_RELEASED, job=item.work.id, tasks=len(names), toward=toward)
         released = messages.Released(
-            item.work.id, self.name, self.token, names, toward, item.moves + 1
+            *item.key, self.name, self.token, names, toward, item.moves + 1
         )
-        if not item.tasks:
-            del self.jobs[item.work.id]
         self.listener.tell(item.holder, released)
-        self._check_done(item)
+        if item.tasks:
+            self._check_done(item)
+        else:
+            self._remove(item)
 
     def _is_running(self, task_name):
         """Return whether a run of a task may be under way on any server.
@@ -720,16 +737,14 @@
         for run in list(state.runs.values()):
             if run.state is not server_runs.RunState.ORPHAN:
                 continue
-            item = self.jobs.get(job.job_id(run.task))
-            task = item.tasks.get(run.task) if item else None
+            item, task = self._find(run.task)
             if task is not None and task.state is owned.TaskState.WAITING:
                 self._adopt(item)
 
     # Ends.
 
     def _on_end(self, state, run, end, now):
-        item = self.jobs.get(job.job_id(end.task))
-        task = item.tasks.get(end.task) if item else None
+        item, task = self._find(end.task)
         if run is None:
             self._on_foreign_end(item, task, end, now)
             return
@@ -784,8 +799,14 @@
             task.state = owned.TaskState.WAITING
 
     def _task_of(self, run):
-        item = self.jobs.get(job.job_id(run.task))
-        return item.tasks.get(run.task) if item else None
+        return self._find(run.task)[1]
+
+    def _find(self, task_name):
+        """Return the job and the task of a task's name, None for what isn't owned here."""
+        for item in self.by_job.get(job.job_id(task_name), ()):
+            if task_name in item.tasks:
+                return item, item.tasks[task_name]
+        return None, None
 
     # Reports.
 
