Number each handing over anew, and refuse a job that a cut held up

By the code: a report that an owner doesn't know a job can overtake its message that it released the tasks, and a job that was held up in a dead connection was started seconds later. Both tests red before.

--- a/rosedyke/rerun/events.py
+++ b/rosedyke/rerun/events.py
@@ -20,6 +20,12 @@
 OWNER_CHANGED = event.define(
     8002, "pool_owner_changed", logging.INFO, "Another instance owns a pool, as heard from a peer."
 )
+OWNER_GONE = event.define(
+    8005,
+    "pool_owner_gone",
+    logging.INFO,
+    "The instance that owned a pool says that it doesn't, for example since it was restarted.",
+)
 OWNER_SUSPECTED = event.define(
     8003,
     "pool_owner_suspected",
@@ -100,6 +106,12 @@
     logging.DEBUG,
     "A full pool gave tasks back that it hadn't started, toward a pool that has room.",
 )
+SUBMIT_STALE = event.define(
+    8024,
+    "submission_stale",
+    logging.WARNING,
+    "A job took so long from its holder that its caller may have sent it elsewhere; not taken.",
+)
 JOB_LOST_BY_HOLDER = event.define(
     8022,
     "holder_lost",
--- a/rosedyke/rerun/fleet.py
+++ b/rosedyke/rerun/fleet.py
@@ -16,11 +16,19 @@
 
 @attrs.define
 class Known:
-    """What is known of one owner."""
+    """What is known of one owner.
+
+    Attributes
+    ----------
+    clock_offset_s : float or None
+        The owner's clock less the own one, None before its first report.  Too low by the time
+        that the report took, so what is reckoned by it looks older, never younger.
+    """
 
     claim: messages.Claim
     heard_at: float
     report: messages.PoolReport | None = None
+    clock_offset_s: float | None = None
 
 
 class Fleet:
@@ -48,7 +56,9 @@
         self.met: dict[str, messages.Instance] = {}
         self.pools: dict[str, Known] = {}
         self.highest: dict[str, int] = {}
+        # Called with each newer claim, and with each owner once it has reported itself.
         self.on_claim: list[Callable[[messages.Claim], None]] = []
+        self.on_owner: list[Callable[[messages.Claim], None]] = []
 
     def instances(self) -> dict[str, messages.Instance]:
         """Return all known instances by name, without the own one."""
@@ -96,7 +106,11 @@
         A claim in the own name that others tell of is from an earlier life of this instance, so
         only its token counts.
         """
-        if claim.token <= self.highest.get(claim.pool, 0):
+        highest = self.highest.get(claim.pool, 0)
+        # An owner that was forgotten by mistake, for example since its report from before the
+        # claim came after it, is taken again.
+        is_forgotten = claim.token == highest and claim.pool not in self.pools
+        if claim.token <= highest and not is_forgotten:
             return False
         self.highest[claim.pool] = claim.token
         if claim.owner.name == self.own.name and not is_own:
@@ -108,18 +122,27 @@
             callback(claim)
         return True
 
-    def take_report(self, sender: messages.Instance, report: messages.PoolReport) -> None:
-        """Take in what an owner says of its pool."""
+    def take_report(
+        self, sender: messages.Instance, report: messages.PoolReport, clock_s: float
+    ) -> None:
+        """Take in what an owner says of its pool; ``clock_s`` is its clock."""
         self.take_claim(messages.Claim(report.pool, sender, report.token))
         known = self.pools.get(report.pool)
-        if known is not None and known.claim.token == report.token:
-            known.heard_at = self.runtime.now()
-            known.report = report
+        if known is None or known.claim.token != report.token:
+            return
+        known.heard_at = self.runtime.now()
+        known.report = report
+        is_first = known.clock_offset_s is None
+        known.clock_offset_s = clock_s - known.heard_at
+        if is_first:
+            for callback in self.on_owner:
+                callback(known.claim)
 
     def disclaim(self, pool: str, owner: str) -> None:
         """Forget an owner that says that it doesn't own the pool."""
         known = self.pools.get(pool)
         if known is not None and known.claim.owner.name == owner:
+            event.log(events.OWNER_GONE, pool=pool, owner=owner)
             del self.pools[pool]
 
     def owner_of(self, pool: str) -> messages.Claim | None:
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -33,10 +33,8 @@
         Of the owner that they were sent to.
     sent_at : float
         When.
-    may_have_run : bool
-        They were sent to an owner, so some may have started.
     might_before : bool
-        ``may_have_run`` before they were sent the last time.
+        An owner had them before this one, so some may have started even if this one did nothing.
     moves : int
         How often a pool has released them.
     """
@@ -46,7 +44,6 @@
     tasks: set[str]
     token: int = 0
     sent_at: float = 0.0
-    may_have_run: bool = False
     might_before: bool = False
     is_done: bool = False
     moves: int = 0
@@ -62,6 +59,8 @@
         By number; empty while no pool has an owner.
     numbers : iterator of int
         Of the parts to come.
+    has_started : bool
+        An owner said that something of the job has started.
     waiters : int
         Requests of callers that wait for it.
     """
@@ -72,10 +71,11 @@
     parts: dict[int, Part] = attrs.Factory(dict)
     numbers: Iterator[int] = attrs.Factory(itertools.count)
     waiters: int = 0
+    has_started: bool = False
 
     def may_have_run(self) -> bool:
         """Return whether something of the job may have started."""
-        return any(part.may_have_run for part in self.parts.values())
+        return self.has_started or bool(self.parts)
 
 
 class Holder:
@@ -105,7 +105,7 @@
         self.registry = registry
         self.submit = submit
         self.jobs: dict[str, HeldJob] = {}
-        known.on_claim.append(self._on_claim)
+        known.on_owner.append(self._on_owner)
 
     def run(self, work: job.Job, gone: runtime_module.Signal) -> job.Outcome:
         """Block until a job has ended, its caller is gone, or its time is over.
@@ -217,6 +217,11 @@
                 best, best_s = pool, wait_s
         return best
 
+    def _reported_owner(self, pool):
+        """Return the claim of a pool whose owner has reported itself, else None."""
+        known = self.fleet.pools.get(pool)
+        return known.claim if known is not None and known.report is not None else None
+
     @staticmethod
     def _wait_s(report, work):
         """Return roughly how long a job would wait in a pool."""
@@ -233,7 +238,7 @@
         names = tasks or {name for name, _ in held.work.task_names()}
         while not held.ended.is_set():
             pool = self.choose_pool(held.work)
-            claim = self.fleet.owner_of(pool) if pool else None
+            claim = self._reported_owner(pool)
             if claim is not None:
                 self._add_part(held, claim, names, moves)
                 return
@@ -242,35 +247,43 @@
                 return
             self.runtime.sleep(WAIT_STEP_S)
 
-    def _add_part(self, held, claim, names, moves):
-        part = Part(next(held.numbers), claim.pool, names, moves=moves)
-        held.parts[part.number] = part
-        self._hand_over(held, part, claim)
-
-    def _hand_over(self, held, part, claim):
+    def _add_part(self, held, claim, names, moves, might_before=False):
+        """Hand tasks to an owner as a new part of the job."""
         now = self.runtime.now()
+        part = Part(next(held.numbers), claim.pool, set(names), claim.token, now)
+        part.might_before, part.moves = might_before, moves
+        offset_s = self.fleet.pools[claim.pool].clock_offset_s
         message = messages.Submit(
             claim.pool,
             part.number,
+            now + offset_s,
             held.work,
             self.fleet.own,
             now - held.arrived_at,
             tuple(sorted(part.tasks)),
-            part.may_have_run,
+            might_before,
             held.may_have_run(),
-            part.moves,
+            moves,
         )
-        part.token, part.sent_at = claim.token, now
-        part.might_before, part.may_have_run = part.may_have_run, True
+        held.parts[part.number] = part
         self.submit(claim.owner, message)
 
-    def _on_claim(self, claim):
+    def _add_again(self, held, part, claim):
+        """Hand a part over again, under a new number.
+
+        What is still on its way about the old number, such as that its tasks were released,
+        would otherwise be taken for news of the new one, and the tasks would run twice.
+        """
+        del held.parts[part.number]
+        self._add_part(held, claim, part.tasks, part.moves, might_before=True)
+
+    def _on_owner(self, claim):
         """Hand the tasks of a pool to its new owner, which finds what still runs of them."""
         for held in list(self.jobs.values()):
             for part in list(held.parts.values()):
                 is_there = part.pool == claim.pool and not part.is_done
                 if is_there and part.token < claim.token:
-                    self._hand_over(held, part, claim)
+                    self._add_again(held, part, claim)
 
     # What owners say.
 
@@ -293,9 +306,9 @@
             held, part = self._part(job_id, number)
             if held is None or part.sent_at > asked_at - SETTLE_S:
                 continue
-            claim = self.fleet.owner_of(part.pool)
+            claim = self._reported_owner(part.pool)
             if claim is not None:
-                self._hand_over(held, part, claim)
+                self._add_again(held, part, claim)
 
     def _part(self, job_id, number):
         """Return a job and its part as long as it isn't done, else None for both."""
@@ -335,13 +348,12 @@
         held, part = self._part(message.job_id, message.part)
         if held is None or message.token < part.token:
             return
+        held.has_started |= message.has_started
         names = part.tasks & set(message.tasks)
         part.tasks -= names
         if not part.tasks:
             del held.parts[part.number]
-        if not names:
-            return
-        claim = self.fleet.owner_of(message.toward)
+        claim = self._reported_owner(message.toward)
         if claim is not None:
             self._add_part(held, claim, names, message.moves)
         else:
@@ -352,11 +364,11 @@
         held, part = self._part(message.job_id, message.part)
         if held is None:
             return
-        part.may_have_run = part.might_before
-        claim = self.fleet.owner_of(message.pool)
-        if claim is not None and claim.owner.name != message.sender.name:
-            self._hand_over(held, part, claim)
-        elif not part.may_have_run:
+        claim = self._reported_owner(message.pool)
+        if claim is not None and claim.token > part.token:
+            del held.parts[part.number]
+            self._add_part(held, claim, part.tasks, part.moves, part.might_before)
+        elif not part.might_before:
             del held.parts[part.number]
             self.runtime.spawn(self._find_pool, held, part.tasks, part.moves)
 
--- a/rosedyke/rerun/load_test.py
+++ b/rosedyke/rerun/load_test.py
@@ -24,7 +24,7 @@
     step = job.Step(count, job.Demand(cores * 1000), estimate_s)
     work = job.Job(job_id, "q", "s", "", (step,), priority, 2, objective_s, 3.0)
     names = tuple(name for name, _ in work.task_names())
-    message = messages.Submit("a/r1", 0, work, HOLDER, 0.0, names, False, False)
+    message = messages.Submit("a/r1", 0, 0.0, work, HOLDER, 0.0, names, False, False)
     return owned.OwnedJob.of(message, arrived_at)
 
 
--- a/rosedyke/rerun/messages.py
+++ b/rosedyke/rerun/messages.py
@@ -92,6 +92,8 @@
     ----------
     unknown : tuple of (str, int)
         Renewed parts that the sender doesn't have.
+    clock_s : float
+        The sender's clock, by which holders say when they sent a ``Submit``.
     pools : tuple of PoolReport
         The pools that it owns.
     claims : tuple of Claim
@@ -100,6 +102,7 @@
 
     sender: Instance
     unknown: tuple[PartKey, ...]
+    clock_s: float
     pools: tuple[PoolReport, ...]
     claims: tuple[Claim, ...]
     revisions: dict[str, int]
@@ -115,8 +118,11 @@
     pool : str
         The pool that shall run it.
     part : int
-        Numbers the parts of the job.  Each is handed over, ended and released by itself, also
-        when two come to one pool: the end of one must not be taken for that of both.
+        Numbers what the holder hands over of the job, anew each time.  Each is ended and released
+        by itself, also when two come to one pool: the end of one must not be taken for that of
+        both, nor a late message about a part for one about its successor.
+    sent_s : float
+        When it was sent, by the owner's clock.
     work : Job
         The job.
     holder : Instance
@@ -135,6 +141,7 @@
 
     pool: str
     part: int
+    sent_s: float
     work: job.Job
     holder: Instance
     age_s: float
@@ -168,6 +175,8 @@
         The pool that has room.
     moves : int
         How often these tasks have been released, this time included.
+    has_started : bool
+        Something of the part has started, though nothing of these tasks is under way.
     """
 
     job_id: str
@@ -177,6 +186,7 @@
     tasks: tuple[str, ...]
     toward: str
     moves: int
+    has_started: bool
 
 
 @codec.message("rerun.ask_rooms")
@@ -196,12 +206,19 @@
 @codec.message("rerun.not_owner")
 @attrs.frozen
 class NotOwner:
-    """The receiver of a ``Submit`` doesn't own that pool and has done nothing."""
+    """The receiver of a ``Submit`` did nothing with it.
+
+    Attributes
+    ----------
+    is_late : bool
+        It owns the pool and got the message too late; else it doesn't own it.
+    """
 
     job_id: str
     part: int
     pool: str
     sender: Instance
+    is_late: bool
 
 
 @codec.message("rerun.cancel")
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -78,6 +78,7 @@
             times, runtime, peers, self.fleet, registry, gateway, self.take_pool
         )
         self.fleet.on_claim.append(self._on_foreign_claim)
+        self.fleet.on_claim.append(self._meet_owner)
         self.renewing: set[str] = set()
         self.asked: dict[str, float] = {}
         self.fetching: set[str] = set()
@@ -166,7 +167,7 @@
     def _announce(self, taken):
         claim = messages.Claim(taken.name, self.own, taken.token)
         self.fleet.take_claim(claim, is_own=True)
-        self.fleet.take_report(self.own, taken.report())
+        self.fleet.take_report(self.own, taken.report(), self.runtime.now())
         for instance in self.fleet.instances().values():
             self.holder.send(instance, claim)
 
@@ -175,6 +176,13 @@
         if held is not None and claim.owner.name != self.own.name and claim.token > held.token:
             held.stand_down(f"{claim.owner.name} owns it now")
 
+    def _meet_owner(self, claim):
+        """Ask a new owner for its report at once, since jobs are handed to it only after that."""
+        name = claim.owner.name
+        if name != self.own.name and name not in self.renewing:
+            self.renewing.add(name)
+            self.runtime.spawn(self._renew, claim.owner)
+
     # What owners ask of the instance: ``owner.Listener``.
 
     def tell(
@@ -245,7 +253,7 @@
             held_here = self.holder.renewed(self.own.name)
             for each in list(self.owned.values()):
                 each.renew(self.own, held_here)
-                self.fleet.take_report(self.own, each.report())
+                self.fleet.take_report(self.own, each.report(), self.runtime.now())
             self._return_pools()
             self.holder.check_owners()
             self.fleet.forget_old()
@@ -334,7 +342,7 @@
             if known.claim.owner.name == report.sender.name and pool not in named:
                 self.fleet.disclaim(pool, report.sender.name)
         for each in report.pools:
-            self.fleet.take_report(report.sender, each)
+            self.fleet.take_report(report.sender, each, report.clock_s)
         self.holder.on_unknown(report.unknown, asked_at)
         self._follow(report.sender, report.revisions)
 
@@ -347,6 +355,7 @@
         return messages.Report(
             self.own,
             tuple(sorted(unknown)),
+            self.runtime.now(),
             tuple(each.report() for each in self.owned.values()),
             self.fleet.newer_claims(message.tokens),
             self.documents.revisions(),
@@ -389,17 +398,23 @@
 
     def _on_submit(self, sender, message):
         pool = self.owned.get(message.pool)
-        if pool is not None:
+        transit_s = self.runtime.now() - message.sent_s
+        if pool is not None and abs(transit_s) <= self.times.stale_s:
             pool.submit(message)
             return
-        refusal = messages.NotOwner(message.work.id, message.part, message.pool, self.own)
+        if pool is not None:
+            event.log(events.SUBMIT_STALE, job=message.work.id, transit_ms=round(transit_s * 1000))
+        refusal = messages.NotOwner(
+            message.work.id, message.part, message.pool, self.own, pool is not None
+        )
         if message.holder.name == self.own.name:
             self.runtime.spawn(self.holder.on_not_owner, refusal)
         else:
             self.holder.send(message.holder, refusal)
 
     def _on_not_owner(self, sender, message):
-        self.fleet.disclaim(message.pool, message.sender.name)
+        if not message.is_late:
+            self.fleet.disclaim(message.pool, message.sender.name)
         self.holder.on_not_owner(message)
 
     def _on_cancel(self, sender, message):
@@ -425,6 +440,8 @@
         return messages.Heard(self.fleet.silence_s(message.pool))
 
     def _on_resign(self, sender, message):
+        if self.fleet.highest.get(message.pool, 0) > message.token:
+            return  # held up on its way: the pool has had another owner since
         self.take_pool(message.pool, "its owner gave it up", frozenset(message.servers))
 
     # Leaving.
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -513,7 +513,7 @@
         names = tuple(task.name for task in tasks)
         event.log(events.TASKS_RELEASED, job=item.work.id, tasks=len(names), toward=toward)
         released = messages.Released(
-            *item.key, self.name, self.token, names, toward, item.moves + 1
+            *item.key, self.name, self.token, names, toward, item.moves + 1, item.has_started
         )
         self.listener.tell(item.holder, released)
         if item.tasks:
--- a/rosedyke/rerun/settings.py
+++ b/rosedyke/rerun/settings.py
@@ -42,6 +42,9 @@
     owner_lost_s : float
         A holder gives up the jobs at an owner that did not answer for so long.  Longer than it
         takes a successor to take over, which saves the jobs.
+    stale_s : float
+        A job that took longer from its holder to the owner is not taken: bytes that a cut held up
+        arrive after seconds, when the caller may have sent the job elsewhere.
     rank_delay_s : float
         How much longer each further candidate waits before it takes over.
     foreign_delay_s : float
@@ -81,6 +84,7 @@
     holder_lost_s: float = 0.5
     owner_suspected_s: float = 0.4
     owner_lost_s: float = 0.8
+    stale_s: float = 0.4
     rank_delay_s: float = 0.1
     foreign_delay_s: float = 0.4
     return_s: float = 4.0
@@ -110,6 +114,9 @@
     # The owner hears the holder, the holder doesn't hear the owner; the caller is told at once.
     if times.holder_lost_s + times.order_s + times.stop_retry_s >= times.resubmit_s:
         faults.append("an owner must stop a lost holder's job before the caller sends it again")
+    # The holder gives up right after it has sent the job, which arrives as late as it may.
+    if times.stale_s + times.holder_lost_s + times.order_s >= times.resubmit_s:
+        faults.append("a job that arrives late must be over before the caller sends it again")
     if times.pause_s >= times.holder_lost_s:
         faults.append("a paused owner must notice before its jobs are given up")
     if times.owner_suspected_s >= times.owner_lost_s:
--- a/rosedyke/rerun/takeover_test.py
+++ b/rosedyke/rerun/takeover_test.py
@@ -1,6 +1,6 @@
 import unittest
 
-from rosedyke.rerun import job, ports, token
+from rosedyke.rerun import job, messages, ports, token
 from rosedyke.standins import rerun_region
 
 SETTLE_S = 1.5
@@ -218,6 +218,46 @@
         self.assertNotIn("a/r1", region.members[owner].node.owned)
 
 
+class LateMessages(unittest.TestCase):
+    def test_released_tasks_are_not_moved_twice(self):
+        # A task runs twice at once.  An owner has released it; the report that it doesn't know
+        # the job overtakes that message, since it comes on another connection, so the holder
+        # hands the job over again, and then moves the task to the other pool as well.
+        region = rerun_region.Region({"a": 2, "b": 2})
+        region.run(SETTLE_S)
+        delay = region.network.delay_s
+        region.network.delay_s = lambda source, target, message: (
+            0.4 if isinstance(message, messages.Released) else delay(source, target, message)
+        )
+        holder = region.other("a")
+        blockers = [region.submit(holder, f"k{n}", count=12, duration_s=0.5) for n in range(2)]
+        held = region.submit(holder, "j1", count=4, duration_s=0.6)
+        region.run(5.0)
+        self.assertEqual(region.world.violations, [])
+        self.assertEqual({one.outcome.end for one in [*blockers, held]}, {job.End.SUCCEEDED})
+
+    def test_job_that_a_cut_held_up_is_not_started(self):
+        # The task runs twice at once.  A cut holds up the job on its way to the owner for two
+        # seconds; meanwhile the holder has given up and the caller has sent it elsewhere.
+        region = rerun_region.Region({"a": 3})
+        region.run(SETTLE_S)
+        owner = region.owner("a")
+        first, second = [name for name in region.members if name != owner]
+        delay = region.network.delay_s
+        region.network.delay_s = lambda source, target, message: (
+            2.6
+            if isinstance(message, messages.Submit) and source.name == first
+            else delay(source, target, message)
+        )
+        before = region.submit(first, "j1", duration_s=2.0, timeout_s=1.0)
+        region.run(1.0 + region.times.resubmit_s)
+        after = region.submit(second, "j1", duration_s=2.0)
+        region.run(3.0)
+        self.assertEqual(before.outcome.end, job.End.LOST)
+        self.assertEqual(after.outcome, job.Outcome(job.End.SUCCEEDED))
+        self.assertEqual((len(region.world.starts), region.world.violations), (1, []))
+
+
 class Tokens(unittest.TestCase):
     def test_two_makers_never_share_a_token(self):
         makers = [token.maker_of(f"10.1.0.{number}:7000") for number in (1, 2)]
--- a/rosedyke/wire/link.py
+++ b/rosedyke/wire/link.py
@@ -14,7 +14,6 @@
 
 MILLISECONDS = 1000
 RECONNECT_MS = 50
-RECONNECT_MAX_MS = 1000
 KEEPALIVE_IDLE_S = 30
 KEEPALIVE_INTERVAL_S = 10
 KEEPALIVE_COUNT = 3
@@ -58,7 +57,8 @@
         self.socket = context.socket(zmq.DEALER)
         set_bounds(self.socket, options)
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, int(options.reconnect_limit_s * MILLISECONDS))
+        self.socket.setsockopt(zmq.CONNECT_TIMEOUT, int(options.connect_timeout_s * MILLISECONDS))
         secret.protect_client(self.socket, keys)
         self.socket.connect(f"tcp://{address}")
         runtime.spawn(self._read)
--- a/rosedyke/wire/settings.py
+++ b/rosedyke/wire/settings.py
@@ -34,6 +34,11 @@
         A connection is replaced when requests on it went unanswered for this many seconds.
     unacknowledged_s : float
         TCP gives a connection up when sent bytes stay unacknowledged for this many seconds.
+    reconnect_limit_s : float
+        A lost connection is tried again ever later, up to this.
+    connect_timeout_s : float
+        An attempt to connect is given up after this; 0 leaves it to the system, whose second
+        packet to a peer behind a cut leaves after a second, the next ones ever later.
     is_network_trusted : bool
         Only instances of ours can reach the address, so no key is needed although it is not on
         loopback; for platforms that keep the ports between instances to themselves.
@@ -51,6 +56,8 @@
     idle_s: float = 60.0
     silence_s: float = 0.5
     unacknowledged_s: float = 3.0
+    reconnect_limit_s: float = 1.0
+    connect_timeout_s: float = 0.0
     is_network_trusted: bool = False
     protocol_version: int | None = None
 
