--- a/rosedyke/observe/log_test.py
+++ b/rosedyke/observe/log_test.py
@@ -1,6 +1,7 @@
 import io
 import json
 import logging
+import os
 import unittest
 
 from rosedyke.observe import event, log
@@ -50,3 +51,34 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class Bounded(unittest.TestCase):
+    def setUp(self):
+        self.reading, writing = os.pipe()
+        self.addCleanup(os.close, self.reading)
+        self.addCleanup(os.close, writing)
+        self.handler = log.BoundedHandler(writing, 10.0)
+        self.handler.setFormatter(logging.Formatter("%(message)s"))
+
+    def emit(self, text):
+        self.handler.emit(logging.LogRecord("x", logging.INFO, "", 0, text, (), None))
+
+    def test_reader_that_stops_reading_costs_lines_and_blocks_nobody(self):
+        # All requests stand still.  Nobody reads the log, its pipe is full, and a write waits.
+        self.handler.allowed = self.handler.lines_per_s = 1e6
+        for _ in range(100):
+            self.emit("x" * 3000)
+        self.assertGreater(self.handler.left_out, 50)
+        os.read(self.reading, 1 << 20)
+        self.emit("after")
+        lines = os.read(self.reading, 1 << 20).decode().splitlines()
+        self.assertRegex(lines[0], r'^\{"log_lines_left_out":\d+\}$')
+        self.assertEqual(lines[1], "after")
+
+    def test_flood_is_cut_to_the_budget(self):
+        for _ in range(200):
+            self.emit("line")
+        written = os.read(self.reading, 1 << 20).count(b"\n")
+        self.assertLess(written, 70)
+        self.assertEqual(written + self.handler.left_out, 200)
--- a/rosedyke/observe/metric.py
+++ b/rosedyke/observe/metric.py
@@ -3,6 +3,7 @@
 Metrics are declared once, so that docs/METRICS.md can be checked against the code.
 """
 
+import bisect
 import collections
 from typing import Protocol
 
@@ -51,7 +52,26 @@
         """Record milliseconds."""
 
 
+# Upper bounds of a timer's buckets in milliseconds: each about twice the one before, from a round
+# trip within a data centre to the longest that callers wait.
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000)
+
+
+@attrs.define
+class Histogram:
+    """How often a timer showed which duration; the last count is of longer ones."""
+
+    counts: list[int] = attrs.Factory(lambda: [0] * (len(BUCKETS_MS) + 1))
+    total_ms: float = 0.0
+
+    def add(self, milliseconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BUCKETS_MS, milliseconds)] += 1
+        self.total_ms += milliseconds
+
+
 counts: collections.Counter[str] = collections.Counter()
+histograms: dict[str, Histogram] = collections.defaultdict(Histogram)
 gauges: dict[str, float] = {}
 _sink: Sink | None = None
 
@@ -78,5 +98,6 @@
 
 def timing(metric: Metric, milliseconds: float) -> None:
     """Record a duration."""
+    histograms[metric.name].add(milliseconds)
     if _sink is not None:
         _sink.timing(metric.name, milliseconds)
--- a/rosedyke/rerun/events.py
+++ b/rosedyke/rerun/events.py
@@ -103,7 +103,7 @@
 TASKS_RELEASED = event.define(
     8023,
     "tasks_released",
-    logging.DEBUG,
+    logging.INFO,
     "A full pool gave tasks back that it hadn't started, toward a pool that has room.",
 )
 SUBMIT_STALE = event.define(
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -6,8 +6,8 @@
 import attrs
 
 from rosedyke import runtime as runtime_module
-from rosedyke.observe import event
-from rosedyke.rerun import events, fleet, job, messages, ports, settings
+from rosedyke.observe import event, metric
+from rosedyke.rerun import events, fleet, job, messages, metrics, ports, settings
 from rosedyke.wire import peer
 
 # A report that is older says nothing about the room in a pool; owners far away send one each 0.3 s.
@@ -146,6 +146,10 @@
         if held.ended.is_set():
             return
         self.jobs.pop(held.work.id, None)
+        metric.count(metrics.JOBS[outcome.end.value])
+        if outcome.end is job.End.SUCCEEDED:
+            seconds = self.runtime.now() - held.arrived_at
+            metric.timing(metrics.RESPONSE, seconds * 1000)
         if outcome.end is not job.End.SUCCEEDED:
             self._cancel(held)
         if outcome.end is not job.End.SUCCEEDED:
--- /dev/null
+++ b/rosedyke/rerun/metrics.py
@@ -0,0 +1,26 @@
+"""Metrics of rerunnable jobs."""
+
+from rosedyke.observe import metric
+
+JOBS = {
+    end: metric.define(f"rerun.jobs_{end}", "counter", f"Jobs that this holder ended as {end}.")
+    for end in ("succeeded", "failed", "refused", "cancelled", "lost")
+}
+RESPONSE = metric.define(
+    "rerun.response", "timer", "From a job's arrival at its holder to its end, successes only."
+)
+STARTS = metric.define("rerun.starts", "counter", "Starts that this owner ordered.")
+STARTS_REFUSED = metric.define(
+    "rerun.starts_refused", "counter", "Starts that a backend server refused."
+)
+ORDERS_UNANSWERED = metric.define(
+    "rerun.orders_unanswered", "counter", "Starts without an answer in time."
+)
+RUNS_FAILED = metric.define("rerun.runs_failed", "counter", "Runs that a server ended as failed.")
+TASKS_RELEASED = metric.define(
+    "rerun.tasks_released", "counter", "Tasks that a full pool gave back toward another one."
+)
+WAIT = metric.define("rerun.wait", "timer", "From a job's arrival to the start of each task.")
+POOLS = metric.define("rerun.pools", "gauge", "Pools that this instance owns.")
+POOLS_TAKEN = metric.define("rerun.pools_taken", "counter", "Times that it took a pool.")
+HELD = metric.define("rerun.held", "gauge", "Jobs that callers of this instance wait for.")
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from rosedyke import runtime as runtime_module
-from rosedyke.observe import event
+from rosedyke.observe import event, metric
 from rosedyke.rerun import (
     documents,
     election,
@@ -12,6 +12,7 @@
     holder,
     job,
     messages,
+    metrics,
     owner,
     ports,
     settings,
@@ -152,6 +153,7 @@
             expected or self._servers_of_predecessor(pool),
         )
         self.owned[pool] = taken
+        metric.count(metrics.POOLS_TAKEN)
         taken.start()
         self._announce(taken)
 
@@ -254,6 +256,8 @@
             for each in list(self.owned.values()):
                 each.renew(self.own, held_here)
                 self.fleet.take_report(self.own, each.report(), self.runtime.now())
+            metric.gauge(metrics.POOLS, len(self.owned))
+            metric.gauge(metrics.HELD, len(self.holder.jobs))
             self._return_pools()
             self.holder.check_owners()
             self.fleet.forget_old()
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -11,12 +11,13 @@
 import attrs
 
 from rosedyke import runtime as runtime_module
-from rosedyke.observe import event
+from rosedyke.observe import event, metric
 from rosedyke.rerun import (
     admission,
     events,
     job,
     messages,
+    metrics,
     owned,
     placement,
     ports,
@@ -294,6 +295,9 @@
             objective_ms=round(item.work.objective_s * 1000),
             queue=item.work.queue,
             pool=self.name,
+            holder=item.holder.name,
+            part=item.part,
+            tasks=len(item.tasks),
             servers=places,
             runs=sum(task.run for task in item.tasks.values()),
         )
@@ -511,6 +515,7 @@
         for task in tasks:
             del item.tasks[task.name]
         names = tuple(task.name for task in tasks)
+        metric.count(metrics.TASKS_RELEASED, len(names))
         event.log(events.TASKS_RELEASED, job=item.work.id, tasks=len(names), toward=toward)
         released = messages.Released(
             *item.key, self.name, self.token, names, toward, item.moves + 1, item.has_started
@@ -534,6 +539,8 @@
 
     def _place(self, item, task, state, now):
         item.has_started = True
+        metric.count(metrics.STARTS)
+        metric.timing(metrics.WAIT, (now - item.arrived_at) * 1000)
         task.run += 1
         task.state, task.server_id = owned.TaskState.PLACED, state.server.id
         run = server_runs.Run(
@@ -586,6 +593,7 @@
             run.state = server_runs.RunState.STARTED
 
     def _on_refused_start(self, state, run, order, error):
+        metric.count(metrics.STARTS_REFUSED)
         if error.reason is ports.Refusal.FENCED and order.token == self.token:
             self._on_fenced(state)
         elif error.reason in (ports.Refusal.UNHEALTHY, ports.Refusal.INVALID):
@@ -602,6 +610,7 @@
     def _on_no_answer(self, state, run):
         if run.key not in state.runs or run.state is server_runs.RunState.STOPPING:
             return
+        metric.count(metrics.ORDERS_UNANSWERED)
         event.log(events.ORDER_UNANSWERED, task=run.task, run=run.number, server=state.server.id)
         self._refresh(state)
         if state.runs.get(run.key) is run and run.confirmed_at is None:
@@ -774,6 +783,7 @@
     def _on_failed(self, state, item, task):
         task.state = owned.TaskState.WAITING
         task.failures += 1
+        metric.count(metrics.RUNS_FAILED)
         task.failed_on.add(state.server.id)
         self._note_failure(state)
         if task.failures >= item.work.max_attempts:
