Find a successor that takes the pool, and give it the learned speeds

A successor also began with all speeds unknown. Test: Owners.test_leaving_owner_passes_over_a_candidate_that_leaves_too.

--- a/rosedyke/rerun/load_test.py
+++ b/rosedyke/rerun/load_test.py
@@ -35,7 +35,7 @@
 
 def report(pool, *cores, backlog_s=0.0):
     rooms = tuple((each * 1000, 1.0) for each in cores)
-    return messages.PoolReport(pool, 1, backlog_s, rooms, 64_000, {}, ())
+    return messages.PoolReport(pool, 1, backlog_s, rooms, 64_000, {}, {})
 
 
 class Order(unittest.TestCase):
@@ -133,7 +133,7 @@
     def test_long_task_goes_only_where_it_is_in_time(self):
         item = waiting_job("j", 0.0, 0.9, 1.4)
         tasks = [(item, task) for task in item.waiting()]
-        slow = messages.PoolReport("b", 1, 0.0, ((32_000, 0.6),), 32_000, {}, ())
+        slow = messages.PoolReport("b", 1, 0.0, ((32_000, 0.6),), 32_000, {}, {})
         self.assertEqual(spill.assign(tasks, [slow], 0.0), {})
         self.assertEqual(len(spill.assign(tasks, [slow], 2.0)), 1)
 
--- a/rosedyke/rerun/messages.py
+++ b/rosedyke/rerun/messages.py
@@ -36,9 +36,9 @@
         Of the servers that answer.
     waiting : dict of str to int
         Jobs of each queue of which no task has started.
-    servers : tuple of str
-        The servers that it may have started something on.  A successor whose own list lacks one
-        of them knows that it doesn't see all runs yet.
+    servers : dict of str to float
+        The servers that it may have started something on, with their learned speeds.  A successor
+        whose own list lacks one of them knows that it doesn't see all runs yet.
     """
 
     pool: str
@@ -47,7 +47,7 @@
     rooms: tuple[tuple[int, float], ...]
     capacity_millicores: int
     waiting: dict[str, int]
-    servers: tuple[str, ...]
+    servers: dict[str, float]
 
 
 @codec.message("rerun.claim")
@@ -262,7 +262,15 @@
 
     pool: str
     token: int
-    servers: tuple[str, ...]
+    servers: dict[str, float]
+
+
+@codec.message("rerun.resign_answer")
+@attrs.frozen
+class ResignAnswer:
+    """Whether the receiver of a ``Resign`` owns the pool now; it doesn't if it is leaving too."""
+
+    is_taken: bool
 
 
 @codec.message("rerun.fetch")
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -31,8 +31,10 @@
 # long for them: twice the way there and back between data centres.
 ASKED_POOLS = 4
 ROOMS_TIMEOUT_S = 0.01
-# How long a leaving owner waits for its successor to announce itself.
-HANDOVER_S = 0.3
+# How long a leaving owner takes to find a successor, and waits for each candidate: one that leaves
+# too declines, and one that doesn't answer is passed over.
+HANDOVER_S = 0.5
+RESIGN_TIMEOUT_S = 0.1
 
 
 class Node:
@@ -141,6 +143,7 @@
             return
         number = token.make(self.maker, self.wall_s(), self.fleet.highest.get(pool, 0))
         event.log(events.POOL_CLAIMED, pool=pool, token=number, reason=reason)
+        self._learn_from_predecessor(pool)
         taken = owner.PoolOwner(
             self.times,
             self.runtime,
@@ -166,6 +169,12 @@
             return None
         return frozenset(known.report.servers)
 
+    def _learn_from_predecessor(self, pool):
+        """Take in the speeds that the last owner reported; learning them takes seconds."""
+        known = self.fleet.pools.get(pool)
+        if known is not None and known.report is not None:
+            self.speeds.take_over(known.report.servers)
+
     def _announce(self, taken):
         claim = messages.Claim(taken.name, self.own, taken.token)
         self.fleet.take_claim(claim, is_own=True)
@@ -285,7 +294,7 @@
             ]
             order = election.order(name, data_centre, steady)
             if order:
-                self.holder.send(order[0], self.owned[name].resignation())
+                self.runtime.spawn(self._hand_pool_over, self.owned[name])
 
     def _targets(self):
         """Return who is to be renewed now.
@@ -445,23 +454,35 @@
 
     def _on_resign(self, sender, message):
         if self.fleet.highest.get(message.pool, 0) > message.token:
-            return  # held up on its way: the pool has had another owner since
+            return messages.ResignAnswer(False)  # held up: the pool has had another owner since
+        self.speeds.take_over(message.servers)
         self.take_pool(message.pool, "its owner gave it up", frozenset(message.servers))
+        return messages.ResignAnswer(message.pool in self.owned)
 
     # Leaving.
 
     def hand_pools_over(self) -> None:
-        """Give every pool to the best candidate and wait a moment for its claim."""
+        """Give every pool to the best candidate that takes it; each claim ends the ownership."""
         self.succession.is_standing_by = True
-        for each in list(self.owned.values()):
-            successor = self._successor(each.name)
-            if successor is not None:
-                self.holder.send(successor, each.resignation())
-        give_up = self.runtime.now() + HANDOVER_S
-        while self.owned and self.runtime.now() < give_up:
-            self.runtime.sleep(0.01)
-
-    def _successor(self, pool):
+        tasks = [
+            self.runtime.spawn(self._hand_pool_over, each) for each in list(self.owned.values())
+        ]
+        for task in tasks:
+            task.wait(HANDOVER_S)
+
+    def _hand_pool_over(self, pool):
+        for candidate in self.successors(pool.name):
+            try:
+                answer = self.peers.request(
+                    peer.at_address(candidate.address), pool.resignation(), RESIGN_TIMEOUT_S
+                )
+            except peer.PeerError as error:
+                event.log(events.MESSAGE_NOT_SENT, to=candidate.name, error=error)
+                continue
+            if answer.is_taken or not pool.is_active:
+                return
+
+    def successors(self, pool: str) -> list[messages.Instance]:
+        """Return who may take a pool over from this instance, the best candidate first."""
         alive = [each for each in self.fleet.instances().values() if self.fleet.is_alive(each.name)]
-        order = election.order(pool, ports.data_centre_of(pool), alive)
-        return order[0] if order else None
+        return election.order(pool, ports.data_centre_of(pool), alive)
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -718,6 +718,7 @@
         now = self.runtime.now()
         if listing.born_ms and state.born_ms and listing.born_ms != state.born_ms:
             event.log(events.SERVER_REBORN, server=state.server.id)
+            self.speeds.forget(state.server.id)
             for run in state.on_reborn(listing.born_ms):
                 self._release_task(run)
         elif listing.born_ms:
@@ -822,7 +823,7 @@
 
     def resignation(self) -> messages.Resign:
         """Return the message that hands the pool to a successor."""
-        return messages.Resign(self.name, self.token, tuple(sorted(self.states)))
+        return messages.Resign(self.name, self.token, self._speeds())
 
     def report(self) -> messages.PoolReport:
         """Return what holders need to choose a pool."""
@@ -840,5 +841,8 @@
             tuple((s.free_millicores(), self.speeds.of(s.server.id)) for s in usable),
             sum(s.server.capacity.millicores for s in usable),
             dict(waiting),
-            tuple(sorted(self.states)),
+            self._speeds(),
         )
+
+    def _speeds(self):
+        return {server_id: round(self.speeds.of(server_id), 3) for server_id in self.states}
--- a/rosedyke/rerun/speed.py
+++ b/rosedyke/rerun/speed.py
@@ -40,6 +40,11 @@
         shown = min(max(estimate_s / measured_s, known / BOUND), known * BOUND)
         self.values[server_id] = known + WEIGHT * (shown - known)
 
+    def take_over(self, values: dict[str, float]) -> None:
+        """Take in what a former owner learned of servers that nothing is known of here."""
+        for server_id, value in values.items():
+            self.values.setdefault(server_id, value)
+
     def forget(self, server_id: str) -> None:
         """Drop what is known, since another machine may have come under the name."""
         self.values.pop(server_id, None)
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -15,7 +15,7 @@
 
 TICK_S = 0.04
 # A pool without any known owner is taken after this long, in which peers may tell of one.
-UNKNOWN_S = 0.15
+UNKNOWN_S = 0.06
 # Heard by another instance within this time: the owner lives and this instance is cut off.
 HEARD_S = 0.35
 # Others that are asked about a silent owner.
--- a/rosedyke/rerun/takeover_test.py
+++ b/rosedyke/rerun/takeover_test.py
@@ -57,6 +57,27 @@
         self.assertEqual(running.outcome, job.Outcome(job.End.SUCCEEDED))
         self.assertEqual((len(region.world.starts), region.world.violations), (4, []))
 
+    def test_leaving_owner_passes_over_a_candidate_that_leaves_too(self):
+        # All work on the pool stops for half a second.  Two instances are stopped together; the
+        # owner gave its pool to the other one, which no longer takes any.
+        region = rerun_region.Region({"a": 3})
+        region.run(SETTLE_S)
+        old = region.owner("a")
+        first = region.members[old].node.successors("a/r1")[0].name
+        region.members[first].node.succession.is_standing_by = True
+        region.runtime.call(region.members[old].node.hand_pools_over)
+        self.assertNotIn(region.owner("a"), ("", old, first))
+
+    def test_successor_goes_on_with_the_learned_speeds(self):
+        region = rerun_region.Region({"a": 2})
+        region.run(SETTLE_S)
+        owner, other = region.owner("a"), region.other("a")
+        region.members[owner].node.speeds.values["s-a-0"] = 0.6
+        region.run(0.3)
+        region.kill(owner)
+        region.run(1.0)
+        self.assertEqual(region.members[other].node.speeds.of("s-a-0"), 0.6)
+
 
 class LostOwner(unittest.TestCase):
     def test_successor_finds_what_runs_and_the_caller_gets_its_answer(self):
