--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -294,7 +294,7 @@
             ]
             order = election.order(name, data_centre, steady)
             if order:
-                self.runtime.spawn(self._hand_pool_over, self.owned[name])
+                self.runtime.spawn(self._hand_pool_over, self.owned[name], order)
 
     def _targets(self):
         """Return who is to be renewed now.
@@ -465,13 +465,14 @@
         """Give every pool to the best candidate that takes it; each claim ends the ownership."""
         self.succession.is_standing_by = True
         tasks = [
-            self.runtime.spawn(self._hand_pool_over, each) for each in list(self.owned.values())
+            self.runtime.spawn(self._hand_pool_over, each, self.successors(each.name))
+            for each in list(self.owned.values())
         ]
         for task in tasks:
             task.wait(HANDOVER_S)
 
-    def _hand_pool_over(self, pool):
-        for candidate in self.successors(pool.name):
+    def _hand_pool_over(self, pool, candidates):
+        for candidate in candidates:
             try:
                 answer = self.peers.request(
                     peer.at_address(candidate.address), pool.resignation(), RESIGN_TIMEOUT_S
--- a/rosedyke/rerun/takeover_test.py
+++ b/rosedyke/rerun/takeover_test.py
@@ -155,6 +155,21 @@
         self.assertEqual(region.owner("b"), "b-2")
         self.assertEqual(region.world.violations, [])
 
+    def test_pool_is_not_given_back_to_an_instance_that_has_just_come(self):
+        # Owners take turns.  Of two instances of the pool's data centre the steady one is leaving
+        # and declines, and the one that came a moment ago got the pool in its place.
+        region = rerun_region.Region({"a": 2, "b": 1})
+        region.run(SETTLE_S)
+        region.kill("b-1")
+        region.run(4.0)
+        region.add("b-2", "b", "10.1.0.9:7000").node.succession.is_standing_by = True
+        region.run(4.5)
+        region.add("b-3", "b", "10.1.0.10:7000")
+        region.run(2.0)
+        self.assertTrue(region.owner("b").startswith("a-"))
+        region.run(4.0)
+        self.assertEqual(region.owner("b"), "b-3")
+
     def test_successor_whose_list_lacks_a_server_starts_nothing_that_may_run_there(self):
         # A task runs twice at once.  The entry of its server has lapsed in the list of the new
         # owner, which therefore does not see the run and starts the task on another server.
