--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -461,11 +461,18 @@
 
     # Leaving.
 
-    def hand_pools_over(self) -> None:
-        """Give every pool to the best candidate that takes it; each claim ends the ownership."""
+    def hand_pools_over(self, is_last: bool) -> None:
+        """Give every pool to the best candidate that takes it; each claim ends the ownership.
+
+        Parameters
+        ----------
+        is_last : bool
+            Nothing is left of this instance after that, so instances of other data centres may
+            take the pools as well.  Before that they stay here until a nearer one comes.
+        """
         self.succession.is_standing_by = True
         tasks = [
-            self.runtime.spawn(self._hand_pool_over, each, self.successors(each.name))
+            self.runtime.spawn(self._hand_pool_over, each, self.successors(each.name, is_last))
             for each in list(self.owned.values())
         ]
         for task in tasks:
@@ -483,7 +490,12 @@
             if answer.is_taken or not pool.is_active:
                 return
 
-    def successors(self, pool: str) -> list[messages.Instance]:
+    def successors(self, pool: str, also_far: bool) -> list[messages.Instance]:
         """Return who may take a pool over from this instance, the best candidate first."""
-        alive = [each for each in self.fleet.instances().values() if self.fleet.is_alive(each.name)]
-        return election.order(pool, ports.data_centre_of(pool), alive)
+        data_centre = ports.data_centre_of(pool)
+        alive = [
+            each
+            for each in self.fleet.instances().values()
+            if self.fleet.is_alive(each.name) and (also_far or each.data_centre == data_centre)
+        ]
+        return election.order(pool, data_centre, alive)
