--- /dev/null
+++ b/rosedyke/rerun/orders.py
@@ -0,0 +1,194 @@
+"""The orders of a pool's owner to its servers: starts, stops, and the renewal of leases.
+
+Each order is a task of its own, and one more for each server renews the lease and reads the
+listing.  They change the owner's state only between blocking calls.
+"""
+
+from rosedyke.observe import event, metric
+from rosedyke.rerun import events, metrics, ports, server_runs, token
+
+# A server that a start or look failed on is left alone for this long.
+AVOID_S = 0.2
+# A token that this many raises don't bring above what a server has seen is not ours to raise.
+MAX_RAISES = 6
+RAISE_PAUSE_S = 0.03
+
+
+class Orders:
+    """Sends orders for one owner and takes in how they end.
+
+    Attributes
+    ----------
+    raises : int
+        How often the fencing token was raised since the pool was taken.
+    """
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.raises = 0
+
+    def start(self, item, state, run):
+        """Start a run on a server and take note of the answer."""
+        if not self.owner.may_send():
+            return
+        now = self.owner.runtime.now()
+        order = ports.Start(
+            run.task,
+            run.number,
+            item.work.payload,
+            state.lease_end_ms(now, self.owner.times),
+            self.owner.token,
+        )
+        try:
+            self.owner.gateway.start(state.server, order, self.owner.times.order_s)
+        except ports.NotReached:
+            self._avoid(state)
+            self.owner.requeue(state, run)
+        except ports.Refused as error:
+            self._on_refused_start(state, run, order, error)
+        except ports.NoAnswer:
+            self._on_no_answer(state, run)
+        else:
+            self._on_started(state, run)
+
+    def _on_started(self, state, run):
+        now = self.owner.runtime.now()
+        state.contact_at = now
+        if run.confirmed_at is None:
+            run.confirmed_at = run.progress_at = now
+        if run.state is server_runs.RunState.STARTING:
+            run.state = server_runs.RunState.STARTED
+
+    def _on_refused_start(self, state, run, order, error):
+        metric.count(metrics.STARTS_REFUSED)
+        if error.reason is ports.Refusal.FENCED and order.token == self.owner.token:
+            self._on_fenced(state)
+        elif error.reason in (ports.Refusal.UNHEALTHY, ports.Refusal.INVALID):
+            self._avoid(state)
+        elif error.reason is ports.Refusal.OTHER_INCARNATION:
+            state.is_listed = False
+        self.owner.requeue(state, run)
+        task = self.owner.task_of(run)
+        if error.reason is ports.Refusal.OLD_RUN and task is not None:
+            # An earlier run of the task ended there, started by an owner that we know nothing
+            # of; doubling passes its number after a few tries.
+            task.run = max(task.run, 2 * run.number)
+
+    def _on_no_answer(self, state, run):
+        if run.key not in state.runs or run.state is server_runs.RunState.STOPPING:
+            return
+        metric.count(metrics.ORDERS_UNANSWERED)
+        event.log(events.ORDER_UNANSWERED, task=run.task, run=run.number, server=state.server.id)
+        self._refresh(state)
+        if state.runs.get(run.key) is run and run.confirmed_at is None:
+            self.stop(state, run)
+
+    def stop(self, state, run):
+        """End a run; until that is certain, it takes up room and its task waits."""
+        if run.state is server_runs.RunState.STOPPING:
+            return
+        run.state = server_runs.RunState.STOPPING
+        self.owner.runtime.spawn(self._stop_until_answered, state, run)
+
+    def _stop_until_answered(self, state, run):
+        """Send a stop until it is answered; only then, or with its lease, a run is over."""
+        while self.owner.may_send() and state.runs.get(run.key) is run:
+            try:
+                self.owner.gateway.stop(
+                    state.server, run.task, run.number, self.owner.token, self.owner.times.order_s
+                )
+            except ports.Refused as error:
+                if error.reason is ports.Refusal.FENCED:
+                    self._on_fenced(state)
+                elif error.reason is ports.Refusal.OTHER_INCARNATION:
+                    state.is_listed = False
+                self.owner.runtime.sleep(self.owner.times.stop_retry_s)
+            except ports.ServerError:
+                self.owner.runtime.sleep(self.owner.times.stop_retry_s)
+            else:
+                run.confirmed_at = self.owner.runtime.now()
+                self._refresh(state)
+                return
+
+    def _refresh(self, state):
+        """Read a listing at once rather than with the next look."""
+        if not self.owner.may_send():
+            return
+        asked_at = self.owner.runtime.now()
+        try:
+            listing = self.owner.gateway.hold(
+                state.server,
+                self.owner.token,
+                state.acknowledged,
+                None,
+                0.0,
+                self.owner.times.order_s,
+            )
+        except ports.ServerError:
+            return  # the next look logs what is wrong with the server
+        self.owner.take(state, listing, asked_at)
+
+    def look(self, state):
+        """Renew a server's lease and read its listing for as long as it is owned."""
+        while self.owner.may_send() and self.owner.states.get(state.server.id) is state:
+            now = self.owner.runtime.now()
+            state.settle_lapse()
+            is_first = not state.is_listed or state.has_lapsed
+            wait_s = 0.0 if is_first else self.owner.times.look_s
+            lease_end = None if is_first else state.lease_end_ms(now, self.owner.times)
+            used = self.owner.token
+            try:
+                listing = self.owner.gateway.hold(
+                    state.server,
+                    used,
+                    state.acknowledged,
+                    lease_end,
+                    wait_s,
+                    wait_s + self.owner.times.order_s * 2,
+                )
+            except ports.Refused as error:
+                self._on_refused_look(state, used, error)
+            except ports.ServerError as error:
+                self._on_silence(state, error)
+            else:
+                self.owner.take(state, listing, now)
+
+    def _on_refused_look(self, state, used, error):
+        if error.reason is ports.Refusal.FENCED and used == self.owner.token:
+            self._on_fenced(state)
+        else:
+            event.log(events.LOOK_REFUSED, server=state.server.id, error=error)
+            state.is_listed = False
+        self.owner.runtime.sleep(RAISE_PAUSE_S)
+
+    def _on_silence(self, state, error):
+        now = self.owner.runtime.now()
+        if state.is_listed and now - state.contact_at > self.owner.times.contact_s:
+            event.log(events.SERVER_SILENT, server=state.server.id, error=error)
+            state.is_listed = False
+        if state.is_lease_over(now, self.owner.times):
+            # The next listing is read before the lease is renewed: an order that was carried out
+            # late must not come alive with it.
+            state.is_listed = False
+            state.has_lapsed = True
+            for run in list(state.runs.values()):
+                self.owner.release_task(run)
+            self.owner.schedule()
+        self.owner.runtime.sleep(self.owner.times.order_s / 2)
+
+    def _avoid(self, state):
+        state.suspended_until = self.owner.runtime.now() + AVOID_S
+
+    def _on_fenced(self, state):
+        """Stand down for a higher token, or, at the first contact, try a higher one."""
+        if not self.owner.is_active:
+            return
+        if state.is_fenced or self.raises >= MAX_RAISES:
+            self.owner.stand_down(f"server {state.server.id} has seen a higher fencing token")
+            return
+        self.raises += 1
+        self.owner.token = token.above(self.owner.token)
+        event.log(
+            events.TOKEN_RAISED, pool=self.owner.name, server=state.server.id, raises=self.raises
+        )
+        self.owner.listener.on_token(self.owner)
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -1,7 +1,7 @@
 """The owner of a pool: places tasks on its servers, keeps their leases, and tells the holders.
 
-One task for each server renews the lease and reads the listing; each order is a task of its own.
-All of them change the same state between blocking calls only.
+It keeps the jobs and what runs where; its orders, what it gives back to other pools and the search
+for runs that should not go on have modules of their own.
 """
 
 import collections
@@ -18,31 +18,27 @@
     job,
     messages,
     metrics,
+    orders,
     owned,
     placement,
     ports,
     queue,
+    releasing,
     server_runs,
     settings,
     speed,
-    spill,
-    token,
+    strays,
 )
 
 TICK_S = 0.05
 # Other pools are asked for their room no more often than this.
 SPILL_PERIOD_S = 0.015
-# A server that a start or look failed on is left alone for this long.
-AVOID_S = 0.2
 # More runs in a row than this that failed on a server are its own fault, not the tasks'.
 FAILURES_IN_A_ROW = 3
 SUSPENDED_S = 2.0
-# A token that this many raises don't bring above what a server has seen is not ours to raise.
-MAX_RAISES = 6
-RAISE_PAUSE_S = 0.03
-# A run without progress for this long, and this many times what it should take, stands still.
-STALL_S = 0.35
-STALL_FACTOR = 2.5
+# Ends that a predecessor didn't take note of are of use until all holders have handed their jobs
+# over again.
+FOUND_KEPT_S = 5.0
 
 
 class Listener(Protocol):
@@ -117,16 +113,16 @@
         self.is_active = True
         self.began_at = runtime.now()
         self.ticked_at = self.began_at
-        self.raises = 0
         self.states: dict[str, server_runs.ServerRuns] = {}
         self.jobs: dict[messages.PartKey, owned.OwnedJob] = {}
         self.by_job: dict[str, list[owned.OwnedJob]] = {}
         self.kept: dict[messages.PartKey, Kept] = {}
         self.found_done: dict[str, float] = {}
-        self.is_spilling = False
-        self.spilled_at = self.began_at
         self.is_dirty = False
         self.wake = runtime.signal()
+        self.orders = orders.Orders(self)
+        self.releasing = releasing.Releasing(self)
+        self.strays = strays.Strays(self)
 
     def start(self) -> None:
         """Begin to talk to the servers."""
@@ -152,7 +148,7 @@
             if state is None:
                 state = self.states[server_id] = server_runs.ServerRuns(server)
                 state.born_ms = server.born_ms
-                self.runtime.spawn(self._look, state)
+                self.runtime.spawn(self.orders.look, state)
             elif server != state.server:
                 state.server = server
         for server_id, state in list(self.states.items()):
@@ -160,7 +156,7 @@
             if state.is_unlisted and self._is_finished(state):
                 del self.states[server_id]
                 for run in state.runs.values():
-                    self._release_task(run)
+                    self.release_task(run)
                 self.gateway.forget(server_id)
         self.schedule()
 
@@ -190,13 +186,14 @@
         self.by_job.setdefault(item.work.id, []).append(item)
         if message.may_have_run:
             self._adopt(item)
-            self._check_done(item)
+            self.check_done(item)
         self.schedule()
 
     def _items(self, job_id):
         return list(self.by_job.get(job_id, ()))
 
-    def _remove(self, item):
+    def remove(self, item):
+        """Forget a job without touching what runs."""
         del self.jobs[item.key]
         self.by_job[item.work.id].remove(item)
         if not self.by_job[item.work.id]:
@@ -263,7 +260,7 @@
 
     def _drop(self, item):
         """Forget a job and stop what runs of it."""
-        self._remove(item)
+        self.remove(item)
         for task in item.tasks.values():
             if task.state is owned.TaskState.PLACED:
                 self._stop_task(task)
@@ -273,13 +270,7 @@
         state = self.states.get(task.server_id)
         run = state.runs.get((task.name, task.run)) if state else None
         if run is not None:
-            self._stop(state, run)
-
-    def _stop(self, state, run):
-        if run.state is server_runs.RunState.STOPPING:
-            return
-        run.state = server_runs.RunState.STOPPING
-        self.runtime.spawn(self._stop_until_answered, state, run)
+            self.orders.stop(state, run)
 
     def _finish(self, item, outcome):
         now = self.runtime.now()
@@ -308,7 +299,8 @@
         message = messages.JobEnded(*key, self.name, self.token, kept.outcome, kept.tasks)
         self.listener.tell(holder, message)
 
-    def _check_done(self, item):
+    def check_done(self, item):
+        """End a job whose last task is done."""
         if item.key in self.jobs and item.is_done():
             self._finish(item, job.Outcome(job.End.SUCCEEDED))
 
@@ -350,8 +342,11 @@
                 event.log(events.JOB_LOST_BY_HOLDER, job=item.work.id, holder=item.holder.name)
                 self._drop(item)
         self._refuse_hopeless(now)
-        self._settle_orphans(now)
-        self._stop_stalled(now)
+        self.strays.stop_orphans(now)
+        self.strays.stop_stalled(now)
+        self.found_done = {
+            name: at for name, at in self.found_done.items() if now - at < FOUND_KEPT_S
+        }
         self.kept = {key: kept for key, kept in self.kept.items() if kept.until > now}
         if set(self.states) - {each.id for each in self.listed()}:
             self.on_servers()
@@ -364,45 +359,6 @@
                 refusal = job.Outcome(job.End.REFUSED, reason, admission.RETRY_AFTER_S)
                 self._finish(item, refusal)
 
-    def _settle_orphans(self, now):
-        for state in self.states.values():
-            for run in list(state.runs.values()):
-                if run.state is not server_runs.RunState.ORPHAN:
-                    continue
-                if now - max(run.since, self.began_at) > self.times.orphan_s:
-                    event.log(events.ORPHAN_STOPPED, task=run.task, server=state.server.id)
-                    self._stop(state, run)
-
-    def _stop_stalled(self, now):
-        """Stop runs that stand still, so that their tasks can be placed elsewhere.
-
-        Some servers hang on what they run while they answer everything else; the callers of those
-        tasks would wait until their time is over.
-        """
-        for state in self.states.values():
-            for run in list(state.runs.values()):
-                if run.state is not server_runs.RunState.STARTED or run.confirmed_at is None:
-                    continue
-                still_s = now - max(run.progress_at, run.confirmed_at)
-                expected_s = self.speeds.run_time_s(state.server.id, run.estimate_s)
-                if still_s < STALL_S or now - run.confirmed_at < STALL_FACTOR * expected_s:
-                    continue
-                self._give_up_run(state, run, still_s)
-
-    def _give_up_run(self, state, run, still_s):
-        event.log(
-            events.RUN_STALLED,
-            task=run.task,
-            server=state.server.id,
-            percent=run.percent,
-            still_ms=round(still_s * 1000),
-        )
-        task = self._task_of(run)
-        if task is not None:
-            task.failed_on.add(state.server.id)
-        self._note_failure(state)
-        self._stop(state, run)
-
     def is_recovered(self, now: float) -> bool:
         """Return whether nothing of an earlier owner can run unseen."""
         if self.expected is not None:
@@ -429,14 +385,18 @@
         left = []
         for item in queue.order(waiting, now):
             left += self._place_job(item, used, now)
-        if left and now - self.spilled_at >= SPILL_PERIOD_S and not self.is_spilling:
-            self._consider_spill(left, now)
+        if (
+            left
+            and now - self.releasing.spilled_at >= SPILL_PERIOD_S
+            and not self.releasing.is_spilling
+        ):
+            self.releasing.consider(left, now)
 
     def _place_job(self, item, used, now):
         """Place what fits of a job and return the tasks that are left."""
         left = []
         for task in item.waiting():
-            if self._is_running(task.name):
+            if self.is_running(task.name):
                 continue
             state = placement.choose(
                 task, item.work.service, self.states.values(), self.speeds, used
@@ -456,77 +416,11 @@
             self.states.values(),
             self.speeds,
             used,
-            self._end_of,
+            self.releasing.end_of,
             now,
         )
 
-    # Tasks that other pools have room for.
-
-    def _consider_spill(self, left, now):
-        movable = [(item, task) for item, task in left if item.moves < spill.MAX_MOVES]
-        waits = spill.waits(self._expected_ends(), len(left), now)
-        if any(wait_s > spill.WORTH_S for wait_s in waits) and movable:
-            self.is_spilling = True
-            self.runtime.spawn(self._spill, movable[0][0].work.service)
-
-    def _expected_ends(self):
-        """Return when each run is expected to end."""
-        return [
-            self._end_of(state, run)
-            for state in self.states.values()
-            for run in state.runs.values()
-        ]
-
-    def _end_of(self, state, run):
-        return run.since + self.speeds.run_time_s(state.server.id, run.estimate_s)
-
-    def _spill(self, service):
-        """Release waiting tasks toward pools that say that they have room at this moment."""
-        try:
-            reports = self.listener.rooms(service, self.name)
-            if self._may_send():
-                self._release(service, reports)
-        finally:
-            self.is_spilling = False
-            self.spilled_at = self.runtime.now()
-
-    def _release(self, service, reports):
-        now = self.runtime.now()
-        is_recovered = self.is_recovered(now)
-        waiting = [
-            (item, task)
-            for item in queue.order(list(self.jobs.values()), now)
-            if is_recovered or not item.may_have_run
-            for task in item.waiting()
-            if not self._is_running(task.name)
-        ]
-        waits = spill.waits(self._expected_ends(), len(waiting), now)
-        candidates = [
-            (item, task)
-            for (item, task), wait_s in zip(waiting, waits, strict=True)
-            if wait_s > spill.WORTH_S
-            and item.work.service == service
-            and item.moves < spill.MAX_MOVES
-        ]
-        for (item, toward), tasks in spill.assign(candidates, reports, now).items():
-            self._release_part(item, tasks, toward)
-
-    def _release_part(self, item, tasks, toward):
-        for task in tasks:
-            del item.tasks[task.name]
-        names = tuple(task.name for task in tasks)
-        metric.count(metrics.TASKS_RELEASED, len(names))
-        event.log(events.TASKS_RELEASED, job=item.work.id, tasks=len(names), toward=toward)
-        released = messages.Released(
-            *item.key, self.name, self.token, names, toward, item.moves + 1, item.has_started
-        )
-        self.listener.tell(item.holder, released)
-        if item.tasks:
-            self._check_done(item)
-        else:
-            self._remove(item)
-
-    def _is_running(self, task_name):
+    def is_running(self, task_name):
         """Return whether a run of a task may be under way on any server.
 
         A job that was cancelled and has come back finds its earlier runs still being stopped.
@@ -552,167 +446,16 @@
             task.step.estimate_s,
         )
         state.runs[run.key] = run
-        self.runtime.spawn(self._start, item, state, run)
-
-    # Orders.
+        self.runtime.spawn(self.orders.start, item, state, run)
 
-    def _start(self, item, state, run):
-        if not self._may_send():
-            return
-        now = self.runtime.now()
-        order = ports.Start(
-            run.task,
-            run.number,
-            item.work.payload,
-            state.lease_end_ms(now, self.times),
-            self.token,
-        )
-        try:
-            self.gateway.start(state.server, order, self.times.order_s)
-        except ports.NotReached:
-            self._avoid(state)
-            self._requeue(state, run)
-        except ports.Refused as error:
-            self._on_refused_start(state, run, order, error)
-        except ports.NoAnswer:
-            self._on_no_answer(state, run)
-        else:
-            self._on_started(state, run)
-
-    def _may_send(self):
+    def may_send(self):
+        """Return whether an order may leave; give the pool up after a pause."""
         if self.is_active and self.is_paused():
             self.stand_down("the process stood still")
         return self.is_active
 
-    def _on_started(self, state, run):
-        now = self.runtime.now()
-        state.contact_at = now
-        if run.confirmed_at is None:
-            run.confirmed_at = run.progress_at = now
-        if run.state is server_runs.RunState.STARTING:
-            run.state = server_runs.RunState.STARTED
-
-    def _on_refused_start(self, state, run, order, error):
-        metric.count(metrics.STARTS_REFUSED)
-        if error.reason is ports.Refusal.FENCED and order.token == self.token:
-            self._on_fenced(state)
-        elif error.reason in (ports.Refusal.UNHEALTHY, ports.Refusal.INVALID):
-            self._avoid(state)
-        elif error.reason is ports.Refusal.OTHER_INCARNATION:
-            state.is_listed = False
-        self._requeue(state, run)
-        task = self._task_of(run)
-        if error.reason is ports.Refusal.OLD_RUN and task is not None:
-            # An earlier run of the task ended there, started by an owner that we know nothing
-            # of; doubling passes its number after a few tries.
-            task.run = max(task.run, 2 * run.number)
-
-    def _on_no_answer(self, state, run):
-        if run.key not in state.runs or run.state is server_runs.RunState.STOPPING:
-            return
-        metric.count(metrics.ORDERS_UNANSWERED)
-        event.log(events.ORDER_UNANSWERED, task=run.task, run=run.number, server=state.server.id)
-        self._refresh(state)
-        if state.runs.get(run.key) is run and run.confirmed_at is None:
-            self._stop(state, run)
-
-    def _stop_until_answered(self, state, run):
-        """Send a stop until it is answered; only then, or with its lease, a run is over."""
-        while self._may_send() and state.runs.get(run.key) is run:
-            try:
-                self.gateway.stop(
-                    state.server, run.task, run.number, self.token, self.times.order_s
-                )
-            except ports.Refused as error:
-                if error.reason is ports.Refusal.FENCED:
-                    self._on_fenced(state)
-                elif error.reason is ports.Refusal.OTHER_INCARNATION:
-                    state.is_listed = False
-                self.runtime.sleep(self.times.stop_retry_s)
-            except ports.ServerError:
-                self.runtime.sleep(self.times.stop_retry_s)
-            else:
-                run.confirmed_at = self.runtime.now()
-                self._refresh(state)
-                return
-
-    def _refresh(self, state):
-        """Read a listing at once rather than with the next look."""
-        if not self._may_send():
-            return
-        asked_at = self.runtime.now()
-        try:
-            listing = self.gateway.hold(
-                state.server, self.token, state.acknowledged, None, 0.0, self.times.order_s
-            )
-        except ports.ServerError:
-            return  # the next look logs what is wrong with the server
-        self._take(state, listing, asked_at)
-
-    def _look(self, state):
-        """Renew a server's lease and read its listing for as long as it is owned."""
-        while self._may_send() and self.states.get(state.server.id) is state:
-            now = self.runtime.now()
-            state.settle_lapse()
-            is_first = not state.is_listed or state.has_lapsed
-            wait_s = 0.0 if is_first else self.times.look_s
-            lease_end = None if is_first else state.lease_end_ms(now, self.times)
-            used = self.token
-            try:
-                listing = self.gateway.hold(
-                    state.server,
-                    used,
-                    state.acknowledged,
-                    lease_end,
-                    wait_s,
-                    wait_s + self.times.order_s * 2,
-                )
-            except ports.Refused as error:
-                self._on_refused_look(state, used, error)
-            except ports.ServerError as error:
-                self._on_silence(state, error)
-            else:
-                self._take(state, listing, now)
-
-    def _on_refused_look(self, state, used, error):
-        if error.reason is ports.Refusal.FENCED and used == self.token:
-            self._on_fenced(state)
-        else:
-            event.log(events.LOOK_REFUSED, server=state.server.id, error=error)
-            state.is_listed = False
-        self.runtime.sleep(RAISE_PAUSE_S)
-
-    def _on_silence(self, state, error):
-        now = self.runtime.now()
-        if state.is_listed and now - state.contact_at > self.times.contact_s:
-            event.log(events.SERVER_SILENT, server=state.server.id, error=error)
-            state.is_listed = False
-        if state.is_lease_over(now, self.times):
-            # The next listing is read before the lease is renewed: an order that was carried out
-            # late must not come alive with it.
-            state.is_listed = False
-            state.has_lapsed = True
-            for run in list(state.runs.values()):
-                self._release_task(run)
-            self.schedule()
-        self.runtime.sleep(self.times.order_s / 2)
-
-    def _avoid(self, state):
-        state.suspended_until = self.runtime.now() + AVOID_S
-
-    def _on_fenced(self, state):
-        """Stand down for a higher token, or, at the first contact, try a higher one."""
-        if not self.is_active:
-            return
-        if state.is_fenced or self.raises >= MAX_RAISES:
-            self.stand_down(f"server {state.server.id} has seen a higher fencing token")
-            return
-        self.raises += 1
-        self.token = token.above(self.token)
-        event.log(events.TOKEN_RAISED, pool=self.name, server=state.server.id, raises=self.raises)
-        self.listener.on_token(self)
-
-    def _take(self, state, listing, asked_at):
+    def take(self, state, listing, asked_at):
+        """Take a server's listing in; ``asked_at`` is when it was asked for."""
         if not self.is_active or self.states.get(state.server.id) is not state:
             return
         now = self.runtime.now()
@@ -720,7 +463,7 @@
             event.log(events.SERVER_REBORN, server=state.server.id)
             self.speeds.forget(state.server.id)
             for run in state.on_reborn(listing.born_ms):
-                self._release_task(run)
+                self.release_task(run)
         elif listing.born_ms:
             state.born_ms = listing.born_ms
         if not state.is_listed:
@@ -729,20 +472,11 @@
         for run, end in ended:
             self._on_end(state, run, end, now)
         for run in vanished:
-            self._release_task(run)
+            self.release_task(run)
         self._claim_orphans(state)
-        self._stop_strays(state)
+        self.strays.stop_unwanted(state)
         self.schedule()
 
-    def _stop_strays(self, state):
-        """Stop what runs although its task is placed elsewhere, done or no longer wanted."""
-        for run in list(state.runs.values()):
-            if run.state is not server_runs.RunState.STARTED:
-                continue
-            task = self._task_of(run)
-            if task is None or (task.run, task.server_id) != (run.number, state.server.id):
-                self._stop(state, run)
-
     def _claim_orphans(self, state):
         for run in list(state.runs.values()):
             if run.state is not server_runs.RunState.ORPHAN:
@@ -766,7 +500,7 @@
             return
         if end.how is ports.RunEnd.DONE:
             task.state = owned.TaskState.DONE
-            self._check_done(item)
+            self.check_done(item)
         elif end.how is ports.RunEnd.FAILED:
             self._on_failed(state, item, task)
         else:
@@ -779,37 +513,40 @@
             self.found_done[end.task] = now
         elif task.state is owned.TaskState.WAITING and item.may_have_run:
             task.state = owned.TaskState.DONE
-            self._check_done(item)
+            self.check_done(item)
 
     def _on_failed(self, state, item, task):
         task.state = owned.TaskState.WAITING
         task.failures += 1
         metric.count(metrics.RUNS_FAILED)
         task.failed_on.add(state.server.id)
-        self._note_failure(state)
+        self.note_failure(state)
         if task.failures >= item.work.max_attempts:
             self._finish(item, job.Outcome(job.End.FAILED, f"task {task.name} failed"))
 
-    def _note_failure(self, state):
+    def note_failure(self, state):
+        """Suspend a server on which too many runs in a row have failed."""
         state.failures += 1
         if state.failures >= FAILURES_IN_A_ROW:
             state.suspended_until = self.runtime.now() + SUSPENDED_S
             event.log(events.SERVER_SUSPENDED, server=state.server.id, failures=state.failures)
 
-    def _requeue(self, state, run):
+    def requeue(self, state, run):
+        """Forget a run that did not start, and place its task again."""
         if state.runs.get(run.key) is run:
             del state.runs[run.key]
-        self._release_task(run)
+        self.release_task(run)
         self.schedule()
 
-    def _release_task(self, run):
+    def release_task(self, run):
         """Let a task be placed again whose run is certainly over."""
         run.is_over = True
-        task = self._task_of(run)
+        task = self.task_of(run)
         if task is not None and task.run == run.number and task.state is owned.TaskState.PLACED:
             task.state = owned.TaskState.WAITING
 
-    def _task_of(self, run):
+    def task_of(self, run):
+        """Return the task of a run, None if it is not wanted here."""
         return self._find(run.task)[1]
 
     def _find(self, task_name):
