--- a/rosedyke/rerun/takeover_test.py
+++ b/rosedyke/rerun/takeover_test.py
@@ -50,7 +50,7 @@
         running = region.submit(region.other("a"), "j1", count=4, duration_s=0.8)
         region.run(0.2)
         began = region.runtime.now()
-        region.runtime.call(region.members[old].node.hand_pools_over, False)
+        region.runtime.call(region.members[old].node.handover.hand_pools_over, False)
         self.assertLess(region.runtime.now() - began, 0.1)
         self.assertNotEqual(region.owner("a"), old)
         region.run(1.0)
@@ -63,18 +63,18 @@
         region = rerun_region.Region({"a": 3})
         region.run(SETTLE_S)
         old = region.owner("a")
-        first = region.members[old].node.successors("a/r1", False)[0].name
+        first = region.members[old].node.handover.successors("a/r1", False)[0].name
         region.members[first].node.succession.is_standing_by = True
-        region.runtime.call(region.members[old].node.hand_pools_over, False)
+        region.runtime.call(region.members[old].node.handover.hand_pools_over, False)
         self.assertNotIn(region.owner("a"), ("", old, first))
 
     def test_last_owner_of_a_data_centre_keeps_its_pool_until_the_end(self):
         region = rerun_region.Region({"a": 2, "b": 1})
         region.run(SETTLE_S)
         node = region.members["b-1"].node
-        region.runtime.call(node.hand_pools_over, False)
+        region.runtime.call(node.handover.hand_pools_over, False)
         self.assertEqual(region.owner("b"), "b-1")
-        region.runtime.call(node.hand_pools_over, True)
+        region.runtime.call(node.handover.hand_pools_over, True)
         self.assertTrue(region.owner("b").startswith("a-"))
 
     def test_successor_goes_on_with_the_learned_speeds(self):
