--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -215,6 +215,9 @@
 
 Regions of more than 48 instances, links with loss and delay, instances of different sizes, the command line, several cores, and the
 wire's headers (estimated at 150 bytes a message in the KB/s above where the transport's own count was not used).
+
+What an instance needs on the users' platform, and what does not hold there at this size, is in
+[design/platform.md](design/platform.md#at-the-target-size).
 """
 
 
