Take a job for done only when each of its tasks is

Tasks that were released while the holder knew of no owner were in no part, and the other parts' ends were taken for the whole job's. Ruled out: a lost end (the task had no end at all before the answer).

--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -55,6 +55,9 @@
 
     Attributes
     ----------
+    undone : set of str
+        Tasks that no owner has reported done.  Only these tell whether the job is done: tasks on
+        their way between two pools are in no part.
     parts : dict of int to Part
         By number; empty while no pool has an owner.
     numbers : iterator of int
@@ -68,6 +71,7 @@
     work: job.Job
     arrived_at: float
     ended: runtime_module.Signal
+    undone: set[str]
     parts: dict[int, Part] = attrs.Factory(dict)
     numbers: Iterator[int] = attrs.Factory(itertools.count)
     waiters: int = 0
@@ -117,7 +121,8 @@
         """
         held = self.jobs.get(work.id)
         if held is None:
-            held = HeldJob(work, self.runtime.now(), self.runtime.signal())
+            names = {name for name, _ in work.task_names()}
+            held = HeldJob(work, self.runtime.now(), self.runtime.signal(), names)
             self.jobs[work.id] = held
             self.runtime.spawn(self._find_pool, held)
             self.runtime.spawn(self._watch, held, gone)
@@ -239,7 +244,7 @@
     def _find_pool(self, held, tasks=None, moves=0):
         """Hand a job, or some tasks of it, to a pool; wait for a moment if none has an owner."""
         give_up = self.runtime.now() + self.times.wait_for_owner_s
-        names = tasks or {name for name, _ in held.work.task_names()}
+        names = tasks or set(held.undone)
         while not held.ended.is_set():
             pool = self.choose_pool(held.work)
             claim = self._reported_owner(pool)
@@ -337,7 +342,8 @@
             part.tasks = set(message.tasks) & part.tasks
             self.runtime.spawn(self._find_pool, held, missing, part.moves + 1)
         part.is_done = True
-        if not missing and all(each.is_done for each in held.parts.values()):
+        held.undone -= part.tasks
+        if not held.undone:
             self.end(held, message.outcome)
 
     @staticmethod
--- a/rosedyke/rerun/load_test.py
+++ b/rosedyke/rerun/load_test.py
@@ -197,6 +197,26 @@
         done = {task for _, task, _ in region.world.starts}
         self.assertEqual(len(done), 24)
 
+    def test_tasks_between_two_pools_are_not_taken_for_done(self):
+        # The caller is told that its job succeeded although a part of it never ran.  Tasks were
+        # released while the holder knows of no owner for a moment, as after a start; meanwhile
+        # all other tasks end.
+        region = rerun_region.Region({"a": 2, "b": 2})
+        region.run(SETTLE_S)
+        holder = region.other("a")
+        node = region.members[holder].node
+        released = node.holder.on_released
+
+        def forget_and_release(message):
+            node.fleet.pools.clear()
+            released(message)
+
+        node.holder.on_released = forget_and_release
+        held = region.submit(holder, "j1", count=24, duration_s=0.06)
+        region.run(2.0)
+        self.assertEqual(held.outcome, DONE)
+        self.assertEqual(len({task for _, task, _ in region.world.starts}), 24)
+
     def test_pool_lost_with_a_part_of_a_job(self):
         region = rerun_region.Region({"a": 2, "b": 2})
         region.run(SETTLE_S)
