--- a/rosedyke/rerun/handover.py
+++ b/rosedyke/rerun/handover.py
@@ -11,7 +11,13 @@
 
 
 class Handover:
-    """Hands the pools of one node over."""
+    """Hands the pools of one node over.
+
+    Parameters
+    ----------
+    node : Node
+        Whose pools they are.
+    """
 
     def __init__(self, node):
         self.node = node
--- a/rosedyke/rerun/strays.py
+++ b/rosedyke/rerun/strays.py
@@ -9,7 +9,13 @@
 
 
 class Strays:
-    """Looks for such runs on the servers of one owner."""
+    """Looks for such runs on the servers of one owner.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+        Whose runs they are.
+    """
 
     def __init__(self, owner):
         self.owner = owner
