--- a/rosedyke/gateways/backend.py
+++ b/rosedyke/gateways/backend.py
@@ -1,89 +1,25 @@
 """Sends tasks to backend servers over HTTP, and says exactly what is known when that fails.
 
-urllib3's connection is used directly, below its pool: the pool decides on its own when to open a
-connection, and its errors don't always tell whether bytes had left.  Here the connection is made
-first; whatever fails after that may have run.
+The connection is made first; whatever fails after that may have run.
 """
 
-import socket
 import urllib.parse
 
-import attrs
 import eventlet
-import eventlet.green.socket
-import urllib3.connection
-import urllib3.exceptions
 
 from rosedyke.configuration import intent
 from rosedyke.dispatch import ports
-from rosedyke.gateways import settings
+from rosedyke.gateways import exchange, settings
 from rosedyke.runtime import Runtime
 
 NOT_STARTED_HEADER = "X-Not-Started"
 LEAVING_HEADER = "X-Leaving"
 RUNNING_HEADER = "X-Running"
 HEALTH_PATH = "/healthz"
-KEEPALIVE_PROBES = 3
 # One connection of each server is kept free for probes.
 PROBE_CONNECTIONS = 1
 MAX_DETAIL_BYTES = 200
 
-TRANSPORT_ERRORS = (OSError, urllib3.exceptions.HTTPError, urllib3.connection.HTTPException)
-
-
-class Expired(Exception):
-    """The time for one step with a server is over."""
-
-
-class GreenConnection(urllib3.connection.HTTPConnection):
-    """urllib3's connection on a green socket, also where the process is not monkey-patched."""
-
-    def _new_conn(self):
-        sock = eventlet.green.socket.create_connection((self.host, self.port))
-        for option in self.socket_options or ():
-            sock.setsockopt(*option)
-        return sock
-
-
-@attrs.define(eq=False)
-class Connection:
-    """An open connection.
-
-    Attributes
-    ----------
-    http : HTTPConnection
-        urllib3's.
-    used_at : float
-        When it last carried an answer.
-    """
-
-    http: urllib3.connection.HTTPConnection
-    used_at: float
-
-    def is_dropped(self) -> bool:
-        """Return whether the server has closed it or sent bytes that nobody asked for."""
-        raw = getattr(self.http.sock, "fd", self.http.sock)  # the socket below a green one
-        try:
-            raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
-
-
-@attrs.frozen
-class Reply:
-    """A whole HTTP answer."""
-
-    status: int
-    headers: object
-    body: bytes
-
-    def says(self, header: str) -> bool:
-        """Return whether a yes-or-no header is set."""
-        return self.headers.get(header, "").lower() == "true"
-
 
 class HttpBackendGateway:
     """Implements ``dispatch.ports.BackendGateway``.
@@ -104,7 +40,7 @@
         self.options = options
         self.runtime = runtime
         self.instances = 1
-        self.idle: dict[str, list[Connection]] = {}
+        self.idle: dict[str, list[exchange.Connection]] = {}
 
     def share_with(self, instances: int) -> None:
         """Set how many instances of the region may connect to the same servers."""
@@ -119,14 +55,14 @@
         headers = task_headers(call, ends_at - self.runtime.now())
         path = f"/v1/tasks/{urllib.parse.quote(call.task, safe='')}"
         try:
-            with eventlet.Timeout(max(0.001, ends_at - self.runtime.now()), Expired):
+            with eventlet.Timeout(max(0.001, ends_at - self.runtime.now()), exchange.Expired):
                 reply = self._ask(connection, "POST", path, call.payload, headers)
-        except Expired:
+        except exchange.Expired:
             connection.http.close()
             raise ports.MayHaveRun(f"no answer within {timeout_s:.3f} s", is_timeout=True) from None
-        except TRANSPORT_ERRORS as error:
+        except exchange.TRANSPORT_ERRORS as error:
             connection.http.close()
-            raise ports.MayHaveRun(f"connection broke: {describe(error)}") from error
+            raise ports.MayHaveRun(f"connection broke: {exchange.describe(error)}") from error
         except BaseException:
             connection.http.close()
             raise
@@ -137,11 +73,11 @@
         """Ask a server about itself on a connection of its own."""
         connection = None
         try:
-            with eventlet.Timeout(timeout_s, Expired):
+            with eventlet.Timeout(timeout_s, exchange.Expired):
                 connection = self._connect(server)
                 reply = self._ask(connection, "GET", HEALTH_PATH, None, {})
-        except (Expired, *TRANSPORT_ERRORS) as error:
-            raise ports.NotStarted(f"no answer to a probe: {describe(error)}") from None
+        except (exchange.Expired, *exchange.TRANSPORT_ERRORS) as error:
+            raise ports.NotStarted(f"no answer to a probe: {exchange.describe(error)}") from None
         finally:
             if connection is not None:
                 connection.http.close()
@@ -155,7 +91,7 @@
         for connections in self.idle.values():
             self._close_all(connections)
 
-    def _connected(self, server, timeout_s) -> Connection:
+    def _connected(self, server, timeout_s) -> exchange.Connection:
         """Return a connection that is known to work, or raise NotStarted."""
         idle = self.idle.get(server.name, [])
         if idle:
@@ -166,10 +102,10 @@
             # The others were idle for longer still.
             self._close_all(idle)
         try:
-            with eventlet.Timeout(min(timeout_s, self.options.connect_timeout_s), Expired):
+            with eventlet.Timeout(min(timeout_s, self.options.connect_timeout_s), exchange.Expired):
                 return self._connect(server)
-        except (Expired, *TRANSPORT_ERRORS) as error:
-            raise ports.NotStarted(f"no connection: {describe(error)}") from None
+        except (exchange.Expired, *exchange.TRANSPORT_ERRORS) as error:
+            raise ports.NotStarted(f"no connection: {exchange.describe(error)}") from None
 
     def _may_reuse(self, connection) -> bool:
         # A middle box may have forgotten an idle connection: what is sent on it vanishes and no
@@ -183,30 +119,15 @@
             connection.http.close()
         connections.clear()
 
-    def _connect(self, server) -> Connection:
-        host, port = server.address.rsplit(":", 1)
-        http = GreenConnection(
-            host, int(port), socket_options=socket_options(self.options.silent_limit_s)
-        )
-        try:
-            http.connect()
-        except BaseException:
-            http.close()
-            raise
-        return Connection(http, self.runtime.now())
+    def _connect(self, server) -> exchange.Connection:
+        http = exchange.connect(server.address, self.options.silent_limit_s)
+        return exchange.Connection(http, self.runtime.now())
 
-    def _ask(self, connection, method, path, body, headers) -> Reply:
-        http = connection.http
-        http.request(method, path, body, headers, preload_content=False, decode_content=False)
-        response = http.getresponse()
+    def _ask(self, connection, method, path, body, headers) -> exchange.Reply:
         limit = self.options.max_result_bytes
-        data = response.read(limit + 1)
-        if len(data) > limit:
-            raise urllib3.exceptions.HTTPError("answer larger than allowed")
-        if response.length_remaining:
-            raise urllib3.exceptions.HTTPError("answer was cut off")
+        reply = exchange.ask(connection, method, path, body, headers, limit)
         connection.used_at = self.runtime.now()
-        return Reply(response.status, response.headers, data)
+        return reply
 
     def _keep(self, server, connection):
         """Keep a connection for the next task if the share of this instance allows it."""
@@ -220,19 +141,6 @@
             idle.pop(0).http.close()
 
 
-def socket_options(silent_limit_s: float) -> list[tuple[int, int, int]]:
-    """Return options that break a silent connection in bounded time."""
-    interval_s = max(1, int(silent_limit_s / (KEEPALIVE_PROBES + 1)))
-    return [
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, interval_s),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(silent_limit_s * 1000)),
-    ]
-
-
 def task_headers(call: ports.BackendCall, left_s: float) -> dict[str, str]:
     """Return the headers that tell a server which task this is."""
     job_id = urllib.parse.quote(call.job_id, safe="")
@@ -246,7 +154,7 @@
     }
 
 
-def read_reply(reply: Reply) -> ports.TaskReply:
+def read_reply(reply: exchange.Reply) -> ports.TaskReply:
     """Return a task's result or raise what the answer says."""
     is_leaving = reply.says(LEAVING_HEADER)
     if reply.status == 200:
@@ -255,8 +163,3 @@
     if reply.status == 503 and reply.says(NOT_STARTED_HEADER):
         raise ports.NotStarted(detail or "refused", is_leaving, is_reached=True)
     raise ports.TaskFailed(f"status {reply.status}: {detail}")
-
-
-def describe(error: BaseException) -> str:
-    """Return an error's name and text in one line."""
-    return f"{type(error).__name__} {error}".strip()
--- a/rosedyke/gateways/channel.py
+++ b/rosedyke/gateways/channel.py
@@ -6,10 +6,9 @@
 
 import attrs
 import eventlet
-import urllib3.connection
 
 from rosedyke import fault
-from rosedyke.gateways import backend
+from rosedyke.gateways import exchange
 from rosedyke.runtime import Runtime
 
 
@@ -57,21 +56,13 @@
     max_body_bytes: int = 16 * 1024 * 1024
 
 
-@attrs.frozen
-class Reply:
-    """A whole answer."""
-
-    status: int
-    body: bytes
-
-
 class Channels:
     """Connections to any number of addresses, each used by one request at a time."""
 
     def __init__(self, options: ChannelSettings, runtime: Runtime):
         self.options = options
         self.runtime = runtime
-        self.idle: dict[str, list[backend.Connection]] = {}
+        self.idle: dict[str, list[exchange.Connection]] = {}
 
     def ask(
         self,
@@ -81,7 +72,7 @@
         body: bytes | None,
         timeout_s: float,
         headers: dict[str, str] | None = None,
-    ) -> Reply:
+    ) -> exchange.Reply:
         """Send a request and block for its answer.
 
         Raises
@@ -96,17 +87,20 @@
         fields = {"Content-Type": "application/json", **(headers or {})}
         left_s = max(0.001, ends_at - self.runtime.now())
         try:
-            with eventlet.Timeout(left_s, backend.Expired):
-                reply = self._exchange(connection, method, path, body, fields)
-        except backend.Expired:
+            with eventlet.Timeout(left_s, exchange.Expired):
+                reply = exchange.ask(
+                    connection, method, path, body, fields, self.options.max_body_bytes
+                )
+        except exchange.Expired:
             connection.http.close()
             raise Unanswered(f"{address}{path}: no answer within {timeout_s:.3f} s") from None
-        except backend.TRANSPORT_ERRORS as error:
+        except exchange.TRANSPORT_ERRORS as error:
             connection.http.close()
-            raise Unanswered(f"{address}{path}: {backend.describe(error)}") from error
+            raise Unanswered(f"{address}{path}: {exchange.describe(error)}") from error
         except BaseException:
             connection.http.close()
             raise
+        connection.used_at = self.runtime.now()
         self._keep(address, connection)
         return reply
 
@@ -125,32 +119,14 @@
             connection.http.close()
         try:
             limit_s = min(timeout_s, self.options.connect_timeout_s)
-            with eventlet.Timeout(limit_s, backend.Expired):
+            with eventlet.Timeout(limit_s, exchange.Expired):
                 return self._connect(address)
-        except (backend.Expired, *backend.TRANSPORT_ERRORS) as error:
-            raise NotConnected(f"{address}: {backend.describe(error)}") from None
+        except (exchange.Expired, *exchange.TRANSPORT_ERRORS) as error:
+            raise NotConnected(f"{address}: {exchange.describe(error)}") from None
 
     def _connect(self, address):
-        host, port = address.rsplit(":", 1)
-        http = backend.GreenConnection(
-            host, int(port), socket_options=backend.socket_options(self.options.silent_limit_s)
-        )
-        try:
-            http.connect()
-        except BaseException:
-            http.close()
-            raise
-        return backend.Connection(http, self.runtime.now())
-
-    def _exchange(self, connection, method, path, body, headers):
-        http = connection.http
-        http.request(method, path, body, headers, preload_content=False, decode_content=False)
-        response = http.getresponse()
-        data = response.read(self.options.max_body_bytes + 1)
-        if len(data) > self.options.max_body_bytes or response.length_remaining:
-            raise urllib3.exceptions.HTTPError("the answer is cut off or too long")
-        connection.used_at = self.runtime.now()
-        return Reply(response.status, data)
+        http = exchange.connect(address, self.options.silent_limit_s)
+        return exchange.Connection(http, self.runtime.now())
 
     def _keep(self, address, connection):
         idle = self.idle.setdefault(address, [])
