Serve the review's doubles by one piece each

- asking.ask_all in place of three loops that ask several instances and gather their answers;
- the pause between two questions for room is checked where its state is, in releasing.consider;
- holder.run and holder.end say once what two branches shared; a forgotten instance leaves no time behind.

--- /dev/null
+++ b/rosedyke/rerun/asking.py
@@ -0,0 +1,34 @@
+"""Asks several instances the same question at once."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from rosedyke import runtime as runtime_module
+from rosedyke.rerun import messages
+from rosedyke.wire import peer
+
+
+def ask_all(
+    runtime: runtime_module.Runtime,
+    peers: peer.Peers,
+    instances: Iterable[messages.Instance],
+    question: Any,
+    timeout_s: float,
+) -> list[Any]:
+    """Return the answers of all that answer within the time; the others are left out.
+
+    Silence is no answer here: how long an instance has been silent is judged, and logged, by the
+    renewals.
+    """
+    answers: list[Any] = []
+
+    def ask(instance):
+        try:
+            answers.append(peers.request(peer.at_address(instance.address), question, timeout_s))
+        except peer.PeerError:
+            return
+
+    tasks = [runtime.spawn(ask, each) for each in instances]
+    for task in tasks:
+        task.wait(timeout_s)
+    return answers
--- a/rosedyke/rerun/fleet.py
+++ b/rosedyke/rerun/fleet.py
@@ -89,7 +89,7 @@
         """Drop instances that have been silent for long."""
         now = self.runtime.now()
         for name in [name for name, at in self.heard.items() if now - at > FORGET_S]:
-            del self.heard[name]
+            del self.heard[name], self.since[name]
             self.met.pop(name, None)
 
     def after_pause(self) -> None:
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -125,9 +125,7 @@
             held = HeldJob(work, self.runtime.now(), self.runtime.signal(), names)
             self.jobs[work.id] = held
             self.runtime.spawn(self._find_pool, held)
-            self.runtime.spawn(self._watch, held, gone)
-        else:
-            self.runtime.spawn(self._watch, held, gone)
+        self.runtime.spawn(self._watch, held, gone)
         held.waiters += 1
         held.ended.wait(work.timeout_s)
         held.waiters -= 1
@@ -152,18 +150,17 @@
             return
         self.jobs.pop(held.work.id, None)
         metric.count(metrics.JOBS[outcome.end.value])
+        after_ms = (self.runtime.now() - held.arrived_at) * 1000
         if outcome.end is job.End.SUCCEEDED:
-            seconds = self.runtime.now() - held.arrived_at
-            metric.timing(metrics.RESPONSE, seconds * 1000)
-        if outcome.end is not job.End.SUCCEEDED:
+            metric.timing(metrics.RESPONSE, after_ms)
+        else:
             self._cancel(held)
-        if outcome.end is not job.End.SUCCEEDED:
             event.log(
                 events.JOB_ENDED,
                 job=held.work.id,
                 end=outcome.end.value,
                 reason=outcome.reason,
-                after_ms=round((self.runtime.now() - held.arrived_at) * 1000),
+                after_ms=round(after_ms),
                 objective_ms=round(held.work.objective_s * 1000),
                 queue=held.work.queue,
                 pools=sorted({part.pool for part in held.parts.values()}),
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -5,6 +5,7 @@
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
 from rosedyke.rerun import (
+    asking,
     documents,
     events,
     fleet,
@@ -211,24 +212,13 @@
         chosen = list(owners.values())
         while len(chosen) > ASKED_POOLS:
             chosen.pop(int(self.runtime.random() * len(chosen)))
-        answers: list[messages.Rooms] = []
-        asked = [self.runtime.spawn(self._ask_rooms, each, answers) for each in chosen]
-        for task in asked:
-            task.wait(ROOMS_TIMEOUT_S)
+        answers = asking.ask_all(
+            self.runtime, self.peers, chosen, messages.AskRooms(), ROOMS_TIMEOUT_S
+        )
         return reports + [
             report for answer in answers for report in answer.pools if report.pool in others
         ]
 
-    def _ask_rooms(self, instance, answers):
-        try:
-            answers.append(
-                self.peers.request(
-                    peer.at_address(instance.address), messages.AskRooms(), ROOMS_TIMEOUT_S
-                )
-            )
-        except peer.PeerError:
-            return  # no room from there; how long it has been silent is judged by the renewals
-
     def on_stand_down(self, pool: owner.PoolOwner, reason: str) -> None:
         """Drop a pool and leave it to others for a while."""
         if self.owned.get(pool.name) is pool:
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -31,8 +31,6 @@
 )
 
 TICK_S = 0.05
-# Other pools are asked for their room no more often than this.
-SPILL_PERIOD_S = 0.015
 # More runs in a row than this that failed on a server are its own fault, not the tasks'.
 FAILURES_IN_A_ROW = 3
 SUSPENDED_S = 2.0
@@ -385,11 +383,7 @@
         left = []
         for item in queue.order(waiting, now):
             left += self._place_job(item, used, now)
-        if (
-            left
-            and now - self.releasing.spilled_at >= SPILL_PERIOD_S
-            and not self.releasing.is_spilling
-        ):
+        if left:
             self.releasing.consider(left, now)
 
     def _place_job(self, item, used, now):
--- a/rosedyke/rerun/releasing.py
+++ b/rosedyke/rerun/releasing.py
@@ -3,6 +3,9 @@
 from rosedyke.observe import event, metric
 from rosedyke.rerun import events, messages, metrics, queue, spill
 
+# Other pools are asked for their room no more often than this.
+SPILL_PERIOD_S = 0.015
+
 
 class Releasing:
     """Asks other pools for room and releases tasks for one owner.
@@ -22,6 +25,8 @@
 
     def consider(self, left, now):
         """Ask other pools for room if waiting tasks would wait for long here."""
+        if self.is_spilling or now - self.spilled_at < SPILL_PERIOD_S:
+            return
         movable = [(item, task) for item, task in left if item.moves < spill.MAX_MOVES]
         waits = spill.waits(self._expected_ends(), len(left), now)
         if any(wait_s > spill.WORTH_S for wait_s in waits) and movable:
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -10,7 +10,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event
-from rosedyke.rerun import election, events, fleet, messages, ports, settings
+from rosedyke.rerun import asking, election, events, fleet, messages, ports, settings
 from rosedyke.wire import peer
 
 TICK_S = 0.04
@@ -152,20 +152,11 @@
         ]
         own = self.fleet.own.data_centre
         nearest = sorted(others, key=lambda each: each.data_centre != own)[:WITNESSES]
-        query = messages.Query(pool, claim.token)
-        answers = []
-        tasks = [self.runtime.spawn(self._ask, each, query, answers) for each in nearest]
-        for task in tasks:
-            task.wait(self.times.query_s)
+        answers = self._ask(nearest, messages.Query(pool, claim.token))
         return [answer.age_s for answer in answers]
 
-    def _ask(self, instance, query, answers):
-        try:
-            answers.append(
-                self.peers.request(peer.at_address(instance.address), query, self.times.query_s)
-            )
-        except peer.PeerError:
-            return  # a witness that doesn't answer says nothing; the number is logged
+    def _ask(self, instances, query):
+        return asking.ask_all(self.runtime, self.peers, instances, query, self.times.query_s)
 
     def _is_abandoned(self, pool):
         """Return whether a pool of another data centre has nobody of its own left.
@@ -190,12 +181,7 @@
         claim = self.fleet.owner_of(pool)
         if claim is not None:
             locals_.append(claim.owner)
-        answers = []
-        query = messages.Query(pool, 0)
-        tasks = [self.runtime.spawn(self._ask, each, query, answers) for each in locals_]
-        for task in tasks:
-            task.wait(self.times.query_s)
-        return bool(answers)
+        return bool(self._ask(locals_, messages.Query(pool, 0)))
 
     def _reaches_server(self, pool):
         for server in self.registry.servers():
