Refuse a first attempt whose claim may have died with its registrars

Cause: first attempts never asked whether their registrars may have forgotten a claim.

Ruled out: refusing every first attempt after two deaths for as long as resubmissions are (two minutes without new jobs). Only jobs whose first registrar is among the dead can have lost their claim, and a balancer's copy comes within about a second, so two seconds for those jobs suffice.

--- a/rosedyke/job/authority.py
+++ b/rosedyke/job/authority.py
@@ -172,14 +172,10 @@
         first_attempt = now - age_s
         if first_attempt < self.known_since:
             return False
-        dead = [death for death in self.deaths.values() if death.time >= first_attempt]
+        dead = self._dead_since(first_attempt)
         if not dead:
             return True
-        in_place = [
-            name
-            for name in self.members.serving
-            if self.since[self._key(self.members.present[name])] <= first_attempt
-        ]
+        in_place = self._in_place_since(first_attempt)
         if not in_place:
             return False
         if len(dead) == 1:
@@ -189,6 +185,29 @@
         # registrar both among the dead, nobody would remember.
         return all(self._ranked_ahead(job_id, death.name, in_place) for death in dead)
 
+    def may_have_lost(self, job_id: str, age_s: float, now: float) -> bool:
+        """Return whether the claim of a job of at most this age can have died with its holders.
+
+        No job starts without its first registrar's grant, so two deaths take a claim along only
+        if one of them was that registrar.
+        """
+        earliest = now - age_s
+        dead = {death.name for death in self._dead_since(earliest)}
+        if len(dead) < REGISTRARS:
+            return False
+        names = {*self._in_place_since(earliest), *dead}
+        return rendezvous.rank(job_id, names)[0] in dead
+
+    def _dead_since(self, time: float) -> list[KnownDeath]:
+        return [death for death in self.deaths.values() if death.time >= time]
+
+    def _in_place_since(self, time: float) -> list[str]:
+        return [
+            name
+            for name in self.members.serving
+            if self.since[self._key(self.members.present[name])] <= time
+        ]
+
     def knows(self, instance: peer.Peer) -> bool:
         """Return whether an incarnation of the own data centre is a member as seen here."""
         return self.members.present.get(instance.name) == instance
--- a/rosedyke/job/claiming.py
+++ b/rosedyke/job/claiming.py
@@ -165,14 +165,25 @@
         return messages.ClaimReply(decision.outcome, decision.holder)
     if not may_grant(node, sender, request):
         return messages.ClaimReply(claim.Outcome.UNSETTLED)
-    is_resubmission = request.attempt != 1
-    age_s = request.age_s + node.settings.age_slack_s
-    if is_resubmission and not node.authority.can_vouch(request.job_id, age_s, now):
+    if not is_past_known(node, request, now):
         return messages.ClaimReply(claim.Outcome.HISTORY_LOST)
     node.registrar.grant(sender, request, now)
     return messages.ClaimReply(GRANTED)
 
 
+def is_past_known(node: instance.Instance, request: messages.ClaimRequest, now: float) -> bool:
+    """Return whether "never seen" proves that nothing of the job was started.
+
+    A first attempt may be the copy of one that ran under registrars that have died since: its
+    tasks would start twice.  Only jobs whose claim can have died with them are refused, and
+    only while such a copy can still come; the caller's second attempt states its age and runs.
+    """
+    if request.attempt == 1:
+        return not node.authority.may_have_lost(request.job_id, node.settings.repeat_s, now)
+    age_s = request.age_s + node.settings.age_slack_s
+    return node.authority.can_vouch(request.job_id, age_s, now)
+
+
 def may_grant(node: instance.Instance, sender: peer.Peer, request: messages.ClaimRequest) -> bool:
     """Return whether a grant of this registrar excludes every other holder.
 
--- a/rosedyke/job/loss_test.py
+++ b/rosedyke/job/loss_test.py
@@ -162,6 +162,55 @@
         self.assertEqual(built.faults(), [])
         self.assertEqual((call.answer.code, call.answer.ran), (code.Code.HISTORY_LOST, UNKNOWN))
 
+    def lose_pair(self):
+        built = settled({"dc1": 5, "dc2": 2})
+        built.settle(20)
+        pair = [one.name for one in built.nodes["dc1a"].jobs.node.authority.registrars("job-1")]
+        others = [name for name in built.nodes if name.startswith("dc1") and name not in pair]
+        return built, pair, others
+
+    def end_pair(self, built, pair):
+        for name in pair:
+            built.crash(name)
+        built.settle(DETECTION_S)
+        for name in pair:
+            built.set_state(name, member.State.DEAD)
+        built.spread()
+        built.settle(0.5)
+
+    def test_copy_of_a_first_attempt_starts_nothing_once_both_registrars_are_dead(self):
+        # A balancer repeats a request whose connection broke.  The job ran at its first registrar,
+        # which then died with the second; the copy has no age, and nobody remembers the claim.
+        built, pair, others = self.lose_pair()
+        built.submit(pair[0], region.request_of())
+        built.settle(0.05)
+        self.end_pair(built, pair)
+        call = built.submit(others[0], region.request_of())
+        built.settle(2)
+        self.assertEqual(built.faults(), [])
+        self.assertEqual((call.answer.code, call.answer.ran), (code.Code.HISTORY_LOST, UNKNOWN))
+
+    def test_new_job_after_that_loss_runs_with_its_second_attempt(self):
+        # Refusing all that could be a copy must not keep new jobs out: the caller's second
+        # attempt states an age that is younger than the loss.
+        built, pair, others = self.lose_pair()
+        self.end_pair(built, pair)
+        first = built.submit(others[0], region.request_of())
+        built.settle(1.5)
+        again = built.submit(others[0], region.request_of(attempt=2, age_s=0.0))
+        built.settle(2)
+        self.assertIs(first.answer.code, code.Code.HISTORY_LOST)
+        self.assertIs(again.answer.code, code.Code.COMPLETE)
+        self.assertEqual(built.faults(), [])
+
+    def test_first_attempts_run_again_once_no_copy_can_come_any_more(self):
+        built, pair, others = self.lose_pair()
+        self.end_pair(built, pair)
+        built.settle(2.0)
+        call = built.submit(others[0], region.request_of())
+        built.settle(2)
+        self.assertIs(call.answer.code, code.Code.COMPLETE)
+
     def test_one_death_leaves_jobs_that_nobody_saw_to_be_run(self):
         built = settled({"dc1": 3, "dc2": 2})
         built.settle(5)
--- a/rosedyke/job/safeguards_test.py
+++ b/rosedyke/job/safeguards_test.py
@@ -144,6 +144,13 @@
         [(instance.Instance, "remember", lambda node, held: None)],
         loss_test.Joins("test_claim_that_is_still_being_taken_moves_with_a_join"),
     ),
+    (
+        "first attempts are refused where their claim may have died",
+        [(authority.Authority, "may_have_lost", lambda table, job_id, age_s, now: False)],
+        loss_test.RegistrarsLost(
+            "test_copy_of_a_first_attempt_starts_nothing_once_both_registrars_are_dead"
+        ),
+    ),
     (
         "deaths together make the past unknown",
         [(authority.Authority, "can_vouch", lambda table, job_id, age_s, now: True)],
--- a/rosedyke/job/settings.py
+++ b/rosedyke/job/settings.py
@@ -19,6 +19,10 @@
         the network, so that no attempt outlives the record that stops it.
     age_slack_s : float
         Added to a stated age for the time that the request was on its way.
+    repeat_s : float
+        How late a copy of a first attempt may arrive that a balancer or the network repeats; a
+        first attempt states no age.  Balancers that repeat a request do so after a failed
+        connection, within a second or two.
     max_claims : int
         Claims that a registrar holds; beyond it new ones are refused, old ones never evicted.
     silence_s : float
@@ -60,6 +64,7 @@
     max_age_s: float = 60.0
     claim_life_s: float = 120.0
     age_slack_s: float = 1.0
+    repeat_s: float = 2.0
     max_claims: int = 250_000
     silence_s: float = 0.03
     retry_delay_s: float = 0.02
