Give no part's number out twice, and settle orders to a server that restarts

Cause 1: parts of a job were numbered from 0 for each submission. A message that a cut held up (released tasks, a refusal) met the next submission of the same job at the same instance and was taken for news of it: tasks ran in two pools at once, or a job was refused that had started. Numbers are now given out once for an instance, from a random first one.

Cause 2: a server that restarted under its name was taken to have lost every run, also those whose order was still on its way and could reach the new incarnation; the task then ran twice.

Cause 3: such a server was started by the size of its old entry.

Ruled out: comparing pools and tokens in late messages (the same pool and token may own both submissions). Before: three new tests red (two runs at once on s-a-0 and s-b-1; on s-a-0 twice; four starts before the entry came). After: green.

--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -1,7 +1,7 @@
 """A holder's side of a job: finds a pool for it, keeps it renewed, and gives its caller the end."""
 
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
@@ -19,6 +19,8 @@
 # A submission and the renewal that follows it may overtake each other.
 SETTLE_S = 0.15
 RETRY_AFTER_S = 1.0
+# The first number of a part is drawn from so many; an instance gives out 10,000 a second at most.
+FIRST_NUMBERS = 1 << 48
 
 
 @attrs.define(eq=False)
@@ -60,8 +62,6 @@
         their way between two pools are in no part.
     parts : dict of int to Part
         By number; empty while no pool has an owner.
-    numbers : iterator of int
-        Of the parts to come.
     has_started : bool
         An owner said that something of the job has started.
     waiters : int
@@ -73,7 +73,6 @@
     ended: runtime_module.Signal
     undone: set[str]
     parts: dict[int, Part] = attrs.Factory(dict)
-    numbers: Iterator[int] = attrs.Factory(itertools.count)
     waiters: int = 0
     has_started: bool = False
 
@@ -109,6 +108,10 @@
         self.registry = registry
         self.submit = submit
         self.jobs: dict[str, HeldJob] = {}
+        # A cut can hold a message up until its job has ended here and was sent again.  Taken for
+        # news of the new submission it would make tasks run twice, so no number is used again,
+        # also not by the next process under this name.
+        self.numbers = itertools.count(int(runtime.random() * FIRST_NUMBERS))
         known.on_owner.append(self._on_owner)
 
     def run(self, work: job.Job, gone: runtime_module.Signal) -> job.Outcome:
@@ -256,7 +259,7 @@
     def _add_part(self, held, claim, names, moves, might_before=False):
         """Hand tasks to an owner as a new part of the job."""
         now = self.runtime.now()
-        part = Part(next(held.numbers), claim.pool, set(names), claim.token, now)
+        part = Part(next(self.numbers), claim.pool, set(names), claim.token, now)
         part.might_before, part.moves = might_before, moves
         offset_s = self.fleet.pools[claim.pool].clock_offset_s
         message = messages.Submit(
--- a/rosedyke/rerun/orders_test.py
+++ b/rosedyke/rerun/orders_test.py
@@ -97,6 +97,46 @@
         region.run(2.0)
         self.assertEqual((held.outcome, region.world.violations), (DONE, []))
 
+    def test_order_on_its_way_to_a_server_that_restarts_is_settled_first(self):
+        # A task runs twice at once.  A server restarts under its name while a start is on its way
+        # to it; its first listing doesn't have that run yet, so the task was placed elsewhere,
+        # and then the order is carried out by the new incarnation.
+        region = settled()
+        late = [0.06]
+        region.world.fate = lambda kind, name, server: (
+            late.pop() if kind == "start" and late else None
+        )
+        held = region.submit("a-1", "j1", count=1, duration_s=1.0)
+        region.run(0.01)
+        servers = [each for each in region.world.servers.values()]
+        started = {server for _, _, server in region.world.starts}
+        self.assertEqual(started, set())
+        for server in servers:
+            server.crash()
+            server.restart()
+            server.something_ended.set()
+        region.run(3.0)
+        self.assertEqual((held.outcome, region.world.violations), (DONE, []))
+
+    def test_restarted_server_gets_no_tasks_before_its_new_size_is_known(self):
+        # A server is over its capacity.  It comes back under its name with fewer cores; the
+        # platform's list still has the old entry when its first listing comes.
+        region = settled({"a": 2}, servers=1)
+        server = region.world.servers["s-a-0"]
+        old = server.listed
+        server.crash()
+        server.restart()
+        small = attrs.evolve(old, capacity=job.Demand(2000, 4096), born_ms=server.born_ms)
+        region.run(0.5)
+        held = region.submit("a-1", "j1", count=4, duration_s=0.1)
+        region.run(0.1)
+        self.assertEqual(region.world.starts, [])
+        server.listed = small
+        for member in region.members.values():
+            member.listed.changed()
+        region.run(1.5)
+        self.assertEqual((held.outcome, region.world.violations), (DONE, []))
+
     def test_hanging_server_loses_its_tasks_to_others(self):
         # Callers wait until their time is over.  A server answers everything, but what runs there
         # makes no progress.
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -180,8 +180,7 @@
             self._tell(message.holder, (message.work.id, message.part), kept)
             return
         item = owned.OwnedJob.of(message, now)
-        self.jobs[item.key] = item
-        self.by_job.setdefault(item.work.id, []).append(item)
+        self.add(item)
         if message.may_have_run:
             self._adopt(item)
             self.check_done(item)
@@ -190,6 +189,11 @@
     def _items(self, job_id):
         return list(self.by_job.get(job_id, ()))
 
+    def add(self, item):
+        """Keep a job under its number."""
+        self.jobs[item.key] = item
+        self.by_job.setdefault(item.work.id, []).append(item)
+
     def remove(self, item):
         """Forget a job without touching what runs."""
         del self.jobs[item.key]
@@ -208,9 +212,10 @@
         )
         lost = job.Outcome(job.End.LOST, "sent again elsewhere")
         self._tell(known.holder, known.key, Kept(lost, tuple(known.tasks), now))
-        if (known.part, set(known.tasks)) == (message.part, set(message.tasks)):
-            known.holder = message.holder
-            known.renewed_at = now
+        if set(known.tasks) == set(message.tasks):
+            self.remove(known)
+            known.holder, known.part, known.renewed_at = message.holder, message.part, now
+            self.add(known)
         else:
             self._drop(known)
 
@@ -456,7 +461,7 @@
         if listing.born_ms and state.born_ms and listing.born_ms != state.born_ms:
             event.log(events.SERVER_REBORN, server=state.server.id)
             self.speeds.forget(state.server.id)
-            for run in state.on_reborn(listing.born_ms):
+            for run in state.on_reborn(listing.born_ms, asked_at):
                 self.release_task(run)
         elif listing.born_ms:
             state.born_ms = listing.born_ms
--- a/rosedyke/rerun/server_runs.py
+++ b/rosedyke/rerun/server_runs.py
@@ -134,11 +134,20 @@
             and not self.server.is_draining
             and not self.has_lapsed
             and not self.is_unlisted
+            and self.is_size_known()
             and now >= self.suspended_until
             and now - self.contact_at <= contact_s
             and not self.has_orphans()
         )
 
+    def is_size_known(self) -> bool:
+        """Return whether the platform's entry is of the incarnation that answers.
+
+        A server can come back under its name with fewer cores; until its new entry is here it
+        would be started beyond them.
+        """
+        return not self.born_ms or self.server.born_ms in (0, self.born_ms)
+
     def lease_end_ms(self, now: float, times: settings.RerunSettings) -> int:
         """Return the end of a lease that is renewed now, on the server's clock."""
         self.renewed_at = now
@@ -154,10 +163,19 @@
             open_orders = (run.confirmed_at is None for run in self.runs.values())
             self.has_lapsed = any(open_orders)
 
-    def on_reborn(self, born_ms: int) -> list[Run]:
-        """Begin with a new incarnation and return the runs that ended with the old one."""
-        lost = list(self.runs.values())
-        self.runs.clear()
+    def on_reborn(self, born_ms: int, asked_at: float) -> list[Run]:
+        """Begin with a new incarnation and return the runs that ended with the old one.
+
+        Orders that had no answer when the listing was asked for are kept: the new incarnation may
+        carry them out, and a task that was placed elsewhere meanwhile would run twice.
+        """
+        lost = [
+            run
+            for run in self.runs.values()
+            if run.confirmed_at is not None and run.confirmed_at < asked_at
+        ]
+        for run in lost:
+            del self.runs[run.key]
         self.acknowledged = 0
         self.born_ms = born_ms
         self.is_listed = self.is_fenced = self.has_lapsed = False
--- a/rosedyke/rerun/takeover_test.py
+++ b/rosedyke/rerun/takeover_test.py
@@ -281,6 +281,26 @@
         self.assertEqual(region.world.violations, [])
         self.assertEqual({one.outcome.end for one in [*blockers, held]}, {job.End.SUCCEEDED})
 
+    def test_news_of_an_earlier_submission_is_not_taken_for_that_of_the_next(self):
+        # A task runs twice at once.  A cut holds up the message that the job's tasks were
+        # released.  The holder gives up, the caller sends the job again to the same instance, and
+        # then the message comes: the tasks, which run by now, would be moved to the other pool.
+        region = rerun_region.Region({"a": 2, "b": 2})
+        region.run(SETTLE_S)
+        delay = region.network.delay_s
+        region.network.delay_s = lambda source, target, message: (
+            2.7 if isinstance(message, messages.Released) else delay(source, target, message)
+        )
+        holder = region.other("a")
+        blockers = [region.submit(holder, f"k{n}", count=12, duration_s=0.5) for n in range(2)]
+        before = region.submit(holder, "j1", count=4, duration_s=0.6, timeout_s=1.0)
+        region.run(1.0 + region.times.resubmit_s)
+        after = region.submit(holder, "j1", count=4, duration_s=0.6)
+        region.run(3.0)
+        self.assertEqual(region.world.violations, [])
+        self.assertEqual(before.outcome.end, job.End.LOST)
+        self.assertEqual({one.outcome.end for one in [*blockers, after]}, {job.End.SUCCEEDED})
+
     def test_job_that_a_cut_held_up_is_not_started(self):
         # The task runs twice at once.  A cut holds up the job on its way to the owner for two
         # seconds; meanwhile the holder has given up and the caller has sent it elsewhere.
