Let a few watchers listen to each owner, and look at candidates and servers only on change

Cause: a profile of two idle instances of 45 (trial, 8 s): 246 renewals a second arrived at an owner, 100 left each instance, and every instance ranked all others for every pool 25 times a second (15,000 hashes and liveness checks a second), indexed all servers by rack 80 times a second, and made a report of its pool for each renewal.

Up to 5 instances in a data centre and 12 in all nothing changes in who renews with whom.

Ruled out: renewing only with owners that have jobs (an idle owner's loss is then noticed by the next job).

--- a/rosedyke/rerun/fleet.py
+++ b/rosedyke/rerun/fleet.py
@@ -12,6 +12,14 @@
 ALIVE_S = 0.7
 # An instance that neither the platform lists nor anybody hears is forgotten.
 FORGET_S = 10.0
+# Instances that neither own a near pool nor have jobs of this one are asked this often.
+NEIGHBOUR_S = 0.3
+# In a fleet of more instances than this each is asked less often, so that an instance sends no more
+# than 40 such renewals a second, however many there are.
+SMALL_FLEET = 12
+# A report says something about the room in a pool for so long, as owners far away send one each
+# ``neighbour_s``.
+FRESH_S = 0.5
 
 
 @attrs.define
@@ -48,6 +56,8 @@
         directory: ports.Directory,
     ):
         self.own = own
+        # By which factor a larger fleet is asked less often.
+        self.stretch = 1.0
         self.times = times
         self.runtime = runtime
         self.directory = directory
@@ -72,22 +82,35 @@
         if instance.name == self.own.name:
             return
         now = self.runtime.now()
-        if now - self.heard.get(instance.name, -ALIVE_S) >= ALIVE_S:
+        if not self.is_alive(instance.name):
             self.since[instance.name] = now
         self.heard[instance.name] = now
         self.met[instance.name] = instance
 
     def is_alive(self, name: str) -> bool:
         """Return whether an instance was heard lately."""
-        return self.runtime.now() - self.heard.get(name, -ALIVE_S) < ALIVE_S
+        heard_at = self.heard.get(name)
+        return heard_at is not None and self.runtime.now() - heard_at < ALIVE_S * self.stretch
 
     def alive_for(self, name: str) -> float:
         """Return for how many seconds an instance has been heard without a gap, 0 if it isn't."""
         return self.runtime.now() - self.since[name] if self.is_alive(name) else 0.0
 
+    def neighbour_s(self) -> float:
+        """Return how often instances are asked of which nothing special is wanted."""
+        return NEIGHBOUR_S * self.stretch
+
+    def is_fresh(self, pool: str) -> bool:
+        """Return whether a pool's owner has reported lately."""
+        known = self.pools.get(pool)
+        if known is None or known.report is None:
+            return False
+        return self.silence_s(pool) <= FRESH_S + self.neighbour_s() - NEIGHBOUR_S
+
     def forget_old(self) -> None:
-        """Drop instances that have been silent for long."""
+        """Drop instances that have been silent for long, and count the others."""
         now = self.runtime.now()
+        self.stretch = max(1.0, len(self.instances()) / SMALL_FLEET)
         for name in [name for name, at in self.heard.items() if now - at > FORGET_S]:
             del self.heard[name], self.since[name]
             self.met.pop(name, None)
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -7,11 +7,9 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
-from rosedyke.rerun import events, fleet, job, messages, metrics, ports, settings
+from rosedyke.rerun import events, fleet, job, messages, metrics, pools, ports, settings
 from rosedyke.wire import peer
 
-# A report that is older says nothing about the room in a pool; owners far away send one each 0.3 s.
-FRESH_S = 0.5
 # Another data centre's pool has to promise at least this much less waiting: the way there and
 # back, and a cut between the data centres would cost the job.
 FAR_S = 0.02
@@ -88,8 +86,8 @@
     ----------
     known : Fleet
         The owners.
-    registry : Registry
-        The backend servers, for the pools of a service.
+    listed : Pools
+        The backend servers by pool.
     """
 
     def __init__(
@@ -98,14 +96,14 @@
         runtime: runtime_module.Runtime,
         peers: peer.Peers,
         known: fleet.Fleet,
-        registry: ports.Registry,
+        listed: pools.Pools,
         submit: Callable[[messages.Instance, messages.Submit], None],
     ):
         self.times = times
         self.runtime = runtime
         self.peers = peers
         self.fleet = known
-        self.registry = registry
+        self.pools = listed
         self.submit = submit
         self.jobs: dict[str, HeldJob] = {}
         # A cut can hold a message up until its job has ended here and was sent again.  Taken for
@@ -204,22 +202,13 @@
 
     # Pools.
 
-    def pools_of(self, service: str) -> set[str]:
-        """Return the pools that have servers of a service."""
-        return {
-            ports.pool_of(server)
-            for server in self.registry.servers()
-            if server.service == service and not server.is_draining
-        }
-
     def choose_pool(self, work: job.Job) -> str:
         """Return the pool that promises the earliest end, empty if none has an owner in reach."""
         best, best_s = "", 0.0
-        for pool in self.pools_of(work.service):
-            known = self.fleet.pools.get(pool)
-            if known is None or known.report is None or self.fleet.silence_s(pool) > FRESH_S:
+        for pool in self.pools.of_service(work.service):
+            if not self.fleet.is_fresh(pool):
                 continue
-            wait_s = self._wait_s(known.report, work)
+            wait_s = self._wait_s(self.fleet.pools[pool].report, work)
             if ports.data_centre_of(pool) != self.fleet.own.data_centre:
                 wait_s += FAR_S
             if not best or wait_s < best_s:
@@ -305,6 +294,15 @@
             if not part.is_done and self._owner_name(part.pool) == owner
         )
 
+    def owners(self) -> set[str]:
+        """Return the names of the owners that have jobs of this instance."""
+        return {
+            self._owner_name(part.pool)
+            for held in self.jobs.values()
+            for part in held.parts.values()
+            if not part.is_done
+        }
+
     def _owner_name(self, pool):
         claim = self.fleet.owner_of(pool)
         return claim.owner.name if claim else ""
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -16,6 +16,7 @@
     messages,
     metrics,
     owner,
+    pools,
     ports,
     renewal,
     settings,
@@ -70,9 +71,10 @@
         self.owned: dict[str, owner.PoolOwner] = {}
         self.speeds = speed.Speeds()
         self.fleet = fleet.Fleet(own, times, runtime, directory)
-        self.holder = holder.Holder(times, runtime, peers, self.fleet, registry, self._submit)
+        self.pools = pools.Pools(registry)
+        self.holder = holder.Holder(times, runtime, peers, self.fleet, self.pools, self._submit)
         self.succession = succession.Succession(
-            times, runtime, peers, self.fleet, registry, gateway, self.take_pool
+            times, runtime, peers, self.fleet, self.pools, gateway, self.take_pool
         )
         self.fleet.on_claim.append(self._on_foreign_claim)
         self.fleet.on_claim.append(self._meet_owner)
@@ -123,10 +125,7 @@
 
     def is_useful(self) -> bool:
         """Return whether this instance reaches the owner of any pool."""
-        return any(
-            known.report is not None and self.fleet.silence_s(pool) < holder.FRESH_S
-            for pool, known in self.fleet.pools.items()
-        )
+        return any(self.fleet.is_fresh(pool) for pool in self.fleet.pools)
 
     # Pools.
 
@@ -143,7 +142,7 @@
             self.gateway,
             pool,
             number,
-            lambda: [each for each in self.registry.servers() if ports.pool_of(each) == pool],
+            lambda: self.pools.servers(pool),
             self,
             self.speeds,
             expected or self._servers_of_predecessor(pool),
@@ -202,7 +201,7 @@
 
     def rooms(self, service: str, pool: str) -> list[messages.PoolReport]:
         """Ask some other pools of a service for their room; blocks for their answers."""
-        others = self.holder.pools_of(service) - {pool}
+        others = self.pools.of_service(service) - {pool}
         reports = [each.report() for name, each in self.owned.items() if name in others]
         owners = {
             known.claim.owner.name: known.claim.owner
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -31,6 +31,8 @@
 )
 
 TICK_S = 0.05
+# How long a report is given out again: an owner of 45 instances is asked up to 250 times a second.
+REPORT_KEPT_S = 0.02
 # More runs in a row than this that failed on a server are its own fault, not the tasks'.
 FAILURES_IN_A_ROW = 3
 SUSPENDED_S = 2.0
@@ -116,6 +118,8 @@
         self.by_job: dict[str, list[owned.OwnedJob]] = {}
         self.kept: dict[messages.PartKey, Kept] = {}
         self.found_done: dict[str, float] = {}
+        self.last_report: messages.PoolReport | None = None
+        self.reported_at = self.began_at
         self.is_dirty = False
         self.wake = runtime.signal()
         self.orders = orders.Orders(self)
@@ -580,5 +584,12 @@
             self._speeds(),
         )
 
+    def recent_report(self) -> messages.PoolReport:
+        """Return a report that is a few milliseconds old at most."""
+        now = self.runtime.now()
+        if self.last_report is None or now - self.reported_at > REPORT_KEPT_S:
+            self.last_report, self.reported_at = self.report(), now
+        return self.last_report
+
     def _speeds(self):
         return {server_id: round(self.speeds.of(server_id), 3) for server_id in self.states}
--- /dev/null
+++ b/rosedyke/rerun/pools.py
@@ -0,0 +1,51 @@
+"""The backend servers by pool, worked out once for each list of the platform.
+
+Owners, holders and candidates look at the servers many times a second, and the list has thousands
+at the target size but changes only now and then.
+"""
+
+from rosedyke.rerun import ports
+
+
+class Pools:
+    """An index of the listed servers.
+
+    Parameters
+    ----------
+    registry : Registry
+        Returns the same tuple as long as nothing has changed.
+    """
+
+    def __init__(self, registry: ports.Registry):
+        self.registry = registry
+        self.indexed: tuple[ports.Server, ...] | None = None
+        self.by_pool: dict[str, list[ports.Server]] = {}
+        self.by_service: dict[str, frozenset[str]] = {}
+
+    def names(self) -> frozenset[str]:
+        """Return all pools that have servers."""
+        self._refresh()
+        return frozenset(self.by_pool)
+
+    def servers(self, pool: str) -> list[ports.Server]:
+        """Return the servers of a pool."""
+        self._refresh()
+        return self.by_pool.get(pool, [])
+
+    def of_service(self, service: str) -> frozenset[str]:
+        """Return the pools that have servers of a service which stay."""
+        self._refresh()
+        return self.by_service.get(service, frozenset())
+
+    def _refresh(self):
+        servers = self.registry.servers()
+        if servers is self.indexed:
+            return
+        self.indexed, self.by_pool = servers, {}
+        services: dict[str, set[str]] = {}
+        for server in servers:
+            pool = ports.pool_of(server)
+            self.by_pool.setdefault(pool, []).append(server)
+            if not server.is_draining:
+                services.setdefault(server.service, set()).add(pool)
+        self.by_service = {name: frozenset(found) for name, found in services.items()}
--- a/rosedyke/rerun/renewal.py
+++ b/rosedyke/rerun/renewal.py
@@ -4,8 +4,6 @@
 from rosedyke.rerun import messages, metrics
 from rosedyke.wire import peer
 
-# Instances that neither own a near pool nor have jobs of this one are asked this often.
-NEIGHBOUR_S = 0.3
 # A renewal without answer is given up; the next ones are on their way by then.
 RENEWAL_TIMEOUT_S = 0.3
 
@@ -40,7 +38,8 @@
             held_here = self.node.holder.renewed(self.node.own.name)
             for each in list(self.node.owned.values()):
                 each.renew(self.node.own, held_here)
-                self.node.fleet.take_report(self.node.own, each.report(), self.node.runtime.now())
+                report = each.recent_report()
+                self.node.fleet.take_report(self.node.own, report, self.node.runtime.now())
             metric.gauge(metrics.POOLS, len(self.node.owned))
             metric.gauge(metrics.HELD, len(self.node.holder.jobs))
             self.node.handover.return_pools()
@@ -59,33 +58,33 @@
     def _targets(self):
         """Return who is to be renewed now.
 
-        Owners that have jobs of this instance, and those of the own data centre, are renewed each
+        Owners that have jobs of this instance, and those that it watches, are renewed each
         time: the first for the jobs, the others to notice at once when they fall silent.  All
         others are asked less often, which leaves out half of all messages on a quiet day.
         """
-        instances = self.node.fleet.instances()
-        is_blind = (
-            len(self.node.fleet.pools) < len(self.node.succession.pools())
-            or not self.node.fleet.pools
-        )
+        fleet = self.node.fleet
+        is_blind = len(fleet.pools) < len(self.node.pools.names()) or not fleet.pools
+        blind_s = self.node.times.renew_s * (fleet.stretch - 1)
+        with_jobs = self.node.holder.owners()
         found = {}
-        for known in self.node.fleet.pools.values():
+        for pool, known in fleet.pools.items():
             target = known.claim.owner
-            is_near = target.data_centre == self.node.own.data_centre
-            if is_near or self._is_due(target) or self.node.holder.renewed(target.name):
+            is_wanted = target.name in with_jobs or self._is_due(target, fleet.neighbour_s())
+            if is_wanted or self.node.succession.is_watcher(pool, known.claim):
                 found[target.name] = target
-        for target in instances.values():
+        for target in fleet.instances().values():
             is_near = target.data_centre == self.node.own.data_centre
-            if is_blind or (is_near and self._is_due(target)):
+            interval_s = blind_s if is_blind else fleet.neighbour_s()
+            if (is_blind or is_near) and self._is_due(target, interval_s):
                 found[target.name] = target
         if not found and not self.node.fleet.pools:
             found = {each.name: each for each in self.node.seeds}
         found.pop(self.node.own.name, None)
         return list(found.values())
 
-    def _is_due(self, instance):
-        asked_s = self.node.runtime.now() - self.asked.get(instance.name, -NEIGHBOUR_S)
-        return asked_s >= NEIGHBOUR_S
+    def _is_due(self, instance, interval_s):
+        asked_at = self.asked.get(instance.name)
+        return asked_at is None or self.node.runtime.now() - asked_at >= interval_s
 
     def renew(self, instance):
         """Renew with one instance and take its report in."""
@@ -134,7 +133,7 @@
             self.node.own,
             tuple(sorted(unknown)),
             self.node.runtime.now(),
-            tuple(each.report() for each in self.node.owned.values()),
+            tuple(each.recent_report() for each in self.node.owned.values()),
             self.node.fleet.newer_claims(message.tokens),
             self.node.documents.revisions(),
         )
--- /dev/null
+++ b/rosedyke/rerun/renewal_test.py
@@ -0,0 +1,76 @@
+import collections
+import unittest
+
+from rosedyke.rerun import job, messages
+from rosedyke.standins import rerun_region
+
+DONE = job.Outcome(job.End.SUCCEEDED)
+
+
+def renewals_per_s(region, seconds):
+    """Return how many renewals each instance is sent a second."""
+    sent = collections.Counter()
+    delay = region.network.delay_s
+
+    def count(source, target, message):
+        if isinstance(message, messages.Renew):
+            sent[target.name] += 1
+        return delay(source, target, message)
+
+    region.network.delay_s = count
+    region.run(seconds)
+    region.network.delay_s = delay
+    return {name: number / seconds for name, number in sent.items()}
+
+
+class LargeFleet(unittest.TestCase):
+    def test_owner_without_jobs_is_not_asked_more_by_a_larger_fleet(self):
+        # Every instance spends a tenth of its processor on renewals while nothing runs.  All
+        # 45 renewed with each owner near them every 0.1 s and with all others every 0.3 s.
+        region = rerun_region.Region({"a": 15, "b": 15, "c": 15})
+        region.run(3.0)
+        sent = renewals_per_s(region, 3.0)
+        self.assertLess(max(sent.values()), 100)
+        self.assertLess(sum(sent.values()), 45 * 50)
+
+    def test_watchers_notice_a_lost_owner_within_a_second(self):
+        region = rerun_region.Region({"a": 15, "b": 15, "c": 15})
+        region.run(3.0)
+        region.kill(region.owner("a"))
+        killed_at = region.runtime.now()
+        held = region.submit("a-7", "j1", duration_s=0.1)
+        region.run(2.0)
+        self.assertEqual((held.outcome, region.world.violations), (DONE, []))
+        self.assertLess(held.ended_at - killed_at, 1.0)
+
+    def test_pool_is_taken_though_its_owner_and_all_watchers_are_lost(self):
+        # The pool stands still for ever if only the watchers may take it.
+        region = rerun_region.Region({"a": 15, "b": 3})
+        region.run(3.0)
+        owner = region.owner("a")
+        watchers = [
+            name
+            for name, one in region.members.items()
+            if name != owner
+            and one.node.succession.is_watcher("a/r1", one.node.fleet.owner_of("a/r1"))
+        ]
+        self.assertEqual(len(watchers), 4)
+        for name in (owner, *watchers):
+            region.kill(name)
+        region.run(3.0)
+        self.assertTrue(region.owner("a").startswith("a-"))
+        held = region.submit(region.other("a"), "j1", duration_s=0.1)
+        region.run(1.0)
+        self.assertEqual((held.outcome, region.world.violations), (DONE, []))
+
+    def test_living_owner_is_not_suspected(self):
+        region = rerun_region.Region({"a": 15, "b": 15, "c": 15})
+        region.run(3.0)
+        asked = []
+        region.network.delay_s = lambda source, target, message, usual=region.network.delay_s: (
+            asked.append(message) or usual(source, target, message)
+            if isinstance(message, messages.Query)
+            else usual(source, target, message)
+        )
+        region.run(5.0)
+        self.assertEqual(asked, [])
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -10,7 +10,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event
-from rosedyke.rerun import asking, election, events, fleet, messages, ports, settings
+from rosedyke.rerun import asking, election, events, fleet, messages, pools, ports, settings
 from rosedyke.wire import peer
 
 TICK_S = 0.04
@@ -20,6 +20,10 @@
 HEARD_S = 0.35
 # Others that are asked about a silent owner.
 WITNESSES = 6
+# So many candidates of its own data centre listen closely to an owner.  With all of them an owner
+# of 45 instances got 246 renewals a second while nothing ran; the others follow in seconds if
+# the watchers are lost together with the owner.
+WATCHERS = 4
 # A candidate of another data centre asks the pool's own instances so many times in a row, and the
 # servers before that.  When a cut ends, the servers are in reach at once, but connections to the
 # instances that were open during the cut can take half a second to be replaced.
@@ -44,7 +48,7 @@
         runtime: runtime_module.Runtime,
         peers: peer.Peers,
         known: fleet.Fleet,
-        registry: ports.Registry,
+        listed: pools.Pools,
         gateway: ports.Servers,
         take: Callable[[str, str], None],
     ):
@@ -52,7 +56,7 @@
         self.runtime = runtime
         self.peers = peers
         self.fleet = known
-        self.registry = registry
+        self.pools = listed
         self.gateway = gateway
         self.take = take
         self.unknown_since: dict[str, float] = {}
@@ -66,14 +70,10 @@
         """Watch the pools until stopped."""
         while self.is_running:
             if not self.is_standing_by:
-                for pool in self.pools():
+                for pool in self.pools.names():
                     self._consider(pool)
             self.runtime.sleep(TICK_S)
 
-    def pools(self) -> set[str]:
-        """Return all pools that have servers."""
-        return {ports.pool_of(server) for server in self.registry.servers()}
-
     def rest(self, pool: str) -> None:
         """Leave a pool alone for a while, so that two owners don't take turns."""
         self.not_before[pool] = self.runtime.now() + self.times.rest_s
@@ -91,14 +91,26 @@
             self.unknown_since.pop(pool, None)
             silent_s = self.fleet.silence_s(pool)
             needed_s = self.times.owner_suspected_s
-        needed_s += self._delay_s(pool, claim)
+        # Ranking all instances is dear, so it waits until somebody's turn may have come.
         if silent_s < needed_s or now < self.not_before.get(pool, 0.0) or pool in self.trying:
             return
+        if silent_s < needed_s + self._delay_s(pool, claim):
+            return
         self.trying.add(pool)
         self.runtime.spawn(self._try, pool, claim)
 
     def _delay_s(self, pool, claim):
         """Return how much later than the first candidate this one acts."""
+        delay_s = self.rank(pool, claim) * self.times.rank_delay_s
+        if self.fleet.own.data_centre != ports.data_centre_of(pool):
+            delay_s += self.times.foreign_delay_s
+        if not self.is_watcher(pool, claim):
+            # It hears the owner less often, so silence means less.
+            delay_s += self.fleet.neighbour_s() - fleet.NEIGHBOUR_S
+        return delay_s
+
+    def rank(self, pool: str, claim: messages.Claim | None) -> int:
+        """Return this instance's place among the candidates for a pool, 0 for the first."""
         own = self.fleet.own
         silent = claim.owner.name if claim else ""
         alive = [
@@ -106,11 +118,14 @@
             for each in self.fleet.instances().values()
             if self.fleet.is_alive(each.name) and each.name != silent
         ]
-        data_centre = ports.data_centre_of(pool)
-        order = election.order(pool, data_centre, [*alive, own])
-        rank = [each.name for each in order].index(own.name)
-        is_foreign = own.data_centre != data_centre
-        return rank * self.times.rank_delay_s + is_foreign * self.times.foreign_delay_s
+        order = election.order(pool, ports.data_centre_of(pool), [*alive, own])
+        return [each.name for each in order].index(own.name)
+
+    def is_watcher(self, pool: str, claim: messages.Claim | None) -> bool:
+        """Return whether this instance is one of those that notice an owner's silence at once."""
+        if self.fleet.own.data_centre != ports.data_centre_of(pool):
+            return False
+        return self.rank(pool, claim) < WATCHERS
 
     def _try(self, pool, claim):
         try:
@@ -150,9 +165,9 @@
             for each in self.fleet.instances().values()
             if each.name != claim.owner.name and self.fleet.is_alive(each.name)
         ]
-        own = self.fleet.own.data_centre
-        nearest = sorted(others, key=lambda each: each.data_centre != own)[:WITNESSES]
-        answers = self._ask(nearest, messages.Query(pool, claim.token))
+        # The watchers first, who have listened most closely.
+        order = election.order(pool, ports.data_centre_of(pool), others)
+        answers = self._ask(order[:WITNESSES], messages.Query(pool, claim.token))
         return [answer.age_s for answer in answers]
 
     def _ask(self, instances, query):
@@ -184,9 +199,7 @@
         return bool(self._ask(locals_, messages.Query(pool, 0)))
 
     def _reaches_server(self, pool):
-        for server in self.registry.servers():
-            if ports.pool_of(server) != pool:
-                continue
+        for server in self.pools.servers(pool):
             try:
                 # Token 0 is below every owner's: the server does nothing but answer.
                 self.gateway.hold(server, 0, 0, None, 0.0, self.times.order_s)
