Let an instance take pools only with a sign that it isn't the one that is cut off

Now: with no witness the store is asked at that moment; a pool of another data centre is taken only by an instance that hears another data centre or has the store's answer. An instance that has reached no owner for two seconds refuses new jobs at once instead of after a second.

Three new tests were red before.

--- a/rosedyke/rerun/fleet.py
+++ b/rosedyke/rerun/fleet.py
@@ -58,6 +58,8 @@
         self.own = own
         # By which factor a larger fleet is asked less often.
         self.stretch = 1.0
+        # Since when no pool's owner has been in reach, None while one is.
+        self.blind_since: float | None = runtime.now()
         self.times = times
         self.runtime = runtime
         self.directory = directory
@@ -111,6 +113,10 @@
         """Drop instances that have been silent for long, and count the others."""
         now = self.runtime.now()
         self.stretch = max(1.0, len(self.instances()) / SMALL_FLEET)
+        if any(self.is_fresh(pool) for pool in self.pools):
+            self.blind_since = None
+        elif self.blind_since is None:
+            self.blind_since = now
         for name in [name for name, at in self.heard.items() if now - at > FORGET_S]:
             del self.heard[name], self.since[name]
             self.met.pop(name, None)
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -17,6 +17,8 @@
 # A submission and the renewal that follows it may overtake each other.
 SETTLE_S = 0.15
 RETRY_AFTER_S = 1.0
+# An instance that has reached no owner for so long, twice a takeover, lets no new job wait.
+BLIND_S = 2.0
 # The first number of a part is drawn from so many; an instance gives out 10,000 a second at most.
 FIRST_NUMBERS = 1 << 48
 
@@ -233,6 +235,9 @@
     def _find_pool(self, held, tasks=None, moves=0):
         """Hand a job, or some tasks of it, to a pool; wait for a moment if none has an owner."""
         give_up = self.runtime.now() + self.times.wait_for_owner_s
+        if self.fleet.blind_since is not None:
+            # Cut off for longer than any takeover: the caller is better served elsewhere, at once.
+            give_up = min(give_up, self.fleet.blind_since + BLIND_S)
         names = tasks or set(held.undone)
         while not held.ended.is_set():
             pool = self.choose_pool(held.work)
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -125,7 +125,7 @@
 
     def is_useful(self) -> bool:
         """Return whether this instance reaches the owner of any pool."""
-        return any(self.fleet.is_fresh(pool) for pool in self.fleet.pools)
+        return self.fleet.blind_since is None
 
     # Pools.
 
--- a/rosedyke/rerun/ports.py
+++ b/rosedyke/rerun/ports.py
@@ -193,8 +193,8 @@
     def instances(self) -> tuple[messages.Instance, ...]:
         """Return the present list, which may be out of date."""
 
-    def is_reachable(self) -> bool:
-        """Return whether the platform has answered within the last second."""
+    def can_reach(self) -> bool:
+        """Ask the platform now and return whether it answered, if only with a refusal."""
 
 
 class Registry(Protocol):
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -142,7 +142,7 @@
 
     def _is_confirmed(self, pool, claim):
         if self.fleet.own.data_centre != ports.data_centre_of(pool):
-            return self._is_abandoned(pool)
+            return self._is_abandoned(pool) and self._is_connected()
         if claim is None:
             return True
         answers = self._ask_witnesses(pool, claim)
@@ -156,7 +156,20 @@
         )
         if any(age is not None and age < HEARD_S for age in answers):
             return False
-        return bool(answers) or self.fleet.directory.is_reachable()
+        return bool(answers) or self.fleet.directory.can_reach()
+
+    def _is_connected(self):
+        """Return whether this instance reaches more than its own data centre.
+
+        To one that is cut off every other data centre looks abandoned.  It still reaches the
+        servers, so it would fence the living owners off and end all that runs there.
+        """
+        own = self.fleet.own.data_centre
+        is_met = any(
+            each.data_centre != own and self.fleet.is_alive(each.name)
+            for each in self.fleet.instances().values()
+        )
+        return is_met or self.fleet.directory.can_reach()
 
     def _ask_witnesses(self, pool, claim):
         """Return what other instances say about when they heard the owner."""
--- a/rosedyke/rerun/takeover_test.py
+++ b/rosedyke/rerun/takeover_test.py
@@ -124,6 +124,55 @@
         self.assertEqual(region.owner("a"), owner)
         self.assertNotIn("a/r1", region.members[alone].node.owned)
 
+    def test_isolated_instance_leaves_the_pools_of_other_data_centres_alone(self):
+        # All work on every pool stops, again and again.  One instance is cut off from all others
+        # and from the platform but reaches the servers; every owner looks silent to it.
+        region = rerun_region.Region({"a": 2, "b": 2, "c": 2})
+        region.run(SETTLE_S)
+        alone = region.other("a")
+        owners = {name: region.owner(name) for name in "abc"}
+        region.cut([alone], [name for name in region.members if name != alone])
+        region.members[alone].listed.reachable = False
+        region.run(5.0)
+        self.assertEqual({name: region.owner(name) for name in "abc"}, owners)
+        self.assertEqual(region.members[alone].node.owned, {})
+
+    def test_instance_without_other_data_centres_and_platform_leaves_their_pools_alone(self):
+        # The same for two pools: it hears its own data centre, but nobody who could tell whether
+        # the other owners live.
+        region = rerun_region.Region({"a": 2, "b": 2, "c": 2})
+        region.run(SETTLE_S)
+        alone = region.other("a")
+        owners = {name: region.owner(name) for name in "abc"}
+        region.cut([alone], [name for name in region.members if name[0] in "bc"])
+        region.members[alone].listed.reachable = False
+        region.run(5.0)
+        self.assertEqual({name: region.owner(name) for name in "abc"}, owners)
+
+    def test_pool_of_a_lost_data_centre_is_taken_while_the_platform_is_away(self):
+        # A third of the servers stand idle: the instances of one data centre are gone, and the
+        # platform can't be asked; a third data centre confirms that nobody hears them.
+        region = rerun_region.Region({"a": 2, "b": 2, "c": 1})
+        region.run(SETTLE_S)
+        for member in region.members.values():
+            member.listed.reachable = False
+        region.kill("c-1")
+        region.run(5.0)
+        self.assertIn(region.owner("c"), region.members)
+
+    def test_instance_that_has_reached_no_pool_for_long_refuses_at_once(self):
+        region = rerun_region.Region({"a": 2})
+        region.run(SETTLE_S)
+        alone = region.other("a")
+        region.cut([alone], [region.owner("a")])
+        region.members[alone].listed.reachable = False
+        region.run(4.0)
+        began = region.runtime.now()
+        held = region.submit(alone, "j1")
+        region.run(0.1)
+        self.assertEqual(held.outcome.end, job.End.REFUSED)
+        self.assertLess(held.ended_at - began, 0.05)
+
     def test_owner_is_not_replaced_while_others_hear_it(self):
         region = rerun_region.Region({"a": 3})
         region.run(SETTLE_S)
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -42,7 +42,7 @@
         """Return all instances."""
         return tuple(one.own for one in self.region.members.values())
 
-    def is_reachable(self) -> bool:
+    def can_reach(self) -> bool:
         """Return whether the platform is in reach."""
         return self.reachable
 
