--- a/rosedyke/rerun/load_test.py
+++ b/rosedyke/rerun/load_test.py
@@ -55,50 +55,6 @@
         self.assertEqual(queue.order([first, second], 5.0), [second, first])
 
 
-class TurnedSlow(unittest.TestCase):
-    def test_one_run_far_off_the_average_counts_by_itself_until_the_next_normal_one(self):
-        # A fifth of the servers turn slow by a factor of seven for eight seconds; the average
-        # needed twenty runs to show it, and a third of the jobs were late meanwhile.
-        learned = speed.Speeds({"s": 1.0})
-        learned.learn("s", 0.2, 1.5, 10.0)
-        self.assertLess(learned.of("s"), 0.2)
-        self.assertGreater(learned.average("s"), 0.8)
-        learned.learn("s", 0.2, 0.25, 11.0)
-        self.assertGreater(learned.of("s"), 0.8)
-
-    def test_estimate_that_is_off_is_no_slow_server(self):
-        learned = speed.Speeds({"s": 1.0})
-        learned.learn("s", 0.9, 1.6, 10.0)
-        learned.learn("s", 0.02, 0.1, 10.0)
-        self.assertEqual(learned.slowed, {})
-
-    def test_slow_server_is_tried_again_after_a_while(self):
-        learned = speed.Speeds({"s": 1.0})
-        learned.learn("s", 0.2, 1.5, 10.0)
-        learned.forget_slow(11.9)
-        self.assertLess(learned.of("s"), 0.2)
-        learned.forget_slow(12.1)
-        self.assertGreater(learned.of("s"), 0.8)
-
-    def test_next_tasks_avoid_a_server_whose_runs_have_hardly_begun(self):
-        # The first runs on the slow server take seconds; new tasks go elsewhere as soon as a
-        # listing shows their progress.
-        region = rerun_region.Region({"a": 2}, servers=2)
-        region.run(SETTLE_S)
-        slow = region.world.servers["s-a-0"]
-        slow.speed = 0.1
-        first = region.submit("a-1", "j1", count=4, duration_s=0.4)
-        region.run(0.5)
-        began = len(region.world.starts)
-        for number in range(5):
-            region.submit("a-1", f"k{number}", count=2, duration_s=0.1)
-            region.run(0.12)
-        used = {at for _, _, at in region.world.starts[began:]}
-        self.assertEqual(used, {"s-a-1"})
-        region.run(5.0)
-        self.assertEqual(first.outcome, DONE)
-
-
 class Placement(unittest.TestCase):
     def setUp(self):
         self.speeds = speed.Speeds({"slow": 0.6, "fast": 1.6})
@@ -145,10 +101,10 @@
 
     def test_speed_is_learned_within_a_dozen_runs_and_bounded_in_one(self):
         learned = speed.Speeds()
-        learned.learn("s", 0.1, 10.0, 1.0)
-        self.assertGreater(learned.average("s"), 0.9)
+        learned.learn("s", 0.1, 10.0)
+        self.assertGreater(learned.of("s"), 0.9)
         for _ in range(30):
-            learned.learn("s", 0.1, 0.2, 2.0)
+            learned.learn("s", 0.1, 0.2)
         self.assertAlmostEqual(learned.of("s"), 0.5, delta=0.05)
 
 
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -350,7 +350,6 @@
                 self._drop(item)
         self._refuse_hopeless(now)
         self.orders.read_overdue(now)
-        self.speeds.forget_slow(now)
         self.strays.stop_orphans(now)
         self.strays.stop_stalled(now)
         self.found_done = {
@@ -480,17 +479,8 @@
             self.release_task(run)
         self._claim_orphans(state)
         self.strays.stop_unwanted(state)
-        self._note_pace(state, now)
         self.schedule()
 
-    def _note_pace(self, state, now):
-        """Learn from runs under way that a server has turned slow, long before they end."""
-        for run in state.runs.values():
-            is_under_way = run.state is server_runs.RunState.STARTED and run.percent > 0
-            if is_under_way and run.estimate_s and run.progress_at == now:
-                work_s = run.estimate_s * run.percent / 100
-                self.speeds.show(state.server.id, work_s, now - run.since, now)
-
     def _claim_orphans(self, state):
         for run in list(state.runs.values()):
             if run.state is not server_runs.RunState.ORPHAN:
@@ -509,7 +499,7 @@
         if end.how is ports.RunEnd.DONE:
             state.failures = 0
             if run.confirmed_at is not None:
-                self.speeds.learn(state.server.id, run.estimate_s, now - run.since, now)
+                self.speeds.learn(state.server.id, run.estimate_s, now - run.since)
         if task is None or (task.run, task.server_id) != (run.number, state.server.id):
             return
         if end.how is ports.RunEnd.DONE:
@@ -603,4 +593,4 @@
         return self.last_report
 
     def _speeds(self):
-        return {server_id: round(self.speeds.average(server_id), 3) for server_id in self.states}
+        return {server_id: round(self.speeds.of(server_id), 3) for server_id in self.states}
--- a/rosedyke/rerun/strays.py
+++ b/rosedyke/rerun/strays.py
@@ -41,8 +41,7 @@
                 if run.state is not server_runs.RunState.STARTED or run.confirmed_at is None:
                     continue
                 still_s = now - max(run.progress_at, run.confirmed_at)
-                # By the average: a run that stands still makes its server look slow as well.
-                expected_s = run.estimate_s / self.owner.speeds.average(state.server.id)
+                expected_s = self.owner.speeds.run_time_s(state.server.id, run.estimate_s)
                 if still_s < STALL_S or now - run.confirmed_at < STALL_FACTOR * expected_s:
                     continue
                 self._give_up_run(state, run, still_s)
