Walk a holder's open parts in one place, rank once, and share the tests' ways to lose messages

Four methods of the holder walked jobs and parts with the same condition; they share one generator. A candidate's delay ranked all instances twice, once for the rank and once to learn whether it is a watcher; once is enough. How much longer silence may last in a large fleet was worked out in two places.

--- a/rosedyke/rerun/fleet.py
+++ b/rosedyke/rerun/fleet.py
@@ -102,12 +102,16 @@
         """Return how often instances are asked of which nothing special is wanted."""
         return NEIGHBOUR_S * self.stretch
 
+    def added_silence_s(self) -> float:
+        """Return how much longer than in a small fleet such an instance may stay unheard."""
+        return self.neighbour_s() - NEIGHBOUR_S
+
     def is_fresh(self, pool: str) -> bool:
         """Return whether a pool's owner has reported lately."""
         known = self.pools.get(pool)
         if known is None or known.report is None:
             return False
-        return self.silence_s(pool) <= FRESH_S + self.neighbour_s() - NEIGHBOUR_S
+        return self.silence_s(pool) <= FRESH_S + self.added_silence_s()
 
     def forget_old(self) -> None:
         """Drop instances that have been silent for long, and count the others."""
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -282,11 +282,16 @@
 
     def _on_owner(self, claim):
         """Hand the tasks of a pool to its new owner, which finds what still runs of them."""
-        for held in list(self.jobs.values()):
-            for part in list(held.parts.values()):
-                is_there = part.pool == claim.pool and not part.is_done
-                if is_there and part.token < claim.token:
-                    self._add_again(held, part, claim)
+        for held, part in list(self._open_parts()):
+            if part.pool == claim.pool and part.token < claim.token:
+                self._add_again(held, part, claim)
+
+    def _open_parts(self):
+        """Yield each part that isn't done, with its job."""
+        for held in self.jobs.values():
+            for part in held.parts.values():
+                if not part.is_done:
+                    yield held, part
 
     # What owners say.
 
@@ -294,19 +299,13 @@
         """Return the parts of jobs that an owner has."""
         return tuple(
             (held.work.id, part.number)
-            for held in self.jobs.values()
-            for part in held.parts.values()
-            if not part.is_done and self._owner_name(part.pool) == owner
+            for held, part in self._open_parts()
+            if self._owner_name(part.pool) == owner
         )
 
     def owners(self) -> set[str]:
         """Return the names of the owners that have jobs of this instance."""
-        return {
-            self._owner_name(part.pool)
-            for held in self.jobs.values()
-            for part in held.parts.values()
-            if not part.is_done
-        }
+        return {self._owner_name(part.pool) for _, part in self._open_parts()}
 
     def _owner_name(self, pool):
         claim = self.fleet.owner_of(pool)
@@ -391,12 +390,10 @@
         Their runs end by the owner's own bound on silent holders or by their leases, before a
         caller may send its job again.
         """
-        for held in list(self.jobs.values()):
-            for part in list(held.parts.values()):
-                if not part.is_done and self._is_owner_lost(part):
-                    lost = job.Outcome(job.End.LOST, "a pool's owner does not answer")
-                    self.end(held, lost)
-                    break
+        lost = job.Outcome(job.End.LOST, "a pool's owner does not answer")
+        for held, part in list(self._open_parts()):
+            if self._is_owner_lost(part):
+                self.end(held, lost)
 
     def _is_owner_lost(self, part):
         since = self.runtime.now() - part.sent_at
--- a/rosedyke/rerun/orders_test.py
+++ b/rosedyke/rerun/orders_test.py
@@ -15,15 +15,18 @@
     return region
 
 
+def lose_answers(region, kind, *late_s):
+    """Leave the next orders of a kind unanswered; each is carried out after its seconds."""
+    left = list(late_s)
+    region.world.fate = lambda found, name, server: left.pop() if found == kind and left else None
+
+
 class LateOrders(unittest.TestCase):
     def test_start_that_is_carried_out_seconds_later_runs_nowhere_else_meanwhile(self):
         # The task would run twice.  The server leaves a start without an answer and carries it
         # out 2 s later, when the task has long been placed on another server.
         region = settled()
-        late = [2.0]
-        region.world.fate = lambda kind, name, server: (
-            late.pop() if kind == "start" and late else None
-        )
+        lose_answers(region, "start", 2.0)
         held = region.submit("a-1", "j1", count=2, duration_s=3.0)
         region.run(6.0)
         self.assertEqual(held.outcome, DONE)
@@ -33,10 +36,7 @@
     def test_start_whose_answer_alone_is_lost_goes_on(self):
         # Work would be thrown away.  The server has started the task; only its answer is lost.
         region = settled()
-        late = [0.0]
-        region.world.fate = lambda kind, name, server: (
-            late.pop() if kind == "start" and late else None
-        )
+        lose_answers(region, "start", 0.0)
         held = region.submit("a-1", "j1", count=1, duration_s=1.0)
         region.run(1.5)
         self.assertEqual((held.outcome, len(region.world.starts)), (DONE, 1))
@@ -60,10 +60,7 @@
 
     def test_stop_without_answer_is_sent_again(self):
         region = settled()
-        lost = [5.0, 5.0]
-        region.world.fate = lambda kind, name, server: (
-            lost.pop() if kind == "stop" and lost else None
-        )
+        lose_answers(region, "stop", 5.0, 5.0)
         held = region.submit("a-1", "j1", count=1, duration_s=9.0)
         region.run(0.3)
         held.gone.set()
@@ -119,10 +116,7 @@
         # to it; its first listing doesn't have that run yet, so the task was placed elsewhere,
         # and then the order is carried out by the new incarnation.
         region = settled()
-        late = [0.06]
-        region.world.fate = lambda kind, name, server: (
-            late.pop() if kind == "start" and late else None
-        )
+        lose_answers(region, "start", 0.06)
         held = region.submit("a-1", "j1", count=1, duration_s=1.0)
         region.run(0.01)
         servers = [each for each in region.world.servers.values()]
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -101,12 +101,12 @@
 
     def _delay_s(self, pool, claim):
         """Return how much later than the first candidate this one acts."""
-        delay_s = self.rank(pool, claim) * self.times.rank_delay_s
-        if self.fleet.own.data_centre != ports.data_centre_of(pool):
-            delay_s += self.times.foreign_delay_s
-        if not self.is_watcher(pool, claim):
+        rank = self.rank(pool, claim)
+        is_foreign = self.fleet.own.data_centre != ports.data_centre_of(pool)
+        delay_s = rank * self.times.rank_delay_s + is_foreign * self.times.foreign_delay_s
+        if is_foreign or rank >= WATCHERS:
             # It hears the owner less often, so silence means less.
-            delay_s += self.fleet.neighbour_s() - fleet.NEIGHBOUR_S
+            delay_s += self.fleet.added_silence_s()
         return delay_s
 
     def rank(self, pool: str, claim: messages.Claim | None) -> int:
--- a/rosedyke/rerun/takeover_test.py
+++ b/rosedyke/rerun/takeover_test.py
@@ -312,6 +312,17 @@
         self.assertNotIn("a/r1", region.members[owner].node.owned)
 
 
+def hold_up(region, kind, seconds, source_name=""):
+    """Let messages of a kind take so long, those of one instance or of all."""
+    usual = region.network.delay_s
+
+    def delay(source, target, message):
+        is_meant = isinstance(message, kind) and source_name in ("", source.name)
+        return seconds if is_meant else usual(source, target, message)
+
+    region.network.delay_s = delay
+
+
 class LateMessages(unittest.TestCase):
     def test_released_tasks_are_not_moved_twice(self):
         # A task runs twice at once.  An owner has released it; the report that it doesn't know
@@ -319,10 +330,7 @@
         # hands the job over again, and then moves the task to the other pool as well.
         region = rerun_region.Region({"a": 2, "b": 2})
         region.run(SETTLE_S)
-        delay = region.network.delay_s
-        region.network.delay_s = lambda source, target, message: (
-            0.4 if isinstance(message, messages.Released) else delay(source, target, message)
-        )
+        hold_up(region, messages.Released, 0.4)
         holder = region.other("a")
         blockers = [region.submit(holder, f"k{n}", count=12, duration_s=0.5) for n in range(2)]
         held = region.submit(holder, "j1", count=4, duration_s=0.6)
@@ -336,10 +344,7 @@
         # then the message comes: the tasks, which run by now, would be moved to the other pool.
         region = rerun_region.Region({"a": 2, "b": 2})
         region.run(SETTLE_S)
-        delay = region.network.delay_s
-        region.network.delay_s = lambda source, target, message: (
-            2.7 if isinstance(message, messages.Released) else delay(source, target, message)
-        )
+        hold_up(region, messages.Released, 2.7)
         holder = region.other("a")
         blockers = [region.submit(holder, f"k{n}", count=12, duration_s=0.5) for n in range(2)]
         before = region.submit(holder, "j1", count=4, duration_s=0.6, timeout_s=1.0)
@@ -357,12 +362,7 @@
         region.run(SETTLE_S)
         owner = region.owner("a")
         first, second = [name for name in region.members if name != owner]
-        delay = region.network.delay_s
-        region.network.delay_s = lambda source, target, message: (
-            2.6
-            if isinstance(message, messages.Submit) and source.name == first
-            else delay(source, target, message)
-        )
+        hold_up(region, messages.Submit, 2.6, first)
         before = region.submit(first, "j1", duration_s=2.0, timeout_s=1.0)
         region.run(1.0 + region.times.resubmit_s)
         after = region.submit(second, "j1", duration_s=2.0)
