Offer room at the moment it comes up, and look through an owner's jobs by time alone

Cause: a full pool asked four others for their room every 15 ms and got reports; tasks waited while servers elsewhere were free, and each question cost a whole report at the asked owner (1,600 a second on the larger deployment). Besides, each submission and each end made the owner look through all jobs and runs for what only time changes.

Change: a full pool says once what it needs (WantRoom); an owner that has room left offers it to one pool at a time (Offer) when it comes up. Moves go up from 2 to 4, since offered room is kept for a moment. The search through jobs and runs has its own period.

--- a/rosedyke/rerun/messages.py
+++ b/rosedyke/rerun/messages.py
@@ -189,18 +189,49 @@
     has_started: bool
 
 
-@codec.message("rerun.ask_rooms")
+@codec.message("rerun.want_room")
 @attrs.frozen
-class AskRooms:
-    """An owner whose pool is full asks another one for its room at this moment."""
+class WantRoom:
+    """The owner of a full pool asks another owner to tell it when room comes up there.
 
+    Attributes
+    ----------
+    sender : Instance
+        The owner that asks.
+    pool : str
+        Its full pool.
+    service : str
+        Whose servers are wanted.
+    smallest_millicores, millicores : int
+        What the smallest of the waiting tasks needs, and all of them together.
+    """
 
-@codec.message("rerun.rooms")
+    sender: Instance
+    pool: str
+    service: str
+    smallest_millicores: int
+    millicores: int
+
+
+@codec.message("rerun.offer")
 @attrs.frozen
-class Rooms:
-    """The answer to ``AskRooms``."""
+class Offer:
+    """The answer to ``WantRoom``, sent once there is room and again when more comes up.
 
-    pools: tuple[PoolReport, ...]
+    Attributes
+    ----------
+    pool : str
+        The pool that has room.
+    wanted_by, service : str
+        The full pool, and whose servers it wanted.
+    rooms : tuple of (int, float)
+        Free millicores and speed of the servers that are offered to nobody else for a moment.
+    """
+
+    pool: str
+    wanted_by: str
+    service: str
+    rooms: tuple[tuple[int, float], ...]
 
 
 @codec.message("rerun.not_owner")
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -5,7 +5,6 @@
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
 from rosedyke.rerun import (
-    asking,
     documents,
     events,
     fleet,
@@ -26,10 +25,8 @@
 )
 from rosedyke.wire import peer
 
-# An owner whose pool is full asks this many others for room, at random among more, and waits this
-# long for them: twice the way there and back between data centres.
+# An owner whose pool is full asks this many others for room, at random among more.
 ASKED_POOLS = 4
-ROOMS_TIMEOUT_S = 0.01
 
 
 class Node:
@@ -90,7 +87,8 @@
         handle(messages.Submit, self._on_submit)
         handle(messages.JobEnded, lambda sender, message: self.holder.on_ended(message))
         handle(messages.Released, lambda sender, message: self.holder.on_released(message))
-        handle(messages.AskRooms, self._on_ask_rooms)
+        handle(messages.WantRoom, self._on_want_room)
+        handle(messages.Offer, self._on_offer)
         handle(messages.NotOwner, self._on_not_owner)
         handle(messages.Cancel, self._on_cancel)
         handle(messages.CancelHeld, lambda sender, m: self._end_held(m.job_id))
@@ -199,24 +197,32 @@
         else:
             self.holder.on_ended(message)
 
-    def rooms(self, service: str, pool: str) -> list[messages.PoolReport]:
-        """Ask some other pools of a service for their room; blocks for their answers."""
-        others = self.pools.of_service(service) - {pool}
-        reports = [each.report() for name, each in self.owned.items() if name in others]
-        owners = {
-            known.claim.owner.name: known.claim.owner
+    def want_room(self, pool: str, service: str, smallest_millicores: int, millicores: int) -> None:
+        """Ask some other pools of a service to offer room to a full pool."""
+        wanted = messages.WantRoom(self.own, pool, service, smallest_millicores, millicores)
+        for target in self._owners_with_room(service, pool):
+            if target.name == self.own.name:
+                self._on_want_room(None, wanted)
+            else:
+                self.holder.send(target, wanted)
+
+    def _owners_with_room(self, service, pool):
+        """Return some owners of other pools, first those that had no queue lately."""
+        known = [
+            known
             for name, known in self.fleet.pools.items()
-            if name in others and known.claim.owner.name != self.own.name
-        }
-        chosen = list(owners.values())
-        while len(chosen) > ASKED_POOLS:
-            chosen.pop(int(self.runtime.random() * len(chosen)))
-        answers = asking.ask_all(
-            self.runtime, self.peers, chosen, messages.AskRooms(), ROOMS_TIMEOUT_S
-        )
-        return reports + [
-            report for answer in answers for report in answer.pools if report.pool in others
+            if name != pool and name in self.pools.of_service(service) and known.report is not None
         ]
+        known.sort(key=lambda each: (each.report.backlog_s > 0, self.runtime.random()))
+        owners = {each.claim.owner.name: each.claim.owner for each in known[:ASKED_POOLS]}
+        return list(owners.values())
+
+    def offer(self, target: messages.Instance, offer: messages.Offer) -> None:
+        """Offer room to the owner of a full pool."""
+        if target.name == self.own.name:
+            self.runtime.spawn(self._on_offer, None, offer)
+        else:
+            self.holder.send(target, offer)
 
     def on_stand_down(self, pool: owner.PoolOwner, reason: str) -> None:
         """Drop a pool and leave it to others for a while."""
@@ -275,8 +281,15 @@
             claim = messages.Claim(held.name, self.own, held.token)
             self.holder.send(message.owner, claim)
 
-    def _on_ask_rooms(self, sender, message):
-        return messages.Rooms(tuple(each.report() for each in self.owned.values()))
+    def _on_want_room(self, sender, message):
+        for name, each in list(self.owned.items()):
+            if name != message.pool:
+                each.offering.on_wanted(message)
+
+    def _on_offer(self, sender, message):
+        pool = self.owned.get(message.wanted_by)
+        if pool is not None:
+            pool.releasing.on_offer(message)
 
     def _on_query(self, sender, message):
         known = self.fleet.pools.get(message.pool)
--- /dev/null
+++ b/rosedyke/rerun/offering.py
@@ -0,0 +1,90 @@
+"""Offers the room of a pool that has no queue to the owners of full pools.
+
+The load that this answers: jobs are bound to a pool by reports that are some tenths of a second
+old, so tasks wait in one pool while servers of another are free.  The owner of the free servers is
+the first to know; it says so at the moment when room comes up, and the tasks follow.
+"""
+
+import attrs
+
+from rosedyke.rerun import messages
+
+# A full pool that doesn't ask again is no longer full.
+WANT_KEPT_S = 0.06
+# Room that was offered is kept from others for so long: the way there, to the holders of the tasks
+# and back.  Two full pools that take the same room would move their tasks in vain.
+OFFER_KEPT_S = 0.01
+
+
+@attrs.define
+class Want:
+    """A full pool that waits for room here."""
+
+    message: messages.WantRoom
+    until: float
+
+
+class Offering:
+    """Offers room for one owner.
+
+    Attributes
+    ----------
+    wants : dict of str to Want
+        The full pools by name, the one that got an offer last at the end.
+    offered : dict of str to float
+        Servers that are offered, by id, and until when.
+    """
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.wants: dict[str, Want] = {}
+        self.offered: dict[str, float] = {}
+
+    def on_wanted(self, message: messages.WantRoom) -> None:
+        """Note that a pool is full, and offer it what is free."""
+        self.wants[message.pool] = Want(message, self.owner.runtime.now() + WANT_KEPT_S)
+        # Also looks whether anything waits here, which goes first.
+        self.owner.schedule()
+
+    def offer(self, now: float) -> None:
+        """Offer what is free; called when nothing waits here."""
+        self.wants = {pool: want for pool, want in self.wants.items() if want.until > now}
+        if not self.wants:
+            return
+        self.offered = {server: until for server, until in self.offered.items() if until > now}
+        free = self._free(now)
+        for pool, want in list(self.wants.items()):
+            taken = _take(free, want.message)
+            if not taken:
+                continue
+            self.offered.update((state.server.id, now + OFFER_KEPT_S) for state, _ in taken)
+            self.wants[pool] = self.wants.pop(pool)
+            rooms = tuple(
+                (millicores, self.owner.speeds.of(state.server.id)) for state, millicores in taken
+            )
+            offer = messages.Offer(self.owner.name, pool, want.message.service, rooms)
+            self.owner.listener.offer(want.message.sender, offer)
+
+    def _free(self, now):
+        """Return the servers with room that is offered to nobody, and that room, fastest first."""
+        found = []
+        for state in self.owner.states.values():
+            if state.server.id in self.offered:
+                continue
+            if state.may_start(now, self.owner.times.contact_s):
+                found.append((state, state.free_millicores()))
+        return sorted(found, key=lambda each: -self.owner.speeds.of(each[0].server.id))
+
+
+def _take(free, wanted):
+    """Remove from the free servers what a pool wants, and return it."""
+    taken = []
+    missing = wanted.millicores
+    for state, millicores in list(free):
+        if missing <= 0:
+            break
+        if state.server.service == wanted.service and millicores >= wanted.smallest_millicores:
+            free.remove((state, millicores))
+            taken.append((state, millicores))
+            missing -= millicores
+    return taken
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -18,6 +18,7 @@
     job,
     messages,
     metrics,
+    offering,
     orders,
     owned,
     placement,
@@ -49,8 +50,11 @@
     ) -> None:
         """Hand a job's end, or tasks that have room elsewhere, to its holder."""
 
-    def rooms(self, service: str, pool: str) -> list[messages.PoolReport]:
-        """Ask some other pools of a service for their room; blocks for their answers."""
+    def want_room(self, pool: str, service: str, smallest_millicores: int, millicores: int) -> None:
+        """Ask some other pools of a service to offer room to a full pool."""
+
+    def offer(self, target: messages.Instance, offer: messages.Offer) -> None:
+        """Offer room to the owner of a full pool."""
 
     def on_stand_down(self, pool: "PoolOwner", reason: str) -> None:
         """Note that a pool is no longer owned here."""
@@ -124,6 +128,7 @@
         self.wake = runtime.signal()
         self.orders = orders.Orders(self)
         self.releasing = releasing.Releasing(self)
+        self.offering = offering.Offering(self)
         self.strays = strays.Strays(self)
 
     def start(self) -> None:
@@ -320,13 +325,18 @@
             self.wake.set()
 
     def _run(self):
+        looked_at = self.runtime.now()
         while self.is_active:
             self.wake.wait(TICK_S)
             self.wake = self.runtime.signal()
-            if not self.is_active:
+            if not self.is_active or self._stands_down_after_pause():
                 return
-            self._tick()
             self.is_dirty = False
+            # Each submission and each end wakes this loop; looking through all jobs and runs with
+            # each took more time than placing tasks.
+            if self.ticked_at - looked_at >= TICK_S:
+                looked_at = self.ticked_at
+                self._look_through()
             self._place_all()
 
     def is_paused(self) -> bool:
@@ -337,13 +347,18 @@
         """
         return self.runtime.now() - self.ticked_at > self.times.pause_s
 
-    def _tick(self):
+    def _stands_down_after_pause(self):
         now = self.runtime.now()
         if self.is_paused():
             event.log(events.INSTANCE_PAUSED, pause_s=round(now - self.ticked_at, 3))
             self.stand_down("the process stood still")
-            return
+            return True
         self.ticked_at = now
+        return False
+
+    def _look_through(self):
+        """Find what time alone has changed: lost holders, hopeless jobs, runs gone astray."""
+        now = self.runtime.now()
         for item in list(self.jobs.values()):
             if now - item.renewed_at > self.times.holder_lost_s:
                 event.log(events.JOB_LOST_BY_HOLDER, job=item.work.id, holder=item.holder.name)
@@ -390,17 +405,20 @@
             return
         is_recovered = self.is_recovered(now)
         waiting = [item for item in self.jobs.values() if is_recovered or not item.may_have_run]
+        running = self.running()
         left = []
         for item in queue.order(waiting, now):
-            left += self._place_job(item, used, now)
+            left += self._place_job(item, used, running, now)
         if left:
             self.releasing.consider(left, now)
+        else:
+            self.offering.offer(now)
 
-    def _place_job(self, item, used, now):
+    def _place_job(self, item, used, running, now):
         """Place what fits of a job and return the tasks that are left."""
         left = []
         for task in item.waiting():
-            if self.is_running(task.name):
+            if task.name in running:
                 continue
             state = placement.choose(
                 task, item.work.service, self.states.values(), self.speeds, used
@@ -424,16 +442,17 @@
             now,
         )
 
-    def is_running(self, task_name):
-        """Return whether a run of a task may be under way on any server.
+    def running(self) -> set[str]:
+        """Return the tasks of which a run may be under way on any server.
 
         A job that was cancelled and has come back finds its earlier runs still being stopped.
         """
-        return any(
-            run.task == task_name and not run.is_over
+        return {
+            run.task
             for state in self.states.values()
             for run in state.runs.values()
-        )
+            if not run.is_over
+        }
 
     def _place(self, item, task, state, now):
         item.has_started = True
--- a/rosedyke/rerun/releasing.py
+++ b/rosedyke/rerun/releasing.py
@@ -3,8 +3,8 @@
 from rosedyke.observe import event, metric
 from rosedyke.rerun import events, messages, metrics, queue, spill
 
-# Other pools are asked for their room no more often than this.
-SPILL_PERIOD_S = 0.015
+# A full pool tells others so this often; they remember it for a little longer.
+WANT_PERIOD_S = 0.05
 
 
 class Releasing:
@@ -12,26 +12,34 @@
 
     Attributes
     ----------
-    is_spilling : bool
-        Other pools are being asked.
-    spilled_at : float
-        When they were asked last.
+    asked_at : float
+        When other pools were asked last.
     """
 
     def __init__(self, owner):
         self.owner = owner
-        self.is_spilling = False
-        self.spilled_at = owner.began_at
+        self.asked_at = 0.0
 
     def consider(self, left, now):
         """Ask other pools for room if waiting tasks would wait for long here."""
-        if self.is_spilling or now - self.spilled_at < SPILL_PERIOD_S:
+        if now - self.asked_at < WANT_PERIOD_S:
             return
-        movable = [(item, task) for item, task in left if item.moves < spill.MAX_MOVES]
         waits = spill.waits(self._expected_ends(), len(left), now)
-        if any(wait_s > spill.WORTH_S for wait_s in waits) and movable:
-            self.is_spilling = True
-            self.owner.runtime.spawn(self._ask, movable[0][0].work.service)
+        movable = [
+            (item, task)
+            for (item, task), wait_s in zip(left, waits, strict=True)
+            if wait_s > spill.WORTH_S and item.moves < spill.MAX_MOVES
+        ]
+        if not movable:
+            return
+        self.asked_at = now
+        needs: dict[str, list[int]] = {}
+        for item, task in movable:
+            needs.setdefault(item.work.service, []).append(task.step.demand.millicores)
+        for service, millicores in needs.items():
+            self.owner.listener.want_room(
+                self.owner.name, service, min(millicores), sum(millicores)
+            )
 
     def _expected_ends(self):
         """Return when each run is expected to end."""
@@ -45,36 +53,30 @@
         """Return when a run is expected to end."""
         return run.since + self.owner.speeds.run_time_s(state.server.id, run.estimate_s)
 
-    def _ask(self, service):
-        """Release waiting tasks toward pools that say that they have room at this moment."""
-        try:
-            reports = self.owner.listener.rooms(service, self.owner.name)
-            if self.owner.may_send():
-                self._release(service, reports)
-        finally:
-            self.is_spilling = False
-            self.spilled_at = self.owner.runtime.now()
-
-    def _release(self, service, reports):
+    def on_offer(self, offer):
+        """Release waiting tasks toward a pool that has room for them at this moment."""
+        if not self.owner.may_send():
+            return
         now = self.owner.runtime.now()
         is_recovered = self.owner.is_recovered(now)
+        running = self.owner.running()
         waiting = [
             (item, task)
             for item in queue.order(list(self.owner.jobs.values()), now)
             if is_recovered or not item.may_have_run
             for task in item.waiting()
-            if not self.owner.is_running(task.name)
+            if task.name not in running
         ]
         waits = spill.waits(self._expected_ends(), len(waiting), now)
         candidates = [
             (item, task)
             for (item, task), wait_s in zip(waiting, waits, strict=True)
             if wait_s > spill.WORTH_S
-            and item.work.service == service
+            and item.work.service == offer.service
             and item.moves < spill.MAX_MOVES
         ]
-        for (item, toward), tasks in spill.assign(candidates, reports, now).items():
-            self._release_part(item, tasks, toward)
+        for item, tasks in spill.assign(candidates, offer.rooms, now).items():
+            self._release_part(item, tasks, offer.pool)
 
     def _release_part(self, item, tasks, toward):
         for task in tasks:
--- a/rosedyke/rerun/server_runs.py
+++ b/rosedyke/rerun/server_runs.py
@@ -114,11 +114,13 @@
 
     def used(self) -> job.Demand:
         """Return what all known runs take up."""
-        total = job.Demand()
+        millicores = memory_mb = accelerators = 0
         for run in self.runs.values():
             if run.demand is not None:
-                total = total.plus(run.demand)
-        return total
+                millicores += run.demand.millicores
+                memory_mb += run.demand.memory_mb
+                accelerators += run.demand.accelerators
+        return job.Demand(millicores, memory_mb, accelerators)
 
     def free_millicores(self) -> int:
         """Return the cores that no run takes up, 0 while that is unknown."""
--- a/rosedyke/rerun/spill.py
+++ b/rosedyke/rerun/spill.py
@@ -5,13 +5,14 @@
 A job that is bound to one pool was late for this reason in 7 of 100 cases on a quiet day.
 """
 
-from rosedyke.rerun import messages, owned
+from rosedyke.rerun import owned
 
 # A task that waits less than this is started sooner where it is: it takes two messages of 1 to
 # 3 ms to move it, and room that was told of may be gone.
 WORTH_S = 0.01
-# How often tasks are moved; each time the room may be taken by others first.
-MAX_MOVES = 2
+# How often tasks are moved.  Room is offered to one pool at a time, so a second move is rare; the
+# bound keeps tasks from going around for ever between pools that all fill up.
+MAX_MOVES = 4
 # A task that even a server of this speed can't end in time is late wherever it runs.
 FASTEST = 1.6
 
@@ -31,44 +32,40 @@
 
 
 def assign(
-    candidates: list[Waiting], reports: list[messages.PoolReport], now: float
-) -> dict[tuple[owned.OwnedJob, str], list[owned.OwnedTask]]:
-    """Return which tasks go to which pool.
+    candidates: list[Waiting], rooms: tuple[tuple[int, float], ...], now: float
+) -> dict[owned.OwnedJob, list[owned.OwnedTask]]:
+    """Return which tasks go to a pool that offers room.
 
-    A task goes where it ends in time; one that is late anyway goes wherever there is room.  Tasks
-    of a job go to as few pools as possible, since each more is one more owner that may be lost
-    with a part of it.  A pool with waiting tasks of its own gets none.
+    A task goes where it ends in time; one that is late anyway goes wherever there is room.
 
     Parameters
     ----------
     candidates : list of (OwnedJob, OwnedTask)
         The most urgent first.
-    reports : list of PoolReport
-        What other pools say of their room.
+    rooms : tuple of (int, float)
+        Free millicores and speed of each server that is offered.
     """
-    rooms = {report.pool: list(report.rooms) for report in reports if report.backlog_s == 0}
-    found: dict[tuple[owned.OwnedJob, str], list[owned.OwnedTask]] = {}
+    left = list(rooms)
+    found: dict[owned.OwnedJob, list[owned.OwnedTask]] = {}
     for item, task in candidates:
-        best = _best_room(item, task, rooms, found, now)
-        if best is not None:
-            toward, index = best
-            free, pace = rooms[toward][index]
-            rooms[toward][index] = (free - task.step.demand.millicores, pace)
-            found.setdefault((item, toward), []).append(task)
+        index = _best_room(item, task, left, now)
+        if index is not None:
+            free, pace = left[index]
+            left[index] = (free - task.step.demand.millicores, pace)
+            found.setdefault(item, []).append(task)
     return found
 
 
-def _best_room(item, task, rooms, found, now):
-    """Return the pool and the server's place in it for a task, or None."""
+def _best_room(item, task, rooms, now):
+    """Return the place of the fastest server with room for a task, or None."""
     is_late = item.due_at - now < task.step.estimate_s / FASTEST
     best, best_key = None, None
-    for pool, servers in rooms.items():
-        for index, (free, pace) in enumerate(servers):
-            if free < task.step.demand.millicores:
-                continue
-            if not is_late and now + task.step.estimate_s / pace > item.due_at:
-                continue
-            key = ((item, pool) in found, pace, free)
-            if best_key is None or key > best_key:
-                best, best_key = (pool, index), key
+    for index, (free, pace) in enumerate(rooms):
+        if free < task.step.demand.millicores:
+            continue
+        if not is_late and now + task.step.estimate_s / pace > item.due_at:
+            continue
+        key = (pace, -free)
+        if best_key is None or key > best_key:
+            best, best_key = index, key
     return best
