Hand jobs to pools in proportion to their room, and count what was handed over since a report

Cause: holders chose the one pool that promised least by reports of 0.1 to 0.3 s ago, in the same order of names, and counted the cores left over on each server as room. Thirty holders chose alike.

Change: routing.py, plain functions over what a holder knows: whole slots only, own submissions since the report count, pools that promise the same are drawn by their room.

--- a/rosedyke/rerun/fleet.py
+++ b/rosedyke/rerun/fleet.py
@@ -31,12 +31,15 @@
     clock_offset_s : float or None
         The owner's clock less the own one, None before its first report.  Too low by the time
         that the report took, so what is reckoned by it looks older, never younger.
+    submitted_millicores : int
+        What this instance has handed to it since its last report, which doesn't tell of it.
     """
 
     claim: messages.Claim
     heard_at: float
     report: messages.PoolReport | None = None
     clock_offset_s: float | None = None
+    submitted_millicores: int = 0
 
 
 class Fleet:
@@ -165,12 +168,19 @@
             return
         known.heard_at = self.runtime.now()
         known.report = report
+        known.submitted_millicores = 0
         is_first = known.clock_offset_s is None
         known.clock_offset_s = clock_s - known.heard_at
         if is_first:
             for callback in self.on_owner:
                 callback(known.claim)
 
+    def note_submitted(self, pool: str, millicores: int) -> None:
+        """Note that this instance has handed tasks to a pool."""
+        known = self.pools.get(pool)
+        if known is not None:
+            known.submitted_millicores += millicores
+
     def disclaim(self, pool: str, owner: str) -> None:
         """Forget an owner that says that it doesn't own the pool."""
         known = self.pools.get(pool)
--- a/rosedyke/rerun/holder.py
+++ b/rosedyke/rerun/holder.py
@@ -7,12 +7,9 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
-from rosedyke.rerun import events, fleet, job, messages, metrics, pools, ports, settings
+from rosedyke.rerun import events, fleet, job, messages, metrics, pools, ports, routing, settings
 from rosedyke.wire import peer
 
-# Another data centre's pool has to promise at least this much less waiting: the way there and
-# back, and a cut between the data centres would cost the job.
-FAR_S = 0.02
 WAIT_STEP_S = 0.01
 # A submission and the renewal that follows it may overtake each other.
 SETTLE_S = 0.15
@@ -206,32 +203,23 @@
 
     def choose_pool(self, work: job.Job) -> str:
         """Return the pool that promises the earliest end, empty if none has an owner in reach."""
-        best, best_s = "", 0.0
-        for pool in self.pools.of_service(work.service):
-            if not self.fleet.is_fresh(pool):
-                continue
-            wait_s = self._wait_s(self.fleet.pools[pool].report, work)
-            if ports.data_centre_of(pool) != self.fleet.own.data_centre:
-                wait_s += FAR_S
-            if not best or wait_s < best_s:
-                best, best_s = pool, wait_s
-        return best
+        views = [
+            routing.View(
+                pool,
+                self.fleet.pools[pool].report,
+                self.fleet.pools[pool].submitted_millicores,
+                ports.data_centre_of(pool) == self.fleet.own.data_centre,
+            )
+            for pool in self.pools.of_service(work.service)
+            if self.fleet.is_fresh(pool)
+        ]
+        return routing.choose(work, views, self.runtime.random())
 
     def _reported_owner(self, pool):
         """Return the claim of a pool whose owner has reported itself, else None."""
         known = self.fleet.pools.get(pool)
         return known.claim if known is not None and known.report is not None else None
 
-    @staticmethod
-    def _wait_s(report, work):
-        """Return roughly how long a job would wait in a pool."""
-        needed = sum(step.count * step.demand.millicores for step in work.steps)
-        missing = max(0, needed - sum(free for free, _ in report.rooms))
-        longest_s = max((step.estimate_s for step in work.steps), default=0.0)
-        if not report.capacity_millicores:
-            return 60.0
-        return report.backlog_s + longest_s * missing / report.capacity_millicores
-
     def _find_pool(self, held, tasks=None, moves=0):
         """Hand a job, or some tasks of it, to a pool; wait for a moment if none has an owner."""
         give_up = self.runtime.now() + self.times.wait_for_owner_s
@@ -269,6 +257,7 @@
             moves,
         )
         held.parts[part.number] = part
+        self.fleet.note_submitted(claim.pool, held.work.millicores_of(part.tasks))
         self.submit(claim.owner, message)
 
     def _add_again(self, held, part, claim):
--- a/rosedyke/rerun/job.py
+++ b/rosedyke/rerun/job.py
@@ -99,6 +99,10 @@
             for index in range(step.count)
         ]
 
+    def millicores_of(self, tasks: set[str]) -> int:
+        """Return what some of its tasks take up together."""
+        return sum(step.demand.millicores for name, step in self.task_names() if name in tasks)
+
 
 def job_id(task: str) -> str:
     """Return the job that a task's name belongs to."""
--- /dev/null
+++ b/rosedyke/rerun/routing.py
@@ -0,0 +1,90 @@
+"""To which pool a holder hands a job.
+
+The load that this answers: many holders that choose at the same time by the same reports, some
+tenths of a second old.  If each took the one pool that looks best, they would fill it together
+and leave the others idle; so pools that promise the same get jobs in proportion to their room.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+from rosedyke.rerun import job, messages
+
+# Another data centre's pool has to promise at least this much less waiting: the way there and
+# back, and a cut between the data centres would cost the job.
+FAR_S = 0.02
+# Waits that differ by less are the same: a report is older than that.
+SAME_S = 0.005
+# Of a pool none of whose servers answers.
+NO_SERVER_S = 60.0
+
+
+@attrs.frozen
+class View:
+    """What a holder knows of a pool.
+
+    Attributes
+    ----------
+    submitted_millicores : int
+        What this holder has handed to it since its report.
+    is_near : bool
+        It is in the holder's own data centre.
+    """
+
+    pool: str
+    report: messages.PoolReport
+    submitted_millicores: int
+    is_near: bool
+
+
+def choose(work: job.Job, views: Sequence[View], drawn: float) -> str:
+    """Return the pool for a job, empty if there is none.
+
+    Parameters
+    ----------
+    drawn : float
+        A random number in [0, 1).
+    """
+    if not views:
+        return ""
+    needed = sum(step.count for step in work.steps)
+    largest = max((step.demand.millicores for step in work.steps), default=0)
+    slots = {view.pool: free_slots(view, largest) for view in views}
+    waits = {view.pool: _wait_s(view, work, needed - slots[view.pool], largest) for view in views}
+    least_s = min(waits.values())
+    best = [pool for pool, wait_s in waits.items() if wait_s <= least_s + SAME_S]
+    return _draw({pool: max(1, slots[pool]) for pool in best}, drawn)
+
+
+def free_slots(view: View, millicores: int) -> int:
+    """Return how many tasks of a size have room in a pool now.
+
+    What is left over on each server after the last whole task is no room.
+    """
+    if not millicores:
+        return len(view.report.rooms)
+    slots = sum(free // millicores for free, _ in view.report.rooms)
+    return slots - view.submitted_millicores // millicores
+
+
+def _wait_s(view, work, missing, millicores):
+    """Return roughly how long the last task of a job would wait in a pool."""
+    if not view.report.capacity_millicores:
+        return NO_SERVER_S
+    wait_s = view.report.backlog_s + (0.0 if view.is_near else FAR_S)
+    if missing > 0:
+        longest_s = max(step.estimate_s for step in work.steps)
+        at_once = max(1, view.report.capacity_millicores // max(1, millicores))
+        wait_s += longest_s * missing / at_once
+    return wait_s
+
+
+def _draw(weights, drawn):
+    """Return a key with a probability in proportion to its weight."""
+    left = drawn * sum(weights.values())
+    for key, weight in weights.items():
+        left -= weight
+        if left < 0:
+            return key
+    return next(reversed(weights))
--- /dev/null
+++ b/rosedyke/rerun/routing_test.py
@@ -0,0 +1,61 @@
+import collections
+import unittest
+
+from rosedyke.rerun import job, messages, routing
+
+
+def work(count=2, cores=14, estimate_s=0.2):
+    step = job.Step(count, job.Demand(cores * 1000), estimate_s)
+    return job.Job("j", "q", "s", "", (step,), 0, 2, 0.4, 1.5)
+
+
+def view(pool, *free_cores, submitted=0, backlog_s=0.0, is_near=True):
+    rooms = tuple((cores * 1000, 1.0) for cores in free_cores)
+    report = messages.PoolReport(pool, 1, backlog_s, rooms, 256_000, {}, {})
+    return routing.View(pool, report, submitted * 1000, is_near)
+
+
+def shares(views, wanted=None, draws=1000):
+    found = collections.Counter(
+        routing.choose(wanted or work(), views, number / draws) for number in range(draws)
+    )
+    return {pool: count / draws for pool, count in found.items()}
+
+
+class Choice(unittest.TestCase):
+    def test_no_pool(self):
+        self.assertEqual(routing.choose(work(), [], 0.5), "")
+
+    def test_pools_get_jobs_in_proportion_to_their_room(self):
+        # Thirty holders that hold the same reports would all choose the same pool and queue there.
+        found = shares([view("a/1", 28, 28), view("a/2", 28, 28, 28, 28, 28, 28)])
+        self.assertAlmostEqual(found["a/1"], 0.25, delta=0.01)
+
+    def test_full_pool_gets_none_while_another_has_room(self):
+        self.assertEqual(shares([view("a/1", 0, 0), view("a/2", 28)]), {"a/2": 1.0})
+
+    def test_left_over_cores_are_no_room(self):
+        # Servers of 32 cores hold two tasks of 14; the four cores left over on each of eight
+        # look like room for two more, and the job would wait behind a full pool.
+        self.assertEqual(shares([view("a/1", *[4] * 8), view("a/2", 28)]), {"a/2": 1.0})
+
+    def test_own_submissions_take_room_before_the_next_report(self):
+        full = view("a/1", 28, 28, submitted=56)
+        self.assertEqual(shares([full, view("a/2", 28)]), {"a/2": 1.0})
+
+    def test_near_pool_goes_first_while_it_has_room(self):
+        near, far = view("a/1", 28), view("b/1", *[28] * 8, is_near=False)
+        self.assertEqual(shares([near, far]), {"a/1": 1.0})
+
+    def test_far_pool_is_chosen_when_it_saves_waiting(self):
+        near, far = view("a/1", backlog_s=0.1), view("b/1", 28, is_near=False)
+        self.assertEqual(shares([near, far]), {"b/1": 1.0})
+
+    def test_pool_without_servers_is_the_last_choice(self):
+        gone = without_servers("a/1")
+        self.assertEqual(shares([gone, view("b/1", backlog_s=2.0)]), {"b/1": 1.0})
+
+
+def without_servers(pool):
+    report = messages.PoolReport(pool, 1, 0.0, (), 0, {}, {})
+    return routing.View(pool, report, 0, True)
