--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -62,6 +62,8 @@
         self.unknown_since: dict[str, float] = {}
         self.not_before: dict[str, float] = {}
         self.trying: set[str] = set()
+        # By pool, the own rank among the instances that were alive when it was worked out.
+        self.ranks: dict[str, tuple[frozenset[str], int]] = {}
         self.is_running = True
         # Set while the instance shuts down or starts: it takes no pool.
         self.is_standing_by = False
@@ -91,21 +93,29 @@
             self.unknown_since.pop(pool, None)
             silent_s = self.fleet.silence_s(pool)
             needed_s = self.times.owner_suspected_s
-        # Ranking all instances is dear, so it waits until somebody's turn may have come.
+        # Ranking all instances is dear, so it waits until the own turn may have come.
+        needed_s += self._least_delay_s(pool)
         if silent_s < needed_s or now < self.not_before.get(pool, 0.0) or pool in self.trying:
             return
-        if silent_s < needed_s + self._delay_s(pool, claim):
+        if silent_s < needed_s + self._rank_delay_s(pool, claim):
             return
         self.trying.add(pool)
         self.runtime.spawn(self._try, pool, claim)
 
-    def _delay_s(self, pool, claim):
-        """Return how much later than the first candidate this one acts."""
+    def _least_delay_s(self, pool):
+        """Return how much later than the first near candidate this one acts, whatever its rank."""
+        if self.fleet.own.data_centre == ports.data_centre_of(pool):
+            return 0.0
+        # It hears the owner less often, so silence means less.
+        return self.times.foreign_delay_s + self.fleet.added_silence_s()
+
+    def _rank_delay_s(self, pool, claim):
+        """Return how much later this candidate acts by its rank."""
         rank = self.rank(pool, claim)
-        is_foreign = self.fleet.own.data_centre != ports.data_centre_of(pool)
-        delay_s = rank * self.times.rank_delay_s + is_foreign * self.times.foreign_delay_s
-        if is_foreign or rank >= WATCHERS:
-            # It hears the owner less often, so silence means less.
+        delay_s = rank * self.times.rank_delay_s
+        is_near = self.fleet.own.data_centre == ports.data_centre_of(pool)
+        if is_near and rank >= WATCHERS:
+            # As of a far candidate.
             delay_s += self.fleet.added_silence_s()
         return delay_s
 
@@ -118,8 +128,13 @@
             for each in self.fleet.instances().values()
             if self.fleet.is_alive(each.name) and each.name != silent
         ]
-        order = election.order(pool, ports.data_centre_of(pool), [*alive, own])
-        return [each.name for each in order].index(own.name)
+        names = frozenset(each.name for each in alive)
+        known = self.ranks.get(pool)
+        if known is None or known[0] != names:
+            order = election.order(pool, ports.data_centre_of(pool), [*alive, own])
+            known = names, [each.name for each in order].index(own.name)
+            self.ranks[pool] = known
+        return known[1]
 
     def is_watcher(self, pool: str, claim: messages.Claim | None) -> bool:
         """Return whether this instance is one of those that notice an owner's silence at once."""
