Watch owners by a few instances in other data centres too, and ask neighbours once per pair

Messages between instances are most of it: each asked each neighbour and each owner, whether it would ever take its pool or not.

Change: only three candidates of each other data centre listen to an owner; the others neither take the pool nor hand it jobs. A neighbour that was heard is not asked. In large fleets owners are renewed every 0.2 s and suspected 0.1 s later.

--- a/rosedyke/rerun/fleet.py
+++ b/rosedyke/rerun/fleet.py
@@ -97,6 +97,11 @@
         heard_at = self.heard.get(name)
         return heard_at is not None and self.runtime.now() - heard_at < ALIVE_S * self.stretch
 
+    def silent_for(self, name: str) -> float:
+        """Return for how many seconds an instance has not been heard, infinity if it never was."""
+        heard_at = self.heard.get(name)
+        return float("inf") if heard_at is None else self.runtime.now() - heard_at
+
     def alive_for(self, name: str) -> float:
         """Return for how many seconds an instance has been heard without a gap, 0 if it isn't."""
         return self.runtime.now() - self.since[name] if self.is_alive(name) else 0.0
@@ -105,12 +110,16 @@
         """Return how often instances are asked of which nothing special is wanted."""
         return NEIGHBOUR_S * self.stretch
 
-    def job_renewal_s(self) -> float:
-        """Return how often an owner is asked that has jobs of this instance.
+    def owner_renewal_s(self) -> float:
+        """Return how often owners are asked that have jobs of this instance or that it watches.
 
         With the fleet the pairs of holders and owners grow by its square.
         """
-        return min(self.times.renew_s * self.stretch, self.times.renew_jobs_s)
+        return min(self.times.renew_s * self.stretch, self.times.renew_at_most_s)
+
+    def added_owner_silence_s(self) -> float:
+        """Return how much longer than in a small fleet such an owner may stay unheard."""
+        return self.owner_renewal_s() - self.times.renew_s
 
     def added_silence_s(self) -> float:
         """Return how much longer than in a small fleet such an instance may stay unheard."""
--- a/rosedyke/rerun/renewal.py
+++ b/rosedyke/rerun/renewal.py
@@ -17,6 +17,8 @@
         Instances whose answer is awaited.
     asked : dict of str to float
         When each instance was asked last.
+    with_jobs : set of str
+        Owners that have jobs of this instance.
     ticked_at : float
         When the loop ran last.
     """
@@ -25,12 +27,14 @@
         self.node = node
         self.renewing: set[str] = set()
         self.asked: dict[str, float] = {}
+        self.with_jobs: set[str] = set()
         self.ticked_at = node.runtime.now()
 
     def run(self):
         """Renew with all owners and neighbours for as long as the node runs."""
         while self.node.is_running:
             self._check_pause()
+            self.with_jobs = self.node.holder.owners()
             for instance in self._targets():
                 if instance.name not in self.renewing:
                     self.renewing.add(instance.name)
@@ -58,36 +62,60 @@
     def _targets(self):
         """Return who is to be renewed now.
 
-        Owners that this instance watches are renewed each time, to notice at once when they fall
-        silent, and in a small fleet also those that have jobs of this instance.  All others are
-        asked less often, which leaves out half of all messages on a quiet day.
+        Owners that have jobs of this instance, and those that it watches, are renewed most often:
+        the first for the jobs, the others to notice soon when they fall silent.  Other owners
+        that it may hand jobs to, and neighbours that haven't been heard for a while, are asked
+        less often, and the rest not at all: those messages are most of what an instance costs
+        while nothing runs.
         """
         fleet = self.node.fleet
-        is_blind = len(fleet.pools) < len(self.node.pools.names()) or not fleet.pools
-        blind_s = self.node.times.renew_s * (fleet.stretch - 1)
-        with_jobs = self.node.holder.owners()
         found = {}
         for pool, known in fleet.pools.items():
             target = known.claim.owner
-            has_jobs = target.name in with_jobs
-            interval_s = fleet.job_renewal_s() if has_jobs else fleet.neighbour_s()
-            if self._is_due(target, interval_s) or self.node.succession.is_watcher(
-                pool, known.claim
-            ):
+            if self._is_due(target, self._interval_s(pool, known.claim)):
                 found[target.name] = target
+        is_blind = len(fleet.pools) < len(self.node.pools.names()) or not fleet.pools
+        blind_s = self.node.times.renew_s * (fleet.stretch - 1)
         for target in fleet.instances().values():
-            is_near = target.data_centre == self.node.own.data_centre
-            interval_s = blind_s if is_blind else fleet.neighbour_s()
-            if (is_blind or is_near) and self._is_due(target, interval_s):
+            if is_blind:
+                is_wanted = self._is_due(target, blind_s)
+            elif target.data_centre == self.node.own.data_centre:
+                # Neighbours ask each other; who was asked has heard the other one as well.
+                is_silent = fleet.silent_for(target.name) >= fleet.neighbour_s()
+                is_wanted = is_silent and self._is_due(target, fleet.neighbour_s())
+            else:
+                is_wanted = False
+            if is_wanted:
                 found[target.name] = target
-        if not found and not self.node.fleet.pools:
+        if not found and not fleet.pools:
             found = {each.name: each for each in self.node.seeds}
         found.pop(self.node.own.name, None)
         return list(found.values())
 
+    def _interval_s(self, pool, claim):
+        """Return how often the owner of a pool is asked, infinity for never."""
+        fleet, succession = self.node.fleet, self.node.succession
+        if claim.owner.name in self.with_jobs or succession.is_watcher(pool, claim):
+            return fleet.owner_renewal_s()
+        if succession.is_candidate(pool) or self._is_only_choice(pool):
+            return fleet.neighbour_s()
+        return float("inf")
+
+    def _is_only_choice(self, pool):
+        """Return whether some service has no pool that is asked otherwise, but has this one."""
+        is_candidate = self.node.succession.is_candidate
+        return any(
+            pool in names and not any(is_candidate(each) for each in names)
+            for names in self.node.pools.by_service.values()
+        )
+
     def _is_due(self, instance, interval_s):
         asked_at = self.asked.get(instance.name)
-        return asked_at is None or self.node.runtime.now() - asked_at >= interval_s
+        if asked_at is None:
+            return True
+        # What is due in less than half a period is asked now rather than a whole one later.
+        since_s = self.node.runtime.now() - asked_at
+        return since_s >= interval_s - self.node.times.renew_s / 2
 
     def renew(self, instance):
         """Renew with one instance and take its report in."""
--- a/rosedyke/rerun/settings.py
+++ b/rosedyke/rerun/settings.py
@@ -34,8 +34,8 @@
         the lease is renewed.  A third of the lease, so that two lost renewals do no harm.
     renew_s : float
         How often a holder renews its jobs at each pool owner in a small fleet.
-    renew_jobs_s : float
-        How often it does so at most in a large one.
+    renew_at_most_s : float
+        The longest that it waits for that in a large one.
     holder_lost_s : float
         An owner cancels a job that was not renewed for so long; three renewals in a large fleet.
     owner_suspected_s : float
@@ -83,7 +83,7 @@
     lease_s: float = 0.9
     look_s: float = 0.3
     renew_s: float = 0.1
-    renew_jobs_s: float = 0.2
+    renew_at_most_s: float = 0.2
     holder_lost_s: float = 0.7
     owner_suspected_s: float = 0.4
     owner_lost_s: float = 0.8
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -24,6 +24,9 @@
 # of 45 instances got 246 renewals a second while nothing ran; the others follow in seconds if
 # the watchers are lost together with the owner.
 WATCHERS = 4
+# So many candidates of each other data centre listen to an owner, and may take the pool if its own
+# data centre has nobody left.
+FAR_WATCHERS = 3
 # A candidate of another data centre asks the pool's own instances so many times in a row, and the
 # servers before that.  When a cut ends, the servers are in reach at once, but connections to the
 # instances that were open during the cut can take half a second to be replaced.
@@ -62,8 +65,9 @@
         self.unknown_since: dict[str, float] = {}
         self.not_before: dict[str, float] = {}
         self.trying: set[str] = set()
-        # By pool, the own rank among the instances that were alive when it was worked out.
-        self.ranks: dict[str, tuple[frozenset[str], int]] = {}
+        # By pool and silent owner: the instances that were alive when it was worked out, and then
+        # the own rank and the number of candidates in the pool's data centre.
+        self.positions: dict[tuple[str, str], tuple[frozenset[str], tuple[int, int]]] = {}
         self.is_running = True
         # Set while the instance shuts down or starts: it takes no pool.
         self.is_standing_by = False
@@ -73,7 +77,8 @@
         while self.is_running:
             if not self.is_standing_by:
                 for pool in self.pools.names():
-                    self._consider(pool)
+                    if self.is_candidate(pool):
+                        self._consider(pool)
             self.runtime.sleep(TICK_S)
 
     def rest(self, pool: str) -> None:
@@ -92,7 +97,7 @@
         else:
             self.unknown_since.pop(pool, None)
             silent_s = self.fleet.silence_s(pool)
-            needed_s = self.times.owner_suspected_s
+            needed_s = self.times.owner_suspected_s + self.fleet.added_owner_silence_s()
         # Ranking all instances is dear, so it waits until the own turn may have come.
         needed_s += self._least_delay_s(pool)
         if silent_s < needed_s or now < self.not_before.get(pool, 0.0) or pool in self.trying:
@@ -121,21 +126,36 @@
 
     def rank(self, pool: str, claim: messages.Claim | None) -> int:
         """Return this instance's place among the candidates for a pool, 0 for the first."""
-        own = self.fleet.own
         silent = claim.owner.name if claim else ""
-        alive = [
-            each
-            for each in self.fleet.instances().values()
-            if self.fleet.is_alive(each.name) and each.name != silent
-        ]
-        names = frozenset(each.name for each in alive)
-        known = self.ranks.get(pool)
+        return self._position(pool, silent)[0]
+
+    def _position(self, pool, silent=""):
+        """Return the own rank for a pool, and how many candidates are in its data centre."""
+        own = self.fleet.own
+        alive = {
+            name: each
+            for name, each in self.fleet.instances().items()
+            if name != silent and self.fleet.is_alive(name)
+        }
+        names = frozenset(alive)
+        known = self.positions.get((pool, silent))
         if known is None or known[0] != names:
-            order = election.order(pool, ports.data_centre_of(pool), [*alive, own])
-            known = names, [each.name for each in order].index(own.name)
-            self.ranks[pool] = known
+            data_centre = ports.data_centre_of(pool)
+            order = election.order(pool, data_centre, [*alive.values(), own])
+            rank = [each.name for each in order].index(own.name)
+            near = sum(each.data_centre == data_centre for each in order)
+            known = self.positions[pool, silent] = names, (rank, near)
         return known[1]
 
+    def is_candidate(self, pool: str) -> bool:
+        """Return whether this instance may ever take a pool."""
+        if self.fleet.own.data_centre == ports.data_centre_of(pool):
+            return True
+        if self.fleet.stretch <= 1:
+            return True
+        rank, near = self._position(pool)
+        return rank - near < FAR_WATCHERS
+
     def is_watcher(self, pool: str, claim: messages.Claim | None) -> bool:
         """Return whether this instance is one of those that notice an owner's silence at once."""
         if self.fleet.own.data_centre != ports.data_centre_of(pool):
