Move what has waited, and offer what is left beside a queue

And a pool with a single waiting task offered nothing of its free servers.

Ruled out: the order and the rule when to wait for a faster server.

--- a/rosedyke/rerun/load_test.py
+++ b/rosedyke/rerun/load_test.py
@@ -152,6 +152,17 @@
         self.assertEqual(spill.waits([0.2, 0.1], 3), [0.1, 0.2, 0.2])
         self.assertEqual(spill.waits([], 2), [1.0, 1.0])
 
+    def test_task_that_has_waited_moves_though_a_run_is_about_to_end(self):
+        # Some run of a pool always ends soon.  A task that needs more cores than that leaves free,
+        # or a faster server, would wait in its pool for ever while another one has room.
+        item = waiting_job("j", 1.0, 0.1, 0.2)
+        tasks = [(item, task) for task in item.waiting()]
+        self.assertEqual(spill.movable(tasks, [0.005], 1.005), [])
+        self.assertEqual(spill.movable(tasks, [0.005], 1.02), tasks)
+        self.assertEqual(spill.movable(tasks, [0.1], 1.005), tasks)
+        item.moves = spill.MAX_MOVES
+        self.assertEqual(spill.movable(tasks, [0.1], 1.02), [])
+
     def test_no_more_tasks_move_than_the_room_holds(self):
         item = waiting_job("j", 0.0, 0.1, 0.2, count=4)
         tasks = [(item, task) for task in item.waiting()]
--- a/rosedyke/rerun/offering.py
+++ b/rosedyke/rerun/offering.py
@@ -1,4 +1,4 @@
-"""Offers the room of a pool that has no queue to the owners of full pools.
+"""Offers the room that a pool has left to the owners of full pools.
 
 The load that this answers: jobs are bound to a pool by reports that are some tenths of a second
 old, so tasks wait in one pool while servers of another are free.  The owner of the free servers is
@@ -52,11 +52,11 @@
         """Note that a pool is full, and offer it what is free."""
         until = self.owner.runtime.now() + WANT_KEPT_S
         self.wants[message.pool] = Want(message, until, message.millicores)
-        # Also looks whether anything waits here, which goes first.
+        # Offers what is left once the tasks that wait here are placed.
         self.owner.schedule()
 
     def offer(self, now: float) -> None:
-        """Offer what is free; called when nothing waits here."""
+        """Offer what is free; called when all that wants to start here has started."""
         self.wants = {
             pool: want
             for pool, want in self.wants.items()
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -416,8 +416,8 @@
             left += self._place_job(item, used, running, now)
         if left:
             self.releasing.consider(left, now)
-        else:
-            self.offering.offer(now)
+        # What is still free is too small or too slow for the tasks that wait here.
+        self.offering.offer(now)
 
     def _place_job(self, item, used, running, now):
         """Place what fits of a job and return the tasks that are left."""
--- a/rosedyke/rerun/releasing.py
+++ b/rosedyke/rerun/releasing.py
@@ -24,12 +24,7 @@
         """Ask other pools for room if waiting tasks would wait for long here."""
         if now - self.asked_at < WANT_PERIOD_S:
             return
-        waits = spill.waits(self._left(now), len(left))
-        movable = [
-            (item, task)
-            for (item, task), wait_s in zip(left, waits, strict=True)
-            if wait_s > spill.WORTH_S and item.moves < spill.MAX_MOVES
-        ]
+        movable = spill.movable(left, self._left(now), now)
         if not movable:
             return
         self.asked_at = now
@@ -70,13 +65,10 @@
             for task in item.waiting()
             if task.name not in running
         ]
-        waits = spill.waits(self._left(now), len(waiting))
         candidates = [
             (item, task)
-            for (item, task), wait_s in zip(waiting, waits, strict=True)
-            if wait_s > spill.WORTH_S
-            and item.work.service == offer.service
-            and item.moves < spill.MAX_MOVES
+            for item, task in spill.movable(waiting, self._left(now), now)
+            if item.work.service == offer.service
         ]
         for item, tasks in spill.assign(candidates, offer.rooms, now).items():
             self._release_part(item, tasks, offer.pool)
--- a/rosedyke/rerun/spill.py
+++ b/rosedyke/rerun/spill.py
@@ -36,6 +36,26 @@
     return [ordered[min(rank, len(ordered) - 1)] for rank in range(count)]
 
 
+def movable(waiting: list[Waiting], left_s: list[float], now: float) -> list[Waiting]:
+    """Return the tasks that gain by starting in another pool at once.
+
+    A task that has waited for long counts whatever is expected: it may wait for a faster server or
+    for more cores than the next run leaves free.
+
+    Parameters
+    ----------
+    waiting : list of (OwnedJob, OwnedTask)
+        The most urgent first.
+    left_s : list of float
+        For how much longer each run in its own pool goes on.
+    """
+    return [
+        (item, task)
+        for (item, task), wait_s in zip(waiting, waits(left_s, len(waiting)), strict=True)
+        if max(wait_s, now - item.arrived_at) > WORTH_S and item.moves < MAX_MOVES
+    ]
+
+
 def assign(
     candidates: list[Waiting], rooms: tuple[tuple[int, float], ...], now: float
 ) -> dict[owned.OwnedJob, list[owned.OwnedTask]]:
