--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -400,6 +400,8 @@
         return now - self.began_at > self.times.look_s + self.times.lease_end_s
 
     def _place_all(self):
+        if not self.jobs and not self.offering.wants:
+            return
         now = self.runtime.now()
         used = {
             state.server.id: state.used()
