--- a/rosedyke/rerun/renewal.py
+++ b/rosedyke/rerun/renewal.py
@@ -6,6 +6,8 @@
 
 # A renewal without answer is given up; the next ones are on their way by then.
 RENEWAL_TIMEOUT_S = 0.3
+# How long an instance waits to be asked by a neighbour before it asks; a period of renewals.
+ASKED_FIRST_S = 0.1
 
 
 class Renewal:
@@ -80,9 +82,7 @@
             if is_blind:
                 is_wanted = self._is_due(target, blind_s)
             elif target.data_centre == self.node.own.data_centre:
-                # Neighbours ask each other; who was asked has heard the other one as well.
-                is_silent = fleet.silent_for(target.name) >= fleet.neighbour_s()
-                is_wanted = is_silent and self._is_due(target, fleet.neighbour_s())
+                is_wanted = self._is_neighbour_due(target)
             else:
                 is_wanted = False
             if is_wanted:
@@ -92,6 +92,18 @@
         found.pop(self.node.own.name, None)
         return list(found.values())
 
+    def _is_neighbour_due(self, target):
+        """Return whether to ask an instance of the own data centre of which nothing is wanted.
+
+        Who is asked hears the other one as well, so one of two is enough.  The second in the order
+        of names waits for the first, or both would ask at the same moment.
+        """
+        interval_s = self.node.fleet.neighbour_s()
+        if self.node.own.name > target.name:
+            interval_s += ASKED_FIRST_S
+        is_silent = self.node.fleet.silent_for(target.name) >= interval_s
+        return is_silent and self._is_due(target, interval_s)
+
     def _interval_s(self, pool, claim):
         """Return how often the owner of a pool is asked, infinity for never."""
         fleet, succession = self.node.fleet, self.node.succession
--- a/rosedyke/rerun/renewal_test.py
+++ b/rosedyke/rerun/renewal_test.py
@@ -74,3 +74,39 @@
         )
         region.run(5.0)
         self.assertEqual(asked, [])
+
+    def test_few_instances_of_other_data_centres_listen_to_an_owner(self):
+        # Every instance asked every owner for its report three times a second, though hardly any
+        # would take the pool or hand it a job: most of what an idle instance cost.
+        region = rerun_region.Region({"a": 15, "b": 15, "c": 15})
+        region.run(3.0)
+        far = [
+            name
+            for name, one in region.members.items()
+            if one.own.data_centre != "a" and one.node.succession.is_candidate("a/r1")
+        ]
+        self.assertGreaterEqual(len(far), 2)
+        self.assertLessEqual(len(far), 6)
+        sent = renewals_per_s(region, 3.0)
+        self.assertLess(sum(sent.values()), 45 * 10)
+
+    def test_every_instance_serves_a_service_that_only_another_data_centre_runs(self):
+        # Callers are refused by instances that follow no pool of the service.
+        region = rerun_region.Region({"a": 15, "b": 15})
+        for number in range(3):
+            del region.world.servers[f"s-a-{number}"]
+        region.run(3.0)
+        names = [name for name in region.members if name.startswith("a")]
+        held = [region.submit(name, f"j-{name}", duration_s=0.05) for name in names]
+        region.run(2.0)
+        self.assertEqual({one.outcome for one in held}, {DONE})
+
+    def test_pool_of_a_lost_data_centre_is_taken_by_another_one(self):
+        # The servers of a data centre stand still for ever if all its instances are lost and
+        # those that listen to them elsewhere are not the ones that may take the pool.
+        region = rerun_region.Region({"a": 3, "b": 15, "c": 15})
+        region.run(3.0)
+        for name in [name for name in region.members if name.startswith("a")]:
+            region.kill(name)
+        region.run(6.0)
+        self.assertNotEqual(region.owner("a"), "")
