Save system calls and tasks for each exchange and message

Cause: on the users' machines a system call costs as much as a page of code. An idle instance makes 590 a second (strace, 29 processes), most of them for messages; an exchange with a server makes seven, and each task of eventlet's two more, for its stack. Now an exchange waits before it reads, a long poll that goes on at once isn't probed first, and messages are handled by the task that reads them where nothing blocks.

--- a/rosedyke/gateways/channel.py
+++ b/rosedyke/gateways/channel.py
@@ -11,6 +11,9 @@
 from rosedyke.gateways import exchange
 from rosedyke.runtime import Runtime
 
+# A connection that has just brought an answer is not looked at again: a long poll goes on at once.
+FRESH_S = 0.002
+
 
 class ChannelError(fault.RosedykeError):
     """A request got no answer."""
@@ -114,6 +117,8 @@
         while idle:
             connection = idle.pop()
             idle_s = self.runtime.now() - connection.used_at
+            if idle_s <= FRESH_S:
+                return connection
             if idle_s <= self.options.idle_s and not connection.is_dropped():
                 return connection
             connection.close()
--- a/rosedyke/gateways/exchange.py
+++ b/rosedyke/gateways/exchange.py
@@ -11,6 +11,7 @@
 import attrs
 import eventlet
 import eventlet.green.socket
+import eventlet.hubs
 import httptools
 
 KEEPALIVE_PROBES = 3
@@ -60,6 +61,22 @@
             return True
         return True
 
+    def send(self, data: bytes) -> None:
+        """Send all of some bytes."""
+        self.sock.sendall(data)
+
+    def receive(self) -> bytes:
+        """Block for bytes and return them, none at the connection's end."""
+        raw = self.sock.fd
+        while True:
+            # Nothing is here yet when a request has just left, so it waits before it reads: each
+            # system call counts on a small machine, and there are thousands of these a second.
+            eventlet.hubs.trampoline(raw.fileno(), read=True)
+            try:
+                return raw.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+
     def close(self) -> None:
         """Close it; a second call does nothing."""
         if self.sock is not None:
@@ -180,12 +197,11 @@
     max_bytes: int,
 ) -> Reply:
     """Send a request and return its whole answer; raises one of ``TRANSPORT_ERRORS``."""
-    sock = connection.sock
     # Head and body at once; apart they are two system calls and two packets.
-    sock.sendall(_request(connection, method, path, body, headers))
+    connection.send(_request(connection, method, path, body, headers))
     reader = AnswerReader(max_bytes)
     while not reader.is_whole:
-        data = sock.recv(RECEIVE_BYTES)
+        data = connection.receive()
         if data:
             reader.feed(data)
         else:
--- a/rosedyke/gateways/exchange_test.py
+++ b/rosedyke/gateways/exchange_test.py
@@ -1,3 +1,4 @@
+import socket
 import unittest
 
 from rosedyke.gateways import exchange
@@ -5,25 +6,23 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Running: TRUE\r\n\r\nhello"
 
 
-class FakeSocket:
-    """Gives out what it was made with, a piece at a time, and then the end of the connection."""
+class FakeConnection(exchange.Connection):
+    """Gives out what it was made with, a piece at a time, and then the connection's end."""
 
     def __init__(self, *pieces):
+        super().__init__(socket.socket(), "10.0.0.1:80", 0.0)
         self.pieces = list(pieces)
         self.sent = b""
 
-    def sendall(self, data):
+    def send(self, data):
         self.sent += data
 
-    def close(self):
-        self.pieces = []
-
-    def recv(self, size):
+    def receive(self):
         return self.pieces.pop(0) if self.pieces else b""
 
 
 def connect(*pieces):
-    return exchange.Connection(FakeSocket(*pieces), "10.0.0.1:80", 0.0)
+    return FakeConnection(*pieces)
 
 
 def ask(connection, headers=None, max_bytes=100):
@@ -91,14 +90,14 @@
         connection = connect(WHOLE)
         with self.assertRaises(exchange.BadExchange):
             ask(connection, {"X-Name": "a\r\nX-Other: b"})
-        self.assertEqual(connection.sock.sent, b"")
+        self.assertEqual(connection.sent, b"")
 
 
 class Requests(unittest.TestCase):
     def test_head_and_body(self):
         connection = connect(WHOLE)
         ask(connection, {"X-Name": "a"})
-        head, _, body = connection.sock.sent.partition(b"\r\n\r\n")
+        head, _, body = connection.sent.partition(b"\r\n\r\n")
         self.assertEqual(body, b"{}")
         self.assertEqual(
             head.split(b"\r\n"),
--- a/rosedyke/rerun/node.py
+++ b/rosedyke/rerun/node.py
@@ -82,20 +82,23 @@
 
     def start(self) -> None:
         """Register the handlers and begin."""
-        handle = self.peers.handle
-        handle(messages.Renew, self.renewal.on_renew)
-        handle(messages.Submit, self._on_submit)
-        handle(messages.JobEnded, lambda sender, message: self.holder.on_ended(message))
-        handle(messages.Released, lambda sender, message: self.holder.on_released(message))
-        handle(messages.WantRoom, self._on_want_room)
-        handle(messages.Offer, self._on_offer)
-        handle(messages.NotOwner, self._on_not_owner)
-        handle(messages.Cancel, self._on_cancel)
-        handle(messages.CancelHeld, lambda sender, m: self._end_held(m.job_id))
-        handle(messages.Claim, self._on_claim)
-        handle(messages.Query, self._on_query)
-        handle(messages.Resign, self.handover.on_resign)
-        handle(messages.Fetch, self.following.on_fetch)
+        # None of these blocks: what they begin that does gets a task of its own there.
+        for message_type, handler in (
+            (messages.Renew, self.renewal.on_renew),
+            (messages.Submit, self._on_submit),
+            (messages.JobEnded, lambda sender, message: self.holder.on_ended(message)),
+            (messages.Released, lambda sender, message: self.holder.on_released(message)),
+            (messages.WantRoom, self._on_want_room),
+            (messages.Offer, self._on_offer),
+            (messages.NotOwner, self._on_not_owner),
+            (messages.Cancel, self._on_cancel),
+            (messages.CancelHeld, lambda sender, message: self._end_held(message.job_id)),
+            (messages.Claim, self._on_claim),
+            (messages.Query, self._on_query),
+            (messages.Resign, self.handover.on_resign),
+            (messages.Fetch, self.following.on_fetch),
+        ):
+            self.peers.handle(message_type, handler, may_block=False)
         self.registry.subscribe(self._on_servers)
         self.runtime.spawn(self.renewal.run)
         self.runtime.spawn(self.succession.run)
--- a/rosedyke/standins/explore_node.py
+++ b/rosedyke/standins/explore_node.py
@@ -80,14 +80,14 @@
         super().__init__(network, own)
         self.standstill = standstill
 
-    def handle(self, message_type, handler) -> None:
+    def handle(self, message_type, handler, may_block=True) -> None:
         """Register a handler."""
 
         def when_running(sender, message):
             self.standstill.wait()
             return handler(sender, message)
 
-        super().handle(message_type, when_running)
+        super().handle(message_type, when_running, may_block)
 
     def request(self, target, message, timeout_s):
         """Send a message and block for its reply."""
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -300,8 +300,8 @@
         self.is_down = False
         network.nodes[own.name] = self
 
-    def handle(self, message_type: type, handler: peer.Handler) -> None:
-        """Register the handler of a message type."""
+    def handle(self, message_type: type, handler: peer.Handler, may_block: bool = True) -> None:
+        """Register the handler of a message type; each call gets a task of its own."""
         self.handlers[message_type] = handler
 
     def crash(self) -> None:
--- a/rosedyke/wire/peer.py
+++ b/rosedyke/wire/peer.py
@@ -105,10 +105,16 @@
     def own(self) -> Peer:
         """The own instance's present incarnation."""
 
-    def handle(self, message_type: type, handler: Handler) -> None:
-        """Call ``handler(sender, message)`` in a task of its own for each such message.
+    def handle(self, message_type: type, handler: Handler, may_block: bool = True) -> None:
+        """Call ``handler(sender, message)`` for each such message.
 
         What the handler returns is the reply; None sends none.
+
+        Parameters
+        ----------
+        may_block : bool
+            Each call gets a task of its own; else it is made by the task that reads, which saves
+            what a task costs.
         """
 
     def send(self, peer: Peer, message: Any) -> None:
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -5,6 +5,7 @@
 earlier incarnation) is counted and dropped here, so that no handler ever sees it.
 """
 
+import contextlib
 import itertools
 import time
 from typing import Any
@@ -103,6 +104,8 @@
         )
         self.keys = secret.derive(options.key) if options.key else None
         self.handlers: dict[type, peer.Handler] = {}
+        # Messages whose handlers don't block.
+        self.prompt: set[type] = set()
         self.links: dict[str, link.Link] = {}
         self.pending: dict[int, Pending] = {}
         self.numbers = itertools.count(1)
@@ -174,9 +177,11 @@
         """Close the connection to a peer that is gone."""
         self._close_link(target.address)
 
-    def handle(self, message_type: type, handler: peer.Handler) -> None:
-        """Call ``handler(sender, message)`` in a task of its own for each such message."""
+    def handle(self, message_type: type, handler: peer.Handler, may_block: bool = True) -> None:
+        """Call ``handler(sender, message)`` for each such message."""
         self.handlers[message_type] = handler
+        if not may_block:
+            self.prompt.add(message_type)
 
     def send(self, target: peer.Peer, message: Any) -> None:
         """Queue a message that needs no reply."""
@@ -352,13 +357,22 @@
             self._answer(incoming, envelope.Kind.REFUSED, "", b"malformed message")
             return
         self.running_handlers += 1
-        self.runtime.spawn(self._run_handler, handler, incoming, message)
+        if type(message) in self.prompt:
+            self._run_prompt_handler(handler, incoming, message)
+        else:
+            self.runtime.spawn(self._run_handler, handler, incoming, message)
+
+    def _run_prompt_handler(self, handler, incoming, message):
+        # An error in one message, which is logged there, must not end the task that reads all.
+        with contextlib.suppress(Exception):
+            self._run_handler(handler, incoming, message)
 
     def _run_handler(self, handler, incoming, message):
         try:
             reply = handler(incoming.sender, message)
         except Exception as error:
-            event.log(events.HANDLER_FAILED, message=incoming.header.message_name, error=error)
+            name = incoming.header.message_name
+            event.log(events.HANDLER_FAILED, exc_info=True, message=name, error=error)
             self._answer(incoming, envelope.Kind.FAILED, "", str(error).encode())
             raise
         finally:
