--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -32,6 +32,8 @@
 )
 
 TICK_S = 0.05
+# The same without jobs; below the time after which the process counts as paused.
+IDLE_TICK_S = 0.15
 # How long a report is given out again: an owner of 45 instances is asked up to 250 times a second.
 REPORT_KEPT_S = 0.02
 # More runs in a row than this that failed on a server are its own fault, not the tasks'.
@@ -320,15 +322,15 @@
     # Scheduling.
 
     def schedule(self) -> None:
-        """Look soon whether waiting tasks can start."""
-        if not self.is_dirty:
+        """Look soon whether waiting tasks can start, or room can be offered."""
+        if not self.is_dirty and (self.jobs or self.offering.wants):
             self.is_dirty = True
             self.wake.set()
 
     def _run(self):
         looked_at = self.runtime.now()
         while self.is_active:
-            self.wake.wait(TICK_S)
+            self.wake.wait(TICK_S if self.jobs else IDLE_TICK_S)
             self.wake = self.runtime.signal()
             if not self.is_active or self._stands_down_after_pause():
                 return
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -14,6 +14,9 @@
 from rosedyke.wire import peer
 
 TICK_S = 0.04
+# In a large fleet silence is noticed later anyway, and the pools are looked at less often by this
+# factor at most.
+MAX_STRETCH = 2.5
 # A pool without any known owner is taken after this long, in which peers may tell of one.
 UNKNOWN_S = 0.06
 # Heard by another instance within this time: the owner lives and this instance is cut off.
@@ -79,7 +82,7 @@
                 for pool in self.pools.names():
                     if self.is_candidate(pool):
                         self._consider(pool)
-            self.runtime.sleep(TICK_S)
+            self.runtime.sleep(TICK_S * min(self.fleet.stretch, MAX_STRETCH))
 
     def rest(self, pool: str) -> None:
         """Leave a pool alone for a while, so that two owners don't take turns."""
