Start a task once that two parts hold

Cause, found by reading the change: what runs is looked up once for each round of placing, so a task that two parts hold after a lost message would be placed for both. The test is red without the mend: two starts, one of them beside the other. No play has shown it.

--- a/rosedyke/rerun/load_test.py
+++ b/rosedyke/rerun/load_test.py
@@ -268,6 +268,29 @@
         self.assertEqual((held.outcome, region.world.violations), (DONE, []))
 
 
+class TwoParts(unittest.TestCase):
+    def test_task_that_two_parts_hold_starts_once(self):
+        # A task runs twice at once.  Its holder handed it over again after a message was lost, and
+        # both parts reach the owner before it places anything.
+        region = rerun_region.Region({"a": 2})
+        region.run(SETTLE_S)
+        name = region.other("a")
+        owner = region.members[region.owner("a")].node.owned["a/r1"]
+        holder = region.members[name].own
+        work = job.Job(
+            "j1", "q", rerun_region.SERVICE, "", (job.Step(1, job.Demand(3000), 0.1),), 0, 2, 1, 3
+        )
+        region.world.durations["j1"] = 0.1
+        tasks = tuple(task for task, _ in work.task_names())
+        for part in (1, 2):
+            sent_at = region.runtime.now()
+            owner.submit(
+                messages.Submit("a/r1", part, sent_at, work, holder, 0.0, tasks, False, False)
+            )
+        region.run(0.05)
+        self.assertEqual((len(region.world.starts), region.world.violations), (1, []))
+
+
 class Offers(unittest.TestCase):
     """Room that comes up in one pool while tasks wait in others."""
 
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -436,6 +436,8 @@
                 left.append((item, task))
                 continue
             used[state.server.id] = used[state.server.id].plus(task.step.demand)
+            # After a lost message two parts can hold the same task.
+            running.add(task.name)
             self._place(item, task, state, now)
         return left
 
