--- a/rosedyke/gateways/exchange.py
+++ b/rosedyke/gateways/exchange.py
@@ -2,8 +2,8 @@
 
 A pool of connections would decide on its own when to open one, and its errors don't always tell
 whether bytes had left.  Answers are read by httptools: the standard library parses their headers as
-those of an e-mail, which takes more processor time than all else in an exchange, and urllib3, which
-reads them by it, a sixth of the time in which an instance starts.
+those of an e-mail, which takes more processor time than all else in an exchange, and urllib3 reads
+them by it and makes each start slower.
 """
 
 import socket
@@ -69,8 +69,8 @@
         """Block for bytes and return them, none at the connection's end."""
         raw = self.sock.fd
         while True:
-            # Nothing is here yet when a request has just left, so it waits before it reads: each
-            # system call counts on a small machine, and there are thousands of these a second.
+            # Nothing is here yet when a request has just left, so it waits before it reads: a read
+            # in vain is one more system call for each exchange.
             eventlet.hubs.trampoline(raw.fileno(), read=True)
             try:
                 return raw.recv(RECEIVE_BYTES)
--- a/rosedyke/rerun/placement.py
+++ b/rosedyke/rerun/placement.py
@@ -1,8 +1,8 @@
 """On which backend server a task runs, or whether it waits for a faster one.
 
 The load that this answers: servers whose speeds differ by a factor of three, some of them too slow
-for a long task to meet its objective even if it starts at once.  Taking any free server made one
-in seven of the longest jobs late on a quiet day.
+for a long task to meet its objective even if it starts at once.  Taking any free server makes the
+longest jobs late while most servers are idle.
 """
 
 from collections.abc import Callable, Iterable
--- a/rosedyke/rerun/reporting.py
+++ b/rosedyke/rerun/reporting.py
@@ -4,7 +4,7 @@
 
 from rosedyke.rerun import messages, routing
 
-# How long a report is given out again: an owner of 45 instances is asked up to 250 times a second.
+# How long a report is given out again: all holders ask at about the same time.
 REPORT_KEPT_S = 0.02
 
 
--- a/rosedyke/rerun/spill.py
+++ b/rosedyke/rerun/spill.py
@@ -2,7 +2,6 @@
 
 The load that this answers: jobs of up to 32 tasks that take 14 of a server's 32 cores each.  One
 pool has room for a dozen such tasks, so single jobs fill it while the pools beside it stand idle.
-A job that is bound to one pool was late for this reason in 7 of 100 cases on a quiet day.
 """
 
 from rosedyke.rerun import owned
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -24,8 +24,8 @@
 # Others that are asked about a silent owner.
 WITNESSES = 6
 # So many candidates of its own data centre listen closely to an owner.  With all of them an owner
-# of 45 instances got 246 renewals a second while nothing ran; the others follow in seconds if
-# the watchers are lost together with the owner.
+# would be asked the more often the larger the fleet is; the others follow in seconds if the
+# watchers are lost together with the owner.
 WATCHERS = 4
 # So many candidates of each other data centre listen to an owner, and may take the pool if its own
 # data centre has nobody left.
