Ask in one place which servers may get tasks, and keep one rank for each pool

Three modules filtered the servers by the same call (owner.usable serves them now), and the remembered ranks had an entry for every owner that a pool ever had, so they grew with each replaced instance; the names that were counted already tell them apart. Behaviour is the same.

--- a/rosedyke/gateways/channel.py
+++ b/rosedyke/gateways/channel.py
@@ -117,9 +117,8 @@
         while idle:
             connection = idle.pop()
             idle_s = self.runtime.now() - connection.used_at
-            if idle_s <= FRESH_S:
-                return connection
-            if idle_s <= self.options.idle_s and not connection.is_dropped():
+            is_young = idle_s <= self.options.idle_s
+            if idle_s <= FRESH_S or (is_young and not connection.is_dropped()):
                 return connection
             connection.close()
         try:
--- a/rosedyke/rerun/offering.py
+++ b/rosedyke/rerun/offering.py
@@ -81,12 +81,11 @@
 
     def _free(self, now):
         """Return the servers with room that is offered to nobody, and that room, fastest first."""
-        found = []
-        for state in self.owner.states.values():
-            if state.server.id in self.offered:
-                continue
-            if state.may_start(now, self.owner.times.contact_s):
-                found.append((state, state.free_millicores()))
+        found = [
+            (state, state.free_millicores())
+            for state in self.owner.usable(now)
+            if state.server.id not in self.offered
+        ]
         return sorted(found, key=lambda each: -self.owner.speeds.of(each[0].server.id))
 
 
--- a/rosedyke/rerun/owner.py
+++ b/rosedyke/rerun/owner.py
@@ -390,6 +390,11 @@
                 retry_after_s = admission.RETRY_AFTER_S
                 self.finish(item, job.Outcome(job.End.REFUSED, reason, retry_after_s))
 
+    def usable(self, now: float) -> list[server_runs.ServerRuns]:
+        """Return the servers that may get tasks."""
+        contact_s = self.times.contact_s
+        return [state for state in self.states.values() if state.may_start(now, contact_s)]
+
     def fastest(self) -> float:
         """Return the speed of the fastest server."""
         return max((self.speeds.of(each) for each in self.states), default=1.0)
--- a/rosedyke/rerun/placing.py
+++ b/rosedyke/rerun/placing.py
@@ -21,11 +21,7 @@
         if not self.owner.jobs and not self.owner.offering.wants:
             return
         now = self.owner.runtime.now()
-        used = {
-            state.server.id: state.used()
-            for state in self.owner.states.values()
-            if state.may_start(now, self.owner.times.contact_s)
-        }
+        used = {state.server.id: state.used() for state in self.owner.usable(now)}
         if not self.owner.is_active:
             return
         is_recovered = self.owner.is_recovered(now)
--- a/rosedyke/rerun/reporting.py
+++ b/rosedyke/rerun/reporting.py
@@ -28,10 +28,7 @@
 
     def report(self) -> messages.PoolReport:
         """Return what holders need to choose a pool."""
-        now = self.owner.runtime.now()
-        usable = [
-            s for s in self.owner.states.values() if s.may_start(now, self.owner.times.contact_s)
-        ]
+        usable = self.owner.usable(self.owner.runtime.now())
         rate = sum(s.server.capacity.millicores * self.owner.speeds.of(s.server.id) for s in usable)
         backlog = sum(item.work_left_s() for item in self.owner.jobs.values())
         waiting = collections.Counter(
--- a/rosedyke/rerun/succession.py
+++ b/rosedyke/rerun/succession.py
@@ -68,9 +68,9 @@
         self.unknown_since: dict[str, float] = {}
         self.not_before: dict[str, float] = {}
         self.trying: set[str] = set()
-        # By pool and silent owner: the instances that were alive when it was worked out, and then
-        # the own rank and the number of candidates in the pool's data centre.
-        self.positions: dict[tuple[str, str], tuple[frozenset[str], tuple[int, int]]] = {}
+        # By pool and whether its owner is left out: the instances that were counted when it was
+        # worked out, and then the own rank and the number of candidates in its data centre.
+        self.positions: dict[tuple[str, bool], tuple[frozenset[str], tuple[int, int]]] = {}
         self.is_running = True
         # Set while the instance shuts down or starts: it takes no pool.
         self.is_standing_by = False
@@ -141,13 +141,14 @@
             if name != silent and self.fleet.is_alive(name)
         }
         names = frozenset(alive)
-        known = self.positions.get((pool, silent))
+        key = (pool, bool(silent))
+        known = self.positions.get(key)
         if known is None or known[0] != names:
             data_centre = ports.data_centre_of(pool)
             order = election.order(pool, data_centre, [*alive.values(), own])
             rank = [each.name for each in order].index(own.name)
             near = sum(each.data_centre == data_centre for each in order)
-            known = self.positions[pool, silent] = names, (rank, near)
+            known = self.positions[key] = names, (rank, near)
         return known[1]
 
     def is_candidate(self, pool: str) -> bool:
