Position scanner of TOML: each step consumes text or fails; two test starts wait for their servers

Cause: scan_array called scan_value at a stray `}`, whose scalar pattern matched nothing, so the loop neither advanced nor ended and stored one path for each round until memory ran out. An operator's typing mistake was enough. The scanner also ran on the rejected text, not on what the parser had accepted. Now a required token is consumed by one method that raises UnexpectedText, so no loop can go round without progress, and the positions are those of the accepted text. Before: file_parser_test's stray brace test red (both inputs ended by its alarm).

process_test.start() waited for the store and the instances but not for the backend servers; it does now. failures_process_test fails with the first caller's answer when it comes before the tasks have started, and no longer waits for 40 s in silence: the intermittent entry can be traced.

--- a/rosedyke/configuration/file_parser.py
+++ b/rosedyke/configuration/file_parser.py
@@ -112,7 +112,7 @@
 
     def __init__(self, path: str, parsed_toml: toml_parser.ParseResult):
         self.path = path
-        self.lines = toml_positions.key_lines(parsed_toml.text)
+        self.lines = toml_positions.key_lines(parsed_toml.accepted_text)
         self.diagnostics: list[diagnostic.Diagnostic] = []
         self.definitions: list[Definition] = []
         self.server_count = 0
--- a/rosedyke/configuration/toml_parser.py
+++ b/rosedyke/configuration/toml_parser.py
@@ -26,11 +26,15 @@
         Parsed values; without the invalid lines if there are syntax errors.
     diagnostics : tuple of Diagnostic
         The syntax errors.
+    accepted_text : str
+        The text that ``values`` were parsed from: ``text`` with blank lines in place of the invalid
+        ones.
     """
 
     text: str
     values: dict[str, Any]
     diagnostics: tuple[diagnostic.Diagnostic, ...] = ()
+    accepted_text: str = ""
 
 
 def parse_toml(path: str, content: bytes) -> ParseResult:
@@ -59,7 +63,8 @@
     errors: list[diagnostic.Diagnostic] = []
     while len(errors) < MAX_SYNTAX_ERRORS:
         try:
-            return ParseResult(text, tomllib.loads("\n".join(lines)), tuple(errors))
+            accepted_text = "\n".join(lines)
+            return ParseResult(text, tomllib.loads(accepted_text), tuple(errors), accepted_text)
         except RecursionError:
             syntax_error = diagnostic.Diagnostic(
                 path, 1, "", "too_deep", "values are nested too deeply"
--- a/rosedyke/configuration/toml_positions.py
+++ b/rosedyke/configuration/toml_positions.py
@@ -1,23 +1,38 @@
 """Line numbers of the keys of a TOML text, for error messages.
 
 The standard parser returns values without positions.  This scanner runs on text that the parser
-has accepted, so it only tells keys from values and validates nothing.
+has accepted, so it only tells keys from values and validates nothing.  On any other text it still
+terminates, because every step either consumes text or raises ``UnexpectedText``.
 """
 
 import bisect
 import contextlib
 import re
 
+from rosedyke import fault
+
 _BARE_KEY = re.compile(r"[A-Za-z0-9_-]+")
 _BLANK_OR_COMMENT = re.compile(r"(?:[ \t\r\n]+|#[^\n]*)*")
 _WHITESPACE = re.compile(r"[ \t]*")
-_SCALAR = re.compile(r"[^,\]}#\n]*")
+_SCALAR = re.compile(r"[^,\]}#\n]+")
 _STRINGS = (
     re.compile(r'"""(?:[^\\]|\\.)*?"""{1,3}', re.DOTALL),
     re.compile(r"'''.*?'''{1,3}", re.DOTALL),
     re.compile(r'"(?:[^"\\\n]|\\.)*"'),
     re.compile(r"'[^'\n]*'"),
 )
+_TABLE_START = re.compile(r"\[\[?")
+_TABLE_END = re.compile(r"\]\]?")
+_EQUALS = re.compile("=")
+_ARRAY_START, _ARRAY_END = re.compile(r"\["), re.compile(r"\]")
+_INLINE_TABLE_START, _INLINE_TABLE_END = re.compile("{"), re.compile("}")
+_SEPARATOR = re.compile("[.,]")
+
+
+class UnexpectedText(fault.RosedykeError):
+    """The text does not continue with the expected token."""
+
+    code = "unexpected_text"
 
 
 def key_lines(text: str) -> dict[str, int]:
@@ -26,7 +41,7 @@
     Text that the scanner can't follow yields the lines found before that point.
     """
     scanner = _Scanner(text)
-    with contextlib.suppress(IndexError, RecursionError):
+    with contextlib.suppress(UnexpectedText, RecursionError):
         scanner.scan_document()
     return scanner.lines
 
@@ -42,6 +57,8 @@
 
 
 class _Scanner:
+    """A scanner of one text, which records the line of each key and value."""
+
     def __init__(self, text):
         self.text = text
         self.offset = 0
@@ -53,13 +70,28 @@
         return bisect.bisect_left(self.newline_offsets, self.offset) + 1
 
     def skip(self, pattern):
-        self.offset = pattern.match(self.text, self.offset).end()
+        """Advance over an optional token."""
+        match = pattern.match(self.text, self.offset)
+        if match is not None:
+            self.offset = match.end()
+
+    def consume(self, *patterns):
+        """Advance over a required token, which is not empty, and return it."""
+        for pattern in patterns:
+            match = pattern.match(self.text, self.offset)
+            if match is not None:
+                self.offset = match.end()
+                return match.group()
+        raise UnexpectedText(f"unexpected text in line {self.line()}")
+
+    def is_at(self, characters):
+        return self.offset < len(self.text) and self.text[self.offset] in characters
 
     def scan_document(self):
         table = ""
         self.skip(_BLANK_OR_COMMENT)
         while self.offset < len(self.text):
-            if self.text[self.offset] == "[":
+            if self.is_at("["):
                 table = self.scan_table_header()
             else:
                 self.scan_pair(table)
@@ -67,10 +99,9 @@
 
     def scan_table_header(self):
         line = self.line()
-        is_array = self.text.startswith("[[", self.offset)
-        self.offset += 2 if is_array else 1
+        is_array = self.consume(_TABLE_START) == "[["
         parts = self.scan_dotted_key()
-        self.offset += 2 if is_array else 1
+        self.consume(_TABLE_END)
         path = ""
         for part in parts[:-1]:
             path = self.current_element(_join_path(path, part))
@@ -91,74 +122,57 @@
         for part in self.scan_dotted_key():
             path = _join_path(path, part)
             self.lines.setdefault(path, line)
-        self.offset += 1  # skip the equals sign
+        self.consume(_EQUALS)
         self.scan_value(path)
 
     def scan_dotted_key(self):
-        parts = []
-        while True:
-            self.skip(_WHITESPACE)
-            start = self.offset
-            if self.text[self.offset] in "\"'":
-                self.scan_string()
-                parts.append(self.text[start + 1 : self.offset - 1])
-            else:
-                match = _BARE_KEY.match(self.text, self.offset)
-                if match is None:
-                    raise IndexError("expected a key")
-                self.offset = match.end()
-                parts.append(match.group())
-            self.skip(_WHITESPACE)
-            if self.text[self.offset] != ".":
-                return parts
-            self.offset += 1
-
-    def scan_string(self):
-        for pattern in _STRINGS:
-            match = pattern.match(self.text, self.offset)
-            if match:
-                self.offset = match.end()
-                return
-        raise IndexError("unterminated string")
+        parts = [self.scan_key()]
+        while self.is_at("."):
+            self.consume(_SEPARATOR)
+            parts.append(self.scan_key())
+        return parts
+
+    def scan_key(self):
+        self.skip(_WHITESPACE)
+        key = self.consume(*_STRINGS)[1:-1] if self.is_at("\"'") else self.consume(_BARE_KEY)
+        self.skip(_WHITESPACE)
+        return key
 
     def scan_value(self, path):
         self.skip(_WHITESPACE)
         self.lines.setdefault(path, self.line())
-        first = self.text[self.offset]
-        if first in "\"'":
-            self.scan_string()
-        elif first == "[":
+        if self.is_at("\"'"):
+            self.consume(*_STRINGS)
+        elif self.is_at("["):
             self.scan_array(path)
-        elif first == "{":
+        elif self.is_at("{"):
             self.scan_inline_table(path)
         else:
-            self.skip(_SCALAR)
+            self.consume(_SCALAR)
 
     def scan_array(self, path):
-        self.offset += 1
+        self.consume(_ARRAY_START)
         index = 0
-        while True:
+        self.skip(_BLANK_OR_COMMENT)
+        while not self.is_at("]"):
+            if self.is_at(","):
+                self.consume(_SEPARATOR)
+            else:
+                self.scan_value(f"{path}[{index}]")
+                index += 1
             self.skip(_BLANK_OR_COMMENT)
-            if self.text[self.offset] == "]":
-                self.offset += 1
-                return
-            if self.text[self.offset] == ",":
-                self.offset += 1
-                continue
-            self.scan_value(f"{path}[{index}]")
-            index += 1
+        self.consume(_ARRAY_END)
 
     def scan_inline_table(self, path):
-        self.offset += 1
-        while True:
+        self.consume(_INLINE_TABLE_START)
+        self.skip(_BLANK_OR_COMMENT)
+        while not self.is_at("}"):
+            if self.is_at(","):
+                self.consume(_SEPARATOR)
+            else:
+                self.scan_pair(path)
             self.skip(_BLANK_OR_COMMENT)
-            if self.text[self.offset] == "}":
-                self.offset += 1
-                return
-            if self.text[self.offset] == ",":
-                self.offset += 1
-                continue
-            self.scan_pair(path)
+        self.consume(_INLINE_TABLE_END)
 
 
 def _join_path(path, part):
--- a/rosedyke/daemon/failures_process_test.py
+++ b/rosedyke/daemon/failures_process_test.py
@@ -85,9 +85,17 @@
     def started_count(self):
         return self.region.server_counts()["started"]
 
-    def wait_for_starts(self, started_before, count):
+    def wait_for_starts(self, submission, started_before, count):
+        """Block until a submission has started ``count`` tasks; fail if it is answered before."""
+
+        def has_started():
+            return self.started_count() >= started_before + count
+
         processes.wait_until(
-            lambda: self.started_count() >= started_before + count, TIMEOUT_S, "starts"
+            lambda: has_started() or not submission.is_alive(), TIMEOUT_S, f"{count} starts"
+        )
+        self.assertTrue(
+            has_started(), f"answered before {count} tasks started: {submission.document}"
         )
 
     def check_answer(self, document, started_before):
@@ -110,7 +118,7 @@
                 other = self.region.instance("dc1-2" if data_centre != "dc1" else "dc3-2")
                 started_before = self.started_count()
                 first = Submission(holder, f"killed-{data_centre}", 1)
-                self.wait_for_starts(started_before, start_count)
+                self.wait_for_starts(first, started_before, start_count)
                 holder.process.kill()
                 self.assertIsNone(first.answer())
                 second_answer = Submission(other, f"killed-{data_centre}", 2, age_s=2.0).answer()
@@ -125,7 +133,7 @@
         holder = self.region.instance("dc2-1")
         started_before = self.started_count()
         first = Submission(holder, "stopped", 1)
-        self.wait_for_starts(started_before, 1)
+        self.wait_for_starts(first, started_before, 1)
         holder.process.signal(signal.SIGSTOP)
         second_answer = Submission(self.region.instance("dc3-2"), "stopped", 2, age_s=2.0).answer()
         self.check_answer(second_answer, started_before)
--- a/rosedyke/daemon/process_test.py
+++ b/rosedyke/daemon/process_test.py
@@ -56,6 +56,7 @@
         self.group.start("store", "rosedyke.standins.store", "--address", self.store)
         flags = [word for address in self.servers for word in ("--address", address)]
         self.group.start("servers", "rosedyke.standins.backend", *flags)
+        processes.wait_until(self.are_servers_listening, TIMEOUT_S, "the backend servers")
         self.instances = [self.start_instance(index) for index in (FIRST_INSTANCE, SECOND_INSTANCE)]
         processes.wait_until(self.apply, TIMEOUT_S, "the store")
         processes.wait_until(self.is_ready, TIMEOUT_S, "readiness")
@@ -102,6 +103,13 @@
             timeout=TIMEOUT_S,
         )
 
+    def are_servers_listening(self):
+        try:
+            self.counts()
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
     def readiness_status(self, index):
         try:
             return self.http.request("GET", f"http://{self.callers[index]}/readyz").status
