Evacuation of a data centre: no task starts there while operators ask for it

A server's entry carries the mark, as it carries draining: owners place nothing there and report no room, holders leave its pools out, waiting tasks are released at once without a counted move, runs end by themselves. If every data centre of a service is evacuated, jobs are refused at once. Cold servers get one task at a time.

--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -104,7 +104,13 @@
     8023,
     "tasks_released",
     logging.INFO,
-    "A full pool released tasks that had not started, to be moved to a pool with free capacity.",
+    "A full or evacuated pool released tasks that had not started, to be moved to another pool.",
+)
+POOL_EMPTIED = event.define(
+    8035,
+    "pool_emptied",
+    logging.INFO,
+    "No run is left on the servers of a pool whose data centre is being evacuated.",
 )
 SUBMIT_STALE = event.define(
     8024,
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -213,6 +213,10 @@
             if shares:
                 self._submit_parts(pending, shares, task_names, moves)
                 return
+            if self.pools.is_evacuated(pending.work.service):
+                reason = "every data centre with servers of the service is being evacuated"
+                self.finish(pending, self._unfinished_outcome(pending, reason))
+                return
             if self.runtime.now() >= deadline:
                 self.finish(
                     pending, self._unfinished_outcome(pending, "no pool has an owner in reach")
@@ -342,7 +346,9 @@
             self.finish(pending, outcome)
 
     def on_released(self, message: messages.TasksReleased) -> None:
-        """Move tasks that a full pool has released to the pool with free capacity."""
+        """Move tasks that a pool has released to the pool with free capacity."""
+        if message.report is not None:
+            self.fleet.refresh_report(message.report)
         pending, part = self._open_part(message.job_id, message.part)
         if pending is None or message.token < part.token:
             return
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -187,11 +187,14 @@
     Attributes
     ----------
     toward : str
-        The pool with free capacity.
+        The pool with free capacity; empty if the holder should choose one.
     moves : int
-        How often these tasks have been released, including this time.
+        How often full pools have released these tasks, including this time.
     has_started : bool
         Other tasks of the part have started.
+    report : PoolReport or None
+        A current report of a pool that is being evacuated, so that the holder does not choose it
+        again by an older one.
     """
 
     job_id: str
@@ -202,6 +205,7 @@
     toward: str
     moves: int
     has_started: bool
+    report: PoolReport | None = None
 
 
 @codec.message("rerun.want_room")
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -23,4 +23,9 @@
 WAIT = metric.define("rerun.wait", "timer", "From a job's arrival to the start of each task.")
 POOLS = metric.define("rerun.pools", "gauge", "Pools that this instance owns.")
 POOLS_TAKEN = metric.define("rerun.pools_taken", "counter", "Times that it took a pool.")
+EVACUATED_RUNS = metric.define(
+    "rerun.evacuated_runs",
+    "gauge",
+    "Runs left in pools of this owner whose data centre is being evacuated.",
+)
 HELD_JOBS = metric.define("rerun.held", "gauge", "Jobs that callers of this instance wait for.")
--- a/rosedyke/rerunnable_jobs/pool_index.py
+++ b/rosedyke/rerunnable_jobs/pool_index.py
@@ -21,6 +21,7 @@
         self.indexed_servers: tuple[ports.Server, ...] | None = None
         self.by_pool: dict[str, list[ports.Server]] = {}
         self.by_service: dict[str, frozenset[str]] = {}
+        self.evacuated_services: frozenset[str] = frozenset()
 
     def names(self) -> frozenset[str]:
         """Return all pools that have servers."""
@@ -33,10 +34,15 @@
         return self.by_pool.get(pool, [])
 
     def of_service(self, service: str) -> frozenset[str]:
-        """Return the pools that have servers of a service that are not draining."""
+        """Return the pools that have servers of a service that accept new tasks."""
         self._refresh()
         return self.by_service.get(service, frozenset())
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all servers of a service are in data centres that are being evacuated."""
+        self._refresh()
+        return service in self.evacuated_services and service not in self.by_service
+
     def _refresh(self):
         servers = self.registry.servers()
         if servers is self.indexed_servers:
@@ -46,6 +52,9 @@
         for server in servers:
             pool = ports.pool_of(server)
             self.by_pool.setdefault(pool, []).append(server)
-            if not server.is_draining:
+            if not server.is_draining and not server.is_evacuated:
                 pools_by_service.setdefault(server.service, set()).add(pool)
         self.by_service = {name: frozenset(pools) for name, pools in pools_by_service.items()}
+        self.evacuated_services = frozenset(
+            server.service for server in servers if server.is_evacuated
+        )
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -104,6 +104,7 @@
         self.finished: dict[messages.PartKey, owned_job.FinishedJob] = {}
         self.completed_tasks: dict[str, float] = {}
         self.needs_scheduling = False
+        self.is_emptied = False
         self.wake = runtime.signal()
         self.commands = server_commands.ServerCommands(self)
         self.releaser = task_release.TaskReleaser(self)
@@ -138,10 +139,11 @@
             state = self.server_states.get(server_id)
             if state is None:
                 state = self.server_states[server_id] = server_state.ServerState(server)
+                state.update_entry(server, self.runtime.now())
                 state.born_ms = server.born_ms
                 self.runtime.spawn(self.commands.poll_server, state)
             elif server != state.server:
-                state.server = server
+                state.update_entry(server, self.runtime.now())
         for server_id, state in list(self.server_states.items()):
             state.is_unlisted = server_id not in listed
             if state.is_unlisted and self._is_finished(state):
@@ -273,6 +275,7 @@
             if now - owned.renewed_at > self.timing.holder_lost_s:
                 event.log(events.HOLDER_LOST, job=owned.work.id, holder=owned.holder.name)
                 self.cancel_job(owned)
+        self._log_emptied()
         self._end_infeasible_jobs(now)
         self.commands.read_overdue(now)
         self.reaper.stop_orphans(now)
@@ -288,6 +291,20 @@
         if set(self.server_states) - {server.id for server in self.list_servers()}:
             self.on_servers()
 
+    def _log_emptied(self):
+        """Log once when an evacuated pool has no run left."""
+        was_emptied, self.is_emptied = self.is_emptied, self.is_evacuated() and all(
+            state.is_synced and not state.runs for state in self.server_states.values()
+        )
+        if self.is_emptied and not was_emptied:
+            event.log(events.POOL_EMPTIED, pool=self.name, servers=len(self.server_states))
+
+    def evacuated_runs(self) -> int:
+        """Return the number of runs left in the pool if it is being evacuated, otherwise 0."""
+        if not self.is_evacuated():
+            return 0
+        return sum(len(state.runs) for state in self.server_states.values())
+
     def _end_infeasible_jobs(self, now):
         """End jobs that can no longer finish in time.
 
@@ -312,6 +329,11 @@
             state for state in self.server_states.values() if state.accepts_tasks(now, contact_s)
         ]
 
+    def is_evacuated(self) -> bool:
+        """Return whether the data centre of the pool is being evacuated."""
+        listed = self.list_servers()
+        return bool(listed) and all(server.is_evacuated for server in listed)
+
     def fastest_speed(self) -> float:
         """Return the speed of the fastest server."""
         return max(
--- a/rosedyke/rerunnable_jobs/ports.py
+++ b/rosedyke/rerunnable_jobs/ports.py
@@ -46,6 +46,11 @@
         Start time of this incarnation, 0 if unknown.  No run of an earlier incarnation is left.
     kind : str
         Hardware kind, empty if unknown.  Servers of one kind are about equally fast.
+    is_evacuated : bool
+        Its data centre is being evacuated: it gets no new tasks until the operators end that.
+    cold_s : int
+        For how much longer it is slow after its start, in whole seconds, so that its entry changes
+        rarely.
     """
 
     id: str
@@ -57,6 +62,8 @@
     is_draining: bool = False
     born_ms: int = 0
     kind: str = ""
+    is_evacuated: bool = False
+    cold_s: int = 0
 
 
 class ServerError(fault.RosedykeError):
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -47,6 +47,10 @@
                     self.node.this_instance, report, self.node.runtime.now()
                 )
             metric.gauge(metrics.POOLS, len(self.node.owned_pools))
+            metric.gauge(
+                metrics.EVACUATED_RUNS,
+                sum(owned.evacuated_runs() for owned in self.node.owned_pools.values()),
+            )
             metric.gauge(metrics.HELD_JOBS, len(self.node.holder.jobs))
             self.node.handover.return_remote_pools()
             self.node.holder.end_jobs_of_lost_owners()
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -22,7 +22,9 @@
             return
         now = self.owner.runtime.now()
         waiting = self._waiting_jobs(now)
-        if waiting:
+        if waiting and self.owner.is_evacuated():
+            self.owner.releaser.release_all(waiting)
+        elif waiting:
             self._place_jobs(waiting, now)
         # Any capacity still free is too small or too slow for the tasks that wait here.
         self.owner.offers.offer_free_capacity(now)
@@ -61,7 +63,10 @@
             if state is None or self._should_wait(owned, task, state, allocated, now):
                 unplaced.append((owned, task))
                 continue
-            allocated[state.server.id] = allocated[state.server.id].plus(task.step.demand)
+            if state.is_cold(now):
+                del allocated[state.server.id]  # one task at a time
+            else:
+                allocated[state.server.id] = allocated[state.server.id].plus(task.step.demand)
             # After a lost message two parts may contain the same task.
             running_tasks.add(task.name)
             self._place(owned, task, state, now)
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -122,6 +122,8 @@
         resolved, or the renewal would extend runs started by delayed commands.
     is_unlisted : bool
         The platform no longer lists the server.
+    cold_until : float
+        Until when it is slow after its start; it gets one task at a time.
     failures : int
         Consecutive failed runs.
     """
@@ -140,6 +142,7 @@
     suspended_until: float = 0.0
     has_lease_lapsed: bool = False
     is_unlisted: bool = False
+    cold_until: float = 0.0
     failures: int = 0
 
     def allocated(self) -> job.Demand:
@@ -167,6 +170,8 @@
         return (
             self.is_synced
             and not self.server.is_draining
+            and not self.server.is_evacuated
+            and not (self.is_cold(now) and self.runs)
             and not self.has_lease_lapsed
             and not self.is_unlisted
             and self.is_capacity_current()
@@ -175,6 +180,14 @@
             and not self.has_orphans()
         )
 
+    def update_entry(self, server: ports.Server, now: float) -> None:
+        """Apply a changed entry of the platform."""
+        self.server, self.cold_until = server, now + server.cold_s
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the server is still slow after its start."""
+        return now < self.cold_until
+
     def is_capacity_current(self) -> bool:
         """Return whether the platform's entry belongs to the server's current incarnation.
 
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -1,4 +1,4 @@
-"""Releases waiting tasks of a full pool, so that their holders move them to other pools."""
+"""Releases waiting tasks of a full or evacuated pool, so that their holders move them elsewhere."""
 
 from rosedyke.observe import event, metric
 from rosedyke.rerunnable_jobs import events, job_ordering, messages, metrics, spillover
@@ -76,9 +76,20 @@
             candidates, offer.rooms, self.owner.speeds.fastest_speed(), now
         )
         for owned, tasks in released.items():
-            self._release_part(owned, tasks, offer.pool)
+            self._release_part(owned, tasks, offer.pool, owned.moves + 1)
 
-    def _release_part(self, owned, tasks, target_pool):
+    def release_all(self, waiting):
+        """Release the waiting tasks of an evacuated pool; their holders choose other pools.
+
+        The number of moves does not increase: it bounds moves between full pools only.
+        """
+        running = self.owner.running_tasks()
+        for owned in waiting:
+            tasks = [task for task in owned.waiting_tasks() if task.name not in running]
+            if tasks:
+                self._release_part(owned, tasks, "", owned.moves)
+
+    def _release_part(self, owned, tasks, target_pool, moves):
         for task in tasks:
             del owned.tasks[task.name]
         task_names = tuple(task.name for task in tasks)
@@ -92,8 +103,9 @@
             self.owner.token,
             task_names,
             target_pool,
-            owned.moves + 1,
+            moves,
             owned.has_started,
+            None if target_pool else self.owner.reports.report(),
         )
         self.owner.listener.send_to_holder(owned.holder, released)
         if owned.tasks:
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -1,6 +1,6 @@
 """A simulated region of instances that run rerunnable jobs on simulated backend servers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -18,13 +18,14 @@
     def __init__(self, region: "Region"):
         self.region = region
         self.hidden: set[str] = set()
+        self.evacuated: set[str] = set()
         self.reachable = True
         self.callbacks: list[Callable[[], None]] = []
 
     def servers(self) -> tuple[ports.Server, ...]:
         """Return the servers that are not hidden from this instance."""
         return tuple(
-            server.listed
+            attrs.evolve(server.listed, is_evacuated=server.listed.data_centre in self.evacuated)
             for server in self.region.backend.servers.values()
             if server.listed.id not in self.hidden
         )
@@ -148,6 +149,13 @@
         """Partition two groups of instances from each other."""
         self.network.partition(left, right)
 
+    def evacuate(self, *data_centres: str, instances: Iterable[str] | None = None) -> None:
+        """Replace the set of evacuated data centres that some or all instances know."""
+        for name in self.members if instances is None else instances:
+            listed = self.members[name].listed
+            listed.evacuated = set(data_centres)
+            listed.changed()
+
     def submit(
         self, name: str, job_id: str, count: int = 1, duration_s: float = 0.1, timeout_s: float = 5
     ) -> "Submission":
