Renewals carry only unknown claims; ranks of candidates are updated by the difference

Cause: each renewal listed the token of every pool, and each join or leave hashed all instances for all pools; both grow with the fleet. An instance checks pools only where it is among the first twelve of its data centre.

--- a/rosedyke/membership/rendezvous.py
+++ b/rosedyke/membership/rendezvous.py
@@ -25,11 +25,12 @@
     weights : mapping of str to float
         Positive, by name.
     """
+    return sorted(weights, key=lambda name: (weighted_score(key, name, weights[name]), name))
 
-    def score(name):
-        return -math.log((_weight(name, key) + 1) / (HASH_RANGE + 1)) / weights[name]
 
-    return sorted(weights, key=lambda name: (score(name), name))
+def weighted_score(key: str, name: str, weight: float) -> float:
+    """Return the score by which ``rank_weighted`` orders names, the lowest first."""
+    return -math.log((_weight(name, key) + 1) / (HASH_RANGE + 1)) / weight
 
 
 def _weight(name, key):
--- a/rosedyke/rerunnable_jobs/election.py
+++ b/rosedyke/rerunnable_jobs/election.py
@@ -20,7 +20,13 @@
     pool: str, data_centre: str, instances: Iterable[messages.Instance]
 ) -> list[messages.Instance]:
     """Return all instances, best candidate first."""
-    by_name = {instance.name: instance for instance in instances}
-    weights = {name: instance.cores**SPEED_EXPONENT for name, instance in by_name.items()}
-    ranked = [by_name[name] for name in rendezvous.rank_weighted(pool, weights)]
-    return sorted(ranked, key=lambda instance: instance.data_centre != data_centre)
+    return sorted(
+        instances,
+        key=lambda instance: (instance.data_centre != data_centre, *sort_key(pool, instance)),
+    )
+
+
+def sort_key(pool: str, instance: messages.Instance) -> tuple[float, str]:
+    """Return the key that orders the candidates of one data centre, the best candidate first."""
+    weight = instance.cores**SPEED_EXPONENT
+    return rendezvous.weighted_score(pool, instance.name, weight), instance.name
--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -24,6 +24,8 @@
 # Reports older than this are not used to choose a pool.  Owners in other data centres send one
 # every ``neighbour_interval_s``.
 REPORT_MAX_AGE_S = 0.5
+# An instance counts at most some 10,000 parts and claims a second.
+FIRST_NUMBER_RANGE = 1 << 48
 
 
 @attrs.define
@@ -35,12 +37,15 @@
     clock_offset_s : float or None
         The owner's clock minus the local clock, None before its first report.  Too low by the
         transit time of the report, so a computed age is never too small.
+    claims_version : int
+        Version of this instance's claims at which it recorded this one.
     submitted : list of (float, int)
         Time and millicores of each submission that the last report does not include yet.
     """
 
     claim: messages.Claim
     last_contact_at: float
+    claims_version: int
     report: messages.PoolReport | None = None
     clock_offset_s: float | None = None
     submitted: list[tuple[float, int]] = attrs.Factory(list)
@@ -96,9 +101,16 @@
         self.liveness_checked_at = -LIVENESS_CACHE_S
         self.owners: dict[str, OwnerState] = {}
         self.highest_tokens: dict[str, int] = {}
+        # Random, so that numbers counted from it match none of an earlier incarnation, which peers
+        # or delayed messages may still mention.
+        self.first_number = 1 + int(runtime.random() * FIRST_NUMBER_RANGE)
+        # Increases with each recorded claim.
+        self.claims_version = self.first_number
         # Called with each newer claim, and with an owner's claim after its first report.
         self.claim_callbacks: list[Callable[[messages.Claim], None]] = []
         self.owner_callbacks: list[Callable[[messages.Claim], None]] = []
+        # Called after the removal of an owner, which may have been a mistake.
+        self.removal_callbacks: list[Callable[[], None]] = []
 
     def instances(self) -> dict[str, messages.Instance]:
         """Return all other known instances by name.
@@ -230,7 +242,8 @@
         if claim.owner.name == self.this_instance.name and not is_own:
             self.owners.pop(claim.pool, None)
             return False
-        self.owners[claim.pool] = OwnerState(claim, self.runtime.now())
+        self.claims_version += 1
+        self.owners[claim.pool] = OwnerState(claim, self.runtime.now(), self.claims_version)
         event.log(events.OWNER_CHANGED, pool=claim.pool, owner=claim.owner.name, token=claim.token)
         for callback in self.claim_callbacks:
             callback(claim)
@@ -269,6 +282,8 @@
         if state is not None and state.claim.owner.name == owner:
             event.log(events.OWNER_GONE, pool=pool, owner=owner)
             del self.owners[pool]
+            for callback in self.removal_callbacks:
+                callback()
 
     def claim_of(self, pool: str) -> messages.Claim | None:
         """Return the newest claim of a pool."""
@@ -282,14 +297,12 @@
             return 0.0
         return self.runtime.now() - state.last_contact_at
 
-    def claims_newer_than(self, tokens: dict[str, int]) -> tuple[messages.Claim, ...]:
-        """Return the claims that are newer than these tokens."""
+    def claims_since(self, version: int) -> tuple[messages.Claim, ...]:
+        """Return the claims recorded after a version, or all if it is of an earlier incarnation."""
+        if version == self.claims_version:
+            return ()
+        if not self.first_number <= version <= self.claims_version:
+            version = 0
         return tuple(
-            state.claim
-            for pool, state in self.owners.items()
-            if state.claim.token > tokens.get(pool, 0)
+            state.claim for state in self.owners.values() if state.claims_version > version
         )
-
-    def tokens(self) -> dict[str, int]:
-        """Return the token of each pool's owner."""
-        return {pool: state.claim.token for pool, state in self.owners.items()}
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -27,8 +27,6 @@
 RETRY_AFTER_S = 1.0
 # An instance that has reached no owner for this long, twice a takeover, refuses new jobs at once.
 ISOLATED_WAIT_S = 2.0
-# Range of the random first part number; an instance uses at most 10,000 numbers a second.
-PART_NUMBER_RANGE = 1 << 48
 
 
 class Holder:
@@ -61,7 +59,7 @@
         # A network partition can delay a message until its job has ended and was resubmitted.  If
         # it then matched the new part, tasks could run twice, so part numbers are never reused, not
         # even by the instance's next incarnation.
-        self.part_numbers = itertools.count(int(runtime.random() * PART_NUMBER_RANGE))
+        self.part_numbers = itertools.count(view.first_number)
         self.withdrawal = withdrawal.Withdrawal(self)
         view.owner_callbacks.append(self._on_owner)
 
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -78,15 +78,15 @@
         The holder.
     parts : tuple of (str, int)
         Job id and number of each renewed part.
-    tokens : dict of str to int
-        Highest known token of each pool.
+    claims_version : int
+        The version up to which the sender knows the receiver's claims, 0 for none.
     revisions : dict of str to int
         The sender's revision of each shared document.
     """
 
     sender: Instance
     parts: tuple[PartKey, ...]
-    tokens: dict[str, int]
+    claims_version: int
     revisions: dict[str, int]
 
 
@@ -104,7 +104,9 @@
     pools : tuple of PoolReport
         Reports of the pools that the sender owns.
     claims : tuple of Claim
-        Claims that are newer than those known to the requester.
+        The sender's claims that the requester does not know.
+    claims_version : int
+        The version of the sender's claims.
     """
 
     sender: Instance
@@ -112,6 +114,7 @@
     clock_s: float
     pools: tuple[PoolReport, ...]
     claims: tuple[Claim, ...]
+    claims_version: int
     revisions: dict[str, int]
 
 
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -1,11 +1,14 @@
 """Periodic renewals between instances: liveness, leases on jobs, and pool reports."""
 
 from rosedyke.observe import metric
-from rosedyke.rerunnable_jobs import messages, metrics
+from rosedyke.rerunnable_jobs import messages, metrics, ports
 from rosedyke.wire import peer
 
 # Timeout of one renewal.
 RENEWAL_TIMEOUT_S = 0.3
+# Maximum interval of renewals of candidates in other data centres with an owner.  Does not grow
+# with the fleet, so that the loss of a data centre is noticed as soon in a large one.
+MAX_REMOTE_INTERVAL_S = 0.5
 
 
 class Renewal:
@@ -21,6 +24,8 @@
         Owners that run jobs of this instance.
     loop_ran_at : float
         When the loop last ran.
+    known_claims : dict of str to int
+        Up to which version the claims of each instance are known here.
     """
 
     def __init__(self, node):
@@ -29,6 +34,8 @@
         self.last_sent: dict[str, float] = {}
         self.owners_with_jobs: set[str] = set()
         self.loop_ran_at = node.runtime.now()
+        self.known_claims: dict[str, int] = {}
+        node.fleet.removal_callbacks.append(self.known_claims.clear)
 
     def run(self):
         """Send due renewals and run periodic checks until the node stops."""
@@ -130,7 +137,12 @@
         fleet, takeover = self.node.fleet, self.node.takeovers
         if claim.owner.name in self.owners_with_jobs or takeover.is_watcher(pool, claim):
             return fleet.owner_interval_s()
-        return fleet.neighbour_interval_s() if pool in wanted_pools else float("inf")
+        if pool not in wanted_pools:
+            return float("inf")
+        is_remote = ports.data_centre_of(pool) != self.node.this_instance.data_centre
+        if is_remote and takeover.is_candidate(pool):
+            return min(fleet.neighbour_interval_s(), MAX_REMOTE_INTERVAL_S)
+        return fleet.neighbour_interval_s()
 
     def _is_due(self, instance, interval_s):
         sent_at = self.last_sent.get(instance.name)
@@ -146,7 +158,7 @@
         message = messages.Renew(
             self.node.this_instance,
             self.node.holder.parts_at(instance.name),
-            self.node.fleet.tokens(),
+            self.known_claims.get(instance.name, 0),
             self.node.documents.revisions(),
         )
         try:
@@ -168,6 +180,7 @@
         self.node.fleet.record_contact(reply.sender)
         for claim in reply.claims:
             self.node.fleet.record_claim(claim)
+        self.known_claims[reply.sender.name] = reply.claims_version
         reported_pools = {pool_report.pool for pool_report in reply.pools}
         for pool, state in list(self.node.fleet.owners.items()):
             if state.claim.owner.name == reply.sender.name and pool not in reported_pools:
@@ -191,6 +204,7 @@
             tuple(
                 owned_pool.reports.recent_report() for owned_pool in self.node.owned_pools.values()
             ),
-            self.node.fleet.claims_newer_than(message.tokens),
+            self.node.fleet.claims_since(message.claims_version),
+            self.node.fleet.claims_version,
             self.node.documents.revisions(),
         )
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -35,9 +35,14 @@
 # Candidates in the pool's data centre that renew with its owner at the short interval; bounds the
 # owner's load in a large fleet.  Other candidates take over seconds later if all watchers fail too.
 LOCAL_WATCHERS = 4
+# Candidates in the pool's data centre that check it at all.  If all of them fail, others replace
+# them as soon as they no longer count as alive.
+LOCAL_CANDIDATES = candidate_rank.MAX_RANK
 # Candidates in other data centres that renew with an owner and may take the pool if its data centre
 # has no instance left.
 REMOTE_WATCHERS = 3
+# Instances of a data centre that are asked before it is considered lost, best candidates first.
+MAX_PROBED_INSTANCES = 12
 # A candidate in another data centre probes the pool's servers once and then its instances this many
 # times.  After a network partition ends, servers are reachable at once, but reconnecting to
 # instances can take half a second.
@@ -118,41 +123,36 @@
         self.in_progress.add(pool)
         self.runtime.spawn(self._attempt, pool, claim)
 
+    def _is_local(self, pool):
+        return self.fleet.this_instance.data_centre == ports.data_centre_of(pool)
+
     def _location_delay_s(self, pool):
         """Return the delay of this candidate due to its data centre."""
-        if self.fleet.this_instance.data_centre == ports.data_centre_of(pool):
-            return 0.0
-        # Remote instances renew with the owner less often.
-        return self.timing.foreign_delay_s + self.fleet.added_timeout_s()
+        return 0.0 if self._is_local(pool) else self.timing.foreign_delay_s
 
     def _rank_delay_s(self, pool, claim):
         """Return the delay of this candidate due to its rank."""
         rank = self.rank(pool, claim)
         delay_s = rank * self.timing.rank_delay_s
-        is_local = self.fleet.this_instance.data_centre == ports.data_centre_of(pool)
-        if is_local and rank >= LOCAL_WATCHERS:
+        if self._is_local(pool) and rank >= LOCAL_WATCHERS:
             # Not a watcher: renews with the owner as rarely as a remote candidate.
             delay_s += self.fleet.added_timeout_s()
         return delay_s
 
     def rank(self, pool: str, claim: messages.Claim | None) -> int:
-        """Return this instance's rank among the candidates for a pool, 0 for the best."""
-        return self.ranks.rank_for(pool, claim.owner.name if claim else "").rank
+        """Return this instance's rank among the candidates of its data centre or of all others."""
+        return self.ranks.rank_for(pool, claim.owner.name if claim else "")
 
     def is_candidate(self, pool: str) -> bool:
         """Return whether this instance may take a pool at all."""
-        if self.fleet.this_instance.data_centre == ports.data_centre_of(pool):
-            return True
         if self.fleet.interval_factor <= 1:
             return True
-        position = self.ranks.rank_for(pool)
-        return position.rank - position.local_count < REMOTE_WATCHERS
+        limit = LOCAL_CANDIDATES if self._is_local(pool) else REMOTE_WATCHERS
+        return self.ranks.rank_for(pool) < limit
 
     def is_watcher(self, pool: str, claim: messages.Claim | None) -> bool:
         """Return whether this instance monitors a pool's owner at the short interval."""
-        if self.fleet.this_instance.data_centre != ports.data_centre_of(pool):
-            return False
-        return self.rank(pool, claim) < LOCAL_WATCHERS
+        return self._is_local(pool) and self.rank(pool, claim) < LOCAL_WATCHERS
 
     def _attempt(self, pool, claim):
         try:
@@ -169,7 +169,7 @@
 
     def _is_owner_lost(self, pool, claim):
         """Return whether other instances or the platform confirm that a pool has no owner."""
-        if self.fleet.this_instance.data_centre != ports.data_centre_of(pool):
+        if not self._is_local(pool):
             return self._is_data_centre_lost(pool) and self._reaches_other_data_centre()
         if claim is None:
             return True
@@ -234,13 +234,17 @@
         return not self._is_any_local_reachable(pool)
 
     def _is_any_local_reachable(self, pool):
-        """Return whether the pool's owner or any instance of its data centre answers."""
+        """Return whether the pool's owner or one of the candidates in its data centre answers."""
         data_centre = ports.data_centre_of(pool)
-        local_instances = [
-            instance
-            for instance in self.fleet.instances().values()
-            if instance.data_centre == data_centre
-        ]
+        local_instances = election.rank_candidates(
+            pool,
+            data_centre,
+            (
+                instance
+                for instance in self.fleet.instances().values()
+                if instance.data_centre == data_centre
+            ),
+        )[:MAX_PROBED_INSTANCES]
         claim = self.fleet.claim_of(pool)
         if claim is not None:
             local_instances.append(claim.owner)
