Two instances of a data centre read the servers from the store; the others get the changes

A shared document is now a set of keys with the revision of their last change: a copy carries the changes since the revision that the receiver has, and equal contents (same digest) aren't copied at all.

--- a/rosedyke/rerunnable_jobs/document_sync.py
+++ b/rosedyke/rerunnable_jobs/document_sync.py
@@ -20,29 +20,26 @@
         self.node = node
         self.topics_in_flight: set[str] = set()
 
-    def sync_from(self, instance, revisions):
-        """Fetch the documents of which a peer has a newer revision."""
-        for topic in self.node.documents.outdated_topics(revisions):
+    def sync_from(self, instance, versions):
+        """Fetch the changes of the documents of which a peer has a newer version."""
+        for topic in self.node.documents.outdated_topics(versions):
             if topic not in self.topics_in_flight:
                 self.topics_in_flight.add(topic)
                 self.node.runtime.spawn(self._fetch, instance, topic)
 
     def _fetch(self, instance, topic):
+        request = messages.FetchDocument(topic, self.node.documents.by_topic[topic].revision)
         try:
             reply = self.node.peers.request(
-                peer.at_address(instance.address), messages.FetchDocument(topic), FETCH_TIMEOUT_S
+                peer.at_address(instance.address), request, FETCH_TIMEOUT_S
             )
         except peer.PeerError as error:
             event.log(events.DOCUMENT_NOT_FETCHED, topic=topic, peer=instance.name, error=error)
             return
         finally:
             self.topics_in_flight.discard(topic)
-        if reply.revision:
-            self.node.documents.update(topic, reply.revision, reply.content, instance.name)
+        self.node.documents.merge(reply, instance.name)
 
     def on_fetch(self, sender, message):
         """Answer a peer's request for a document."""
-        document = self.node.documents.by_topic.get(message.topic)
-        if document is None:
-            return messages.DocumentCopy(message.topic, 0, b"")
-        return messages.DocumentCopy(message.topic, document.revision, document.content)
+        return self.node.documents.copy_since(message.topic, message.revision)
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -57,6 +57,25 @@
     servers: dict[str, float]
 
 
+@attrs.frozen
+class DocumentVersion:
+    """The version of a shared document at an instance.
+
+    Attributes
+    ----------
+    revision : int
+        All changes up to this revision of the platform's store are included.
+    digest : int
+        Equal documents have the same.
+    age_s : float
+        Seconds since it was known to equal the one in the store.
+    """
+
+    revision: int
+    digest: int
+    age_s: float
+
+
 @codec.message("rerun.claim")
 @attrs.frozen
 class Claim:
@@ -80,14 +99,14 @@
         Job id and number of each renewed part.
     claims_version : int
         The version up to which the sender knows the receiver's claims, 0 for none.
-    revisions : dict of str to int
-        The sender's revision of each shared document.
+    documents : dict of str to DocumentVersion
+        The sender's version of each shared document that it knows.
     """
 
     sender: Instance
     parts: tuple[PartKey, ...]
     claims_version: int
-    revisions: dict[str, int]
+    documents: dict[str, DocumentVersion]
 
 
 @codec.message("rerun.report")
@@ -115,7 +134,7 @@
     pools: tuple[PoolReport, ...]
     claims: tuple[Claim, ...]
     claims_version: int
-    revisions: dict[str, int]
+    documents: dict[str, DocumentVersion]
 
 
 @codec.message("rerun.submit")
@@ -353,19 +372,51 @@
 @codec.message("rerun.fetch")
 @attrs.frozen
 class FetchDocument:
-    """Requests a shared document, such as the configuration, from a peer with a newer revision.
+    """Requests the changes of a shared document from a peer with a newer version.
 
-    Instances replicate documents so that one that cannot reach the platform's store stays current.
+    Attributes
+    ----------
+    topic : str
+        Name of the document.
+    revision : int
+        The revision up to which the sender knows it, 0 for none.
     """
 
     topic: str
+    revision: int
+
+
+@attrs.frozen
+class DocumentValue:
+    """A key of a shared document; ``content`` is None if it was removed at the revision."""
+
+    key: str
+    revision: int
+    content: bytes | None
 
 
 @codec.message("rerun.copy")
 @attrs.frozen
 class DocumentCopy:
-    """A shared document; revision 0 if the sender has none."""
+    """A shared document, or its changes since the requested revision.
+
+    Attributes
+    ----------
+    revision : int
+        The sender's revision, 0 if it does not know the document.
+    digest : int
+        Digest of the sender's whole document.
+    age_s : float
+        Seconds since the sender's document was known to equal the one in the store.
+    is_whole : bool
+        Keys that are not in ``values`` do not exist.
+    values : tuple of DocumentValue
+        All keys, or those that have changed.
+    """
 
     topic: str
     revision: int
-    content: bytes
+    digest: int
+    age_s: float
+    is_whole: bool
+    values: tuple[DocumentValue, ...]
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -27,6 +27,10 @@
 
 # Number of owners that a full pool asks for free capacity at a time.
 CAPACITY_REQUEST_FAN_OUT = 1
+# Instances of each data centre that read large lists from the store and pass changes on; with two
+# of them the loss of one goes unnoticed.
+STORE_READERS = 2
+STORE_READERS_KEY = "store readers"
 
 
 class Node:
@@ -131,6 +135,11 @@
         """Return whether the owner of any pool is reachable."""
         return self.fleet.isolated_since is None
 
+    def is_store_reader(self) -> bool:
+        """Return whether this instance reads large lists from the store for its data centre."""
+        key = f"{self.this_instance.data_centre}/{STORE_READERS_KEY}"
+        return self.takeovers.ranks.rank_for(key) < STORE_READERS
+
     # Pools.
 
     def claim_pool(
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -159,7 +159,7 @@
             self.node.this_instance,
             self.node.holder.parts_at(instance.name),
             self.known_claims.get(instance.name, 0),
-            self.node.documents.revisions(),
+            self.node.documents.versions(),
         )
         try:
             reply = self.node.peers.request(
@@ -188,7 +188,7 @@
         for pool_report in reply.pools:
             self.node.fleet.record_report(reply.sender, pool_report, reply.clock_s)
         self.node.holder.on_unknown_parts(reply.unknown, sent_at)
-        self.node.synchroniser.sync_from(reply.sender, reply.revisions)
+        self.node.synchroniser.sync_from(reply.sender, reply.documents)
 
     def on_renew(self, sender, message):
         """Process a renewal and return the reply."""
@@ -196,7 +196,7 @@
         unknown = set(message.parts)
         for owned_pool in self.node.owned_pools.values():
             unknown &= set(owned_pool.requests.renew(message.sender, message.parts))
-        self.node.synchroniser.sync_from(message.sender, message.revisions)
+        self.node.synchroniser.sync_from(message.sender, message.documents)
         return messages.RenewReply(
             self.node.this_instance,
             tuple(sorted(unknown)),
@@ -206,5 +206,5 @@
             ),
             self.node.fleet.claims_since(message.claims_version),
             self.node.fleet.claims_version,
-            self.node.documents.revisions(),
+            self.node.documents.versions(),
         )
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -110,7 +110,7 @@
             listed,
             listed,
             leased_servers.SimulatedGateway(self.backend, name),
-            documents.Documents(),
+            documents.Documents(self.runtime),
             lambda: WALL_CLOCK_START_S + self.runtime.now() + clock_s,
         )
         self.members[name] = Member(own, peers, listed, rerun_node, clock_s)
