--- a/rosedyke/rerunnable_jobs/document_sync.py
+++ b/rosedyke/rerunnable_jobs/document_sync.py
@@ -28,17 +28,24 @@
                 self.node.runtime.spawn(self._fetch, instance, topic)
 
     def _fetch(self, instance, topic):
-        request = messages.FetchDocument(topic, self.node.documents.by_topic[topic].revision)
         try:
-            reply = self.node.peers.request(
-                peer.at_address(instance.address), request, FETCH_TIMEOUT_S
-            )
+            known_revision = self.node.documents.by_topic[topic].revision
+            if not self._merge_from(instance, topic, known_revision):
+                self._merge_from(instance, topic, 0)
         except peer.PeerError as error:
             event.log(events.DOCUMENT_NOT_FETCHED, topic=topic, peer=instance.name, error=error)
             return
         finally:
             self.topics_in_flight.discard(topic)
-        self.node.documents.merge(reply, instance.name)
+
+    def _merge_from(self, instance, topic, known_revision):
+        """Merge a peer's changes since a revision; return whether the document is then equal."""
+        reply = self.node.peers.request(
+            peer.at_address(instance.address),
+            messages.FetchDocument(topic, known_revision),
+            FETCH_TIMEOUT_S,
+        )
+        return self.node.documents.merge(reply, instance.name)
 
     def on_fetch(self, sender, message):
         """Answer a peer's request for a document."""
--- a/rosedyke/rerunnable_jobs/documents.py
+++ b/rosedyke/rerunnable_jobs/documents.py
@@ -64,6 +64,15 @@
             key: value.content for key, value in self.values.items() if value.content is not None
         }
 
+    def changes_to(self, content: Mapping[str, bytes]) -> Changes:
+        """Return the changes that lead from this content to another one."""
+        known = self.content()
+        return {
+            key: content.get(key)
+            for key in sorted(known.keys() | content.keys())
+            if known.get(key) != content.get(key)
+        }
+
     def set(self, key: str, content: bytes | None, revision: int) -> bool:
         """Store a key's value unless a newer one is known; return whether it differs."""
         known = self.values.get(key)
@@ -77,6 +86,15 @@
         self.values[key] = Value(content, revision)
         return True
 
+    def digest_after(self, changes: Changes, revisions: Mapping[str, int], revision: int) -> int:
+        """Return the digest that the document would have after ``apply``."""
+        digest = self.digest
+        for key, content in changes.items():
+            known = self.values.get(key, Value(None, 0))
+            if known.revision < revisions.get(key, revision):
+                digest += _hash(key, content) - _hash(key, known.content)
+        return digest % DIGEST_RANGE
+
     def apply(self, changes: Changes, revisions: Mapping[str, int], revision: int) -> None:
         """Store changed keys; the document then includes all changes up to ``revision``."""
         applied = {
@@ -121,15 +139,9 @@
     def replace(self, topic: str, revision: int, content: Mapping[str, bytes]) -> None:
         """Store the whole content as read from the store at a revision, unless it is older."""
         document = self.by_topic[topic]
-        if revision < document.revision:
-            return
-        changes = {
-            key: content.get(key)
-            for key in sorted(document.content().keys() | content.keys())
-            if document.values.get(key, Value(None, 0)).content != content.get(key)
-        }
-        self.confirm(topic)
-        document.apply(changes, {}, revision)
+        if revision >= document.revision:
+            self.confirm(topic)
+            document.apply(document.changes_to(content), {}, revision)
 
     def confirm(self, topic: str) -> None:
         """Record that the store has just answered that a document has no further changes."""
@@ -190,21 +202,22 @@
             ),
         )
 
-    def merge(self, copy: messages.DocumentCopy, source: str) -> None:
+    def merge(self, copy: messages.DocumentCopy, source: str) -> bool:
         """Store the changes of a peer's copy.
 
         Parameters
         ----------
         source : str
             Name of the peer.
+
+        Returns
+        -------
+        bool
+            False if the peer's whole document is needed.
         """
         document = self.by_topic[copy.topic]
         if not copy.revision or copy.revision < document.revision:
-            return
-        changes: dict[str, bytes | None] = {}
-        if copy.is_whole:
-            changes = dict.fromkeys(document.content())
-        changes |= {value.key: value.content for value in copy.values}
+            return True
         event.log(
             events.DOCUMENT_FROM_PEER,
             topic=copy.topic,
@@ -212,7 +225,14 @@
             values=len(copy.values),
             peer=source,
         )
+        changes = {value.key: value.content for value in copy.values}
         revisions = {value.key: value.revision for value in copy.values}
-        document.apply(changes, revisions, copy.revision)
-        if document.digest == copy.digest:
+        if copy.is_whole:
+            changes, revisions = document.changes_to(changes), {}
+        # The sender has never seen a key that was added and removed between two of its reads, so
+        # its changes do not remove such a key here.
+        is_equal = document.digest_after(changes, revisions, copy.revision) == copy.digest
+        document.apply(changes, revisions, copy.revision if is_equal else document.revision)
+        if is_equal:
             document.checked_at = max(document.checked_at, self.runtime.now() - copy.age_s)
+        return is_equal
--- a/rosedyke/rerunnable_jobs/documents_test.py
+++ b/rosedyke/rerunnable_jobs/documents_test.py
@@ -27,7 +27,9 @@
         if not self.documents.outdated_topics(other.documents.versions()):
             return None
         copy = other.documents.copy_since(TOPIC, self.document.revision)
-        self.documents.merge(copy, "peer")
+        if not self.documents.merge(copy, "peer"):
+            copy = other.documents.copy_since(TOPIC, 0)
+            assert self.documents.merge(copy, "peer")
         return copy.values
 
 
@@ -97,6 +99,16 @@
         self.assertEqual(self.second.content(), {})
         self.assertEqual(self.second.document.digest, self.first.document.digest)
 
+    def test_key_added_and_removed_between_two_reads_of_a_peer(self):
+        # Guards against a server that stays listed here for good: a peer's changes can't list a
+        # removal that it has not seen.
+        self.first.documents.replace(TOPIC, 5, {"a": b"x"})
+        self.second.documents.replace(TOPIC, 6, {"a": b"x", "b": b"x"})
+        self.first.documents.replace(TOPIC, 8, {"a": b"y"})
+        self.second.sync_from(self.first)
+        self.assertEqual(self.second.content(), {"a": b"y"})
+        self.assertEqual(self.second.document.revision, 8)
+
 
 class Age(unittest.TestCase):
     def test_age_spreads_with_the_content(self):
