--- a/rosedyke/callers/application.py
+++ b/rosedyke/callers/application.py
@@ -12,7 +12,16 @@
 import attrs
 
 from rosedyke import runtime
-from rosedyke.callers import body, body_reader, events, metrics, ports, problem, settings
+from rosedyke.callers import (
+    bad_request,
+    body,
+    body_reader,
+    events,
+    metrics,
+    ports,
+    problem,
+    settings,
+)
 from rosedyke.job import answer, code, status
 from rosedyke.observe import event, metric
 
@@ -73,7 +82,7 @@
         self.in_progress += 1
         try:
             return self._route(environ, start_response)
-        except body.BadRequest as error:
+        except bad_request.BadRequest as error:
             metric.count(metrics.REJECTED)
             event.log(events.REQUEST_REJECTED, code=error.reason.value, detail=error.detail)
             environ.get("rosedyke.refused", _no_hook)()
@@ -111,7 +120,7 @@
         if path == "/readyz":
             _require(method, "GET", "HEAD")
             return self._readiness(start_response)
-        raise body.BadRequest(code.Code.NOT_FOUND, "see docs/API.md for the paths")
+        raise bad_request.BadRequest(code.Code.NOT_FOUND, "see docs/API.md for the paths")
 
     def _readiness(self, start_response):
         refusal = self.readiness_check.refusal()
@@ -157,7 +166,7 @@
 
     def _find_or_cancel(self, job_id, method, start_response):
         if not body.JOB_ID.fullmatch(job_id):
-            raise body.BadRequest(code.Code.INVALID_FIELD, "the path has no valid job id")
+            raise bad_request.BadRequest(code.Code.INVALID_FIELD, "the path has no valid job id")
         job_status = (
             self.manager.cancel(job_id) if method == "DELETE" else self.manager.find(job_id)
         )
@@ -193,7 +202,7 @@
 
 def _require(method: str, *allowed: str) -> None:
     if method not in allowed:
-        raise body.BadRequest(code.Code.METHOD_NOT_ALLOWED, f"use {' or '.join(allowed)}")
+        raise bad_request.BadRequest(code.Code.METHOD_NOT_ALLOWED, f"use {' or '.join(allowed)}")
 
 
 def _ran_if_rejected(reason: code.Code, environ: dict[str, Any]) -> answer.Ran:
--- a/rosedyke/callers/body.py
+++ b/rosedyke/callers/body.py
@@ -12,7 +12,7 @@
 import attrs
 import msgspec
 
-from rosedyke import fault
+from rosedyke.callers import bad_request
 from rosedyke.callers import settings as settings_module
 from rosedyke.configuration import intent
 from rosedyke.job import code as job_code
@@ -26,25 +26,6 @@
 JOB_ID = re.compile(r"[A-Za-z0-9._:~-]{1,128}")
 
 
-class BadRequest(fault.RosedykeError):
-    """A request is invalid or exceeds a limit; none of its tasks runs.
-
-    Attributes
-    ----------
-    reason : Code
-        Kind of error.
-    detail : str
-        Description with the position of the error.
-    """
-
-    code = "bad_request"
-
-    def __init__(self, reason: job_code.Code, detail: str):
-        super().__init__(detail)
-        self.reason = reason
-        self.detail = detail
-
-
 class SizeBody(msgspec.Struct, forbid_unknown_fields=True):
     """The JSON form of a task's resource requirements."""
 
@@ -95,7 +76,7 @@
 
     Raises
     ------
-    BadRequest
+    bad_request.BadRequest
         The text is not a number or is out of range.
     """
     if text is None:
@@ -108,7 +89,7 @@
 
     Raises
     ------
-    BadRequest
+    bad_request.BadRequest
         A value is not a number or is out of range, or a later attempt has no age.
     """
     attempt_number = parse_attempt(attempt)
@@ -116,7 +97,7 @@
         # Without its age, a resubmitted job whose claim has expired would be taken for a new job
         # and run again.
         if attempt_number is not None and attempt_number > 1:
-            raise BadRequest(
+            raise bad_request.BadRequest(
                 job_code.Code.INVALID_FIELD,
                 "Rosedyke-Age-Ms is required from the second attempt on",
             )
@@ -126,10 +107,10 @@
 
 def _parse_integer(name: str, text: str, minimum: int, maximum: int) -> int:
     if not (text.isascii() and text.isdigit() and len(text) <= len(str(maximum))):
-        raise BadRequest(job_code.Code.INVALID_FIELD, f"{name} is not a whole number")
+        raise bad_request.BadRequest(job_code.Code.INVALID_FIELD, f"{name} is not a whole number")
     value = int(text)
     if not minimum <= value <= maximum:
-        raise BadRequest(
+        raise bad_request.BadRequest(
             job_code.Code.INVALID_FIELD, f"{name} is not between {minimum} and {maximum}"
         )
     return value
@@ -142,7 +123,7 @@
 
     Raises
     ------
-    BadRequest
+    bad_request.BadRequest
         The body is not well formed or a value is out of range.
     """
     _check_syntax(data)
@@ -188,7 +169,7 @@
     seen = set()
     for name, _ in pairs:
         if name in seen:
-            raise BadRequest(
+            raise bad_request.BadRequest(
                 job_code.Code.MALFORMED, f"the key {name[:MAX_NAME_CHARACTERS]!r} stands twice"
             )
         seen.add(name)
@@ -209,61 +190,65 @@
     try:
         _SYNTAX_DECODER.decode(data.decode())
     except UnicodeDecodeError as error:
-        raise BadRequest(
+        raise bad_request.BadRequest(
             job_code.Code.MALFORMED, f"the body is not UTF-8 at byte {error.start}"
         ) from error
     except json.JSONDecodeError as error:
-        raise BadRequest(
+        raise bad_request.BadRequest(
             job_code.Code.MALFORMED, f"{error.msg} at line {error.lineno} column {error.colno}"
         ) from error
     except RecursionError as error:
-        raise BadRequest(job_code.Code.MALFORMED, "the body is nested too deeply") from error
+        raise bad_request.BadRequest(
+            job_code.Code.MALFORMED, "the body is nested too deeply"
+        ) from error
 
 
 def _decode(data: bytes) -> JobBody:
     try:
         return _DECODER.decode(data)
     except msgspec.ValidationError as error:
-        raise BadRequest(job_code.Code.INVALID_FIELD, str(error)) from error
+        raise bad_request.BadRequest(job_code.Code.INVALID_FIELD, str(error)) from error
     except msgspec.DecodeError as error:
-        raise BadRequest(job_code.Code.MALFORMED, str(error)) from error
+        raise bad_request.BadRequest(job_code.Code.MALFORMED, str(error)) from error
     except RecursionError as error:
-        raise BadRequest(job_code.Code.MALFORMED, "the body is nested too deeply") from error
+        raise bad_request.BadRequest(
+            job_code.Code.MALFORMED, "the body is nested too deeply"
+        ) from error
 
 
 def _check_values(job: JobBody) -> None:
     if not JOB_ID.fullmatch(job.job_id):
-        raise BadRequest(
+        raise bad_request.BadRequest(
             job_code.Code.INVALID_FIELD, "$.job_id must be 1 to 128 of A-Z a-z 0-9 . _ : ~ -"
         )
     if not job.tasks:
-        raise BadRequest(job_code.Code.INVALID_FIELD, "$.tasks is empty")
+        raise bad_request.BadRequest(job_code.Code.INVALID_FIELD, "$.tasks is empty")
     if len(job.tasks) > settings_module.MAX_TASKS:
-        raise BadRequest(
+        raise bad_request.BadRequest(
             job_code.Code.TOO_MANY_TASKS,
             f"$.tasks has {len(job.tasks)} tasks, {settings_module.MAX_TASKS} at most",
         )
     if job.timeout_s is not None and not 0 < job.timeout_s < math.inf:
-        raise BadRequest(job_code.Code.INVALID_FIELD, "$.timeout_s must be more than 0")
+        raise bad_request.BadRequest(job_code.Code.INVALID_FIELD, "$.timeout_s must be more than 0")
     for index, task in enumerate(job.tasks):
         _check_task(index, task)
 
 
 def _check_task(index: int, task: TaskBody) -> None:
     if not 0 < len(task.name) <= MAX_NAME_CHARACTERS:
-        raise BadRequest(
+        raise bad_request.BadRequest(
             job_code.Code.INVALID_FIELD,
             f"$.tasks[{index}].name must have 1 to {MAX_NAME_CHARACTERS} characters",
         )
     if task.run_time_s is not None and not 0 <= task.run_time_s < math.inf:
-        raise BadRequest(
+        raise bad_request.BadRequest(
             job_code.Code.INVALID_FIELD, f"$.tasks[{index}].run_time_s must not be negative"
         )
     if task.size is None:
         return
     for name in ("cores", "memory_mb", "accelerators"):
         if not 0 <= getattr(task.size, name) < math.inf:
-            raise BadRequest(
+            raise bad_request.BadRequest(
                 job_code.Code.INVALID_FIELD, f"$.tasks[{index}].size.{name} must not be negative"
             )
 
--- a/rosedyke/callers/body_reader.py
+++ b/rosedyke/callers/body_reader.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from rosedyke.callers import body, events, metrics, settings
+from rosedyke.callers import bad_request, events, metrics, settings
 from rosedyke.job import code
 from rosedyke.observe import event, metric
 
@@ -32,7 +32,7 @@
 
         Raises
         ------
-        body.BadRequest
+        bad_request.BadRequest
             The body is too large, too slow or truncated, or other requests use too much memory.
         """
         reservation = [0]
@@ -57,14 +57,16 @@
                 raise
             metric.count(metrics.CUT_OFF)
             event.log(events.CALLER_TOO_SLOW, caller=environ.get("REMOTE_ADDR"), part="body")
-            raise body.BadRequest(
+            raise bad_request.BadRequest(
                 code.Code.CALLER_TOO_SLOW,
                 f"the body did not arrive within {self.limits.body_timeout_s} s",
             ) from error
         except OSError as error:
             raise _truncated() from error
         except ValueError as error:
-            raise body.BadRequest(code.Code.MALFORMED, "the chunks have no length") from error
+            raise bad_request.BadRequest(
+                code.Code.MALFORMED, "the chunks have no length"
+            ) from error
         finally:
             timeout.cancel()
 
@@ -87,18 +89,18 @@
     def _reserve(self, reservation, size):
         if self.reserved_bytes + size > self.limits.max_bodies_bytes:
             event.log(events.BODIES_FULL, held_bytes=self.reserved_bytes)
-            raise body.BadRequest(
+            raise bad_request.BadRequest(
                 code.Code.OVERLOADED, "the bodies of other requests fill the instance's memory"
             )
         reservation[0] += size
         self.reserved_bytes += size
 
     def _too_large(self):
-        return body.BadRequest(
+        return bad_request.BadRequest(
             code.Code.TOO_LARGE, f"the body may have {self.limits.max_body_bytes} bytes at most"
         )
 
 
-def _truncated() -> body.BadRequest:
+def _truncated() -> bad_request.BadRequest:
     # Not "malformed": a copy of the request may have reached another instance completely.
-    return body.BadRequest(code.Code.CALLER_TOO_SLOW, "the body was cut short")
+    return bad_request.BadRequest(code.Code.CALLER_TOO_SLOW, "the body was cut short")
--- a/rosedyke/callers/body_test.py
+++ b/rosedyke/callers/body_test.py
@@ -1,6 +1,6 @@
 import unittest
 
-from rosedyke.callers import body, settings
+from rosedyke.callers import bad_request, body, settings
 from rosedyke.job import code
 
 LIMITS = settings.CallersSettings()
@@ -34,7 +34,7 @@
         self.assertEqual(request.age_s, 0.0)
 
     def test_later_attempt_without_age_is_refused(self):
-        with self.assertRaises(body.BadRequest) as raised:
+        with self.assertRaises(bad_request.BadRequest) as raised:
             parse(b'{"job_id":"a","tasks":[{"name":"tag"}]}', attempt="2")
         self.assertIs(raised.exception.reason, code.Code.INVALID_FIELD)
 
@@ -73,12 +73,12 @@
                 '{"job_id":"a","tasks":[' + ",".join([task] * 301) + "]}",
             ),
         ]:
-            with self.subTest(text[:80]), self.assertRaises(body.BadRequest) as raised:
+            with self.subTest(text[:80]), self.assertRaises(bad_request.BadRequest) as raised:
                 parse(text.encode())
             self.assertIs(raised.exception.reason, reason, text[:80])
 
     def test_invalid_utf8(self):
-        with self.assertRaises(body.BadRequest) as raised:
+        with self.assertRaises(bad_request.BadRequest) as raised:
             parse(b'{"job_id":"a","tasks":[{"name":"tag","payload":"\xff"}]}')
         self.assertIs(raised.exception.reason, code.Code.MALFORMED)
 
@@ -90,7 +90,7 @@
 class Headers(unittest.TestCase):
     def test_values_out_of_range(self):
         for attempt, age in [("0", None), ("-1", None), ("x", None), ("1", "1.5"), ("9" * 30, "0")]:
-            with self.subTest(attempt=attempt, age=age), self.assertRaises(body.BadRequest):
+            with self.subTest(attempt=attempt, age=age), self.assertRaises(bad_request.BadRequest):
                 body.parse_headers(attempt, age)
 
 
--- a/rosedyke/callers/fuzz_test.py
+++ b/rosedyke/callers/fuzz_test.py
@@ -6,7 +6,7 @@
 from eventlet.green import socket
 from hypothesis import strategies
 
-from rosedyke.callers import application, body, server, settings
+from rosedyke.callers import application, bad_request, body, server, settings
 from rosedyke.daemon import eventlet_runtime
 from rosedyke.job import submission
 from rosedyke.standins import callers_fake
@@ -50,7 +50,7 @@
     """Return the submission, or None for BadRequest; other errors fail the test."""
     try:
         return body.parse("weighing", body.Headers(1, 0.0), data, LIMITS)
-    except body.BadRequest:
+    except bad_request.BadRequest:
         return None
 
 
--- a/rosedyke/configuration/ports.py
+++ b/rosedyke/configuration/ports.py
@@ -1,22 +1,25 @@
 """Interface of the configuration to other packages, and the store interface it depends on."""
 
 from collections.abc import Callable, Iterator
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from rosedyke import fault
-from rosedyke.configuration import intent
+
+if TYPE_CHECKING:
+    # An instance on the platform uses the store's interface but has no intent.
+    from rosedyke.configuration import intent
 
 
 class ConfigurationSource(Protocol):
     """The active configuration of this instance."""
 
     @property
-    def configuration(self) -> intent.Configuration | None:
+    def configuration(self) -> "intent.Configuration | None":
         """The active configuration, None before the first; its generation never decreases."""
 
-    def subscribe(self, callback: Callable[[intent.Configuration], None]) -> None:
+    def subscribe(self, callback: Callable[["intent.Configuration"], None]) -> None:
         """Call ``callback`` with each newer configuration; it must not block."""
 
     def is_leaving(self, server_name: str) -> bool:
