--- a/rosedyke/rerunnable_jobs/candidate_rank.py
+++ b/rosedyke/rerunnable_jobs/candidate_rank.py
@@ -4,6 +4,7 @@
 instance would grow with the product of instances and pools.
 """
 
+import array
 import bisect
 
 import attrs
@@ -19,14 +20,30 @@
 class CandidateList:
     """The known instances, alive or not, in the order in which they may take a pool.
 
+    Two flat lists, because a large fleet has a hundred thousand pairs of an instance and a pool.
+
     Attributes
     ----------
-    local, remote : list of (tuple, str)
-        Sort key and name of the instances in the pool's data centre and in all others.
+    scores : array of float
+        Lowest first; equal scores are as unlikely as equal hashes.
+    names : list of str
+        Names of the instances with these scores.
     """
 
-    local: list[tuple[tuple[float, str], str]] = attrs.Factory(list)
-    remote: list[tuple[tuple[float, str], str]] = attrs.Factory(list)
+    scores: array.array = attrs.Factory(lambda: array.array("d"))
+    names: list[str] = attrs.Factory(list)
+
+    def insert(self, score: float, name: str) -> None:
+        """Insert an instance."""
+        index = bisect.bisect(self.scores, score)
+        self.scores.insert(index, score)
+        self.names.insert(index, name)
+
+    def remove(self, name: str) -> None:
+        """Remove an instance if it is contained."""
+        if name in self.names:
+            index = self.names.index(name)
+            del self.scores[index], self.names[index]
 
 
 class RankCache:
@@ -40,7 +57,7 @@
     Attributes
     ----------
     candidates : dict of str to CandidateList
-        By pool.
+        By pool: the instances that this one is ranked among.
     ranks : dict of (str, str) to int
         By pool and the name of the excluded instance.
     """
@@ -82,32 +99,29 @@
     def _update_candidates(self, instances):
         """Apply the difference only: hashing all instances for all pools takes long."""
         previous, self.instances = self.instances, instances
-        removed = {name for name, instance in previous.items() if instances.get(name) != instance}
+        removed = [name for name, instance in previous.items() if instances.get(name) != instance]
         added = [instance for name, instance in instances.items() if previous.get(name) != instance]
         for pool, candidates in self.candidates.items():
-            if removed:
-                candidates.local = [item for item in candidates.local if item[1] not in removed]
-                candidates.remote = [item for item in candidates.remote if item[1] not in removed]
-            for instance in added:
-                self._insert(pool, candidates, instance)
-
-    @staticmethod
-    def _insert(pool, candidates, instance):
-        is_local = instance.data_centre == ports.data_centre_of(pool)
-        group = candidates.local if is_local else candidates.remote
-        bisect.insort(group, (election.sort_key(pool, instance), instance.name))
+            for name in removed:
+                candidates.remove(name)
+            self._insert(pool, candidates, added)
+
+    def _insert(self, pool, candidates, instances):
+        """Insert those instances that this one is ranked among."""
+        data_centre = ports.data_centre_of(pool)
+        is_local = self.fleet.this_instance.data_centre == data_centre
+        for instance in instances:
+            if (instance.data_centre == data_centre) == is_local:
+                candidates.insert(election.score(pool, instance), instance.name)
 
     def _compute(self, pool, excluded):
         candidates = self.candidates.get(pool)
         if candidates is None:
             candidates = self.candidates[pool] = CandidateList()
-            for instance in (*self.instances.values(), self.fleet.this_instance):
-                self._insert(pool, candidates, instance)
-        this_instance = self.fleet.this_instance
-        is_local = this_instance.data_centre == ports.data_centre_of(pool)
+            self._insert(pool, candidates, (*self.instances.values(), self.fleet.this_instance))
         rank = 0
-        for _, name in candidates.local if is_local else candidates.remote:
-            if name == this_instance.name or rank == MAX_RANK:
+        for name in candidates.names:
+            if name == self.fleet.this_instance.name or rank == MAX_RANK:
                 break
             rank += name in self.alive and name != excluded
         return rank
--- a/rosedyke/rerunnable_jobs/candidate_rank_test.py
+++ b/rosedyke/rerunnable_jobs/candidate_rank_test.py
@@ -98,11 +98,11 @@
         pools = [f"a/r{number}" for number in range(50)]
         for pool in pools:
             self.ranks.rank_for(pool)
-        with mock.patch.object(election, "sort_key", wraps=election.sort_key) as sort_key:
+        with mock.patch.object(election, "score", wraps=election.score) as score:
             self.fleet.record_contact(messages.Instance("a-9", "10.0.0.9:7000", "a"))
             for pool in pools:
                 self.ranks.rank_for(pool)
-        self.assertEqual(sort_key.call_count, len(pools))
+        self.assertEqual(score.call_count, len(pools))
 
 
 def clock_reads_per_instance(data_centres):
--- a/rosedyke/rerunnable_jobs/election.py
+++ b/rosedyke/rerunnable_jobs/election.py
@@ -22,11 +22,15 @@
     """Return all instances, best candidate first."""
     return sorted(
         instances,
-        key=lambda instance: (instance.data_centre != data_centre, *sort_key(pool, instance)),
+        key=lambda instance: (
+            instance.data_centre != data_centre,
+            score(pool, instance),
+            instance.name,
+        ),
     )
 
 
-def sort_key(pool: str, instance: messages.Instance) -> tuple[float, str]:
-    """Return the key that orders the candidates of one data centre, the best candidate first."""
+def score(pool: str, instance: messages.Instance) -> float:
+    """Return the score of a candidate within its data centre, lowest for the best."""
     weight = instance.cores**SPEED_EXPONENT
-    return rendezvous.weighted_score(pool, instance.name, weight), instance.name
+    return rendezvous.weighted_score(pool, instance.name, weight)
