--- a/rosedyke/daemon/failures_process_test.py
+++ b/rosedyke/daemon/failures_process_test.py
@@ -20,6 +20,8 @@
 TIMEOUT_S = 40.0
 TASK_COUNT = 16
 TASK_DURATION_S = 0.5
+# Lines of each instance's log that a failure shows.
+LOG_LINES = 40
 
 
 class Submission(threading.Thread):
@@ -94,9 +96,12 @@
         processes.wait_until(
             lambda: has_started() or not submission.is_alive(), TIMEOUT_S, f"{count} starts"
         )
-        self.assertTrue(
-            has_started(), f"answered before {count} tasks started: {submission.document}"
-        )
+        if not has_started():
+            logs = "".join(
+                f"\n{instance.name}:\n{instance.process.tail(LOG_LINES)}"
+                for instance in self.region.instances
+            )
+            self.fail(f"answered before {count} tasks started: {submission.document}{logs}")
 
     def check_answer(self, document, started_before):
         """Check the answer to a caller against the task starts counted by the backend servers."""
