--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -136,7 +136,10 @@
         return self.fleet.isolated_since is None
 
     def is_store_reader(self) -> bool:
-        """Return whether this instance reads large lists from the store for its data centre."""
+        """Return whether this instance reads large lists from the store for its data centre.
+
+        Readers are ranked like the candidates for a pool of the data centre.
+        """
         key = f"{self.this_instance.data_centre}/{STORE_READERS_KEY}"
         return self.takeovers.ranks.rank_for(key) < STORE_READERS
 
