--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -235,9 +235,9 @@
 |---|---|---|---|
 | lvaha-sched-now-grown, 33 machines | 0.66, no rule broken | 0.829, no rule broken | the start of the fleet after a loss of power, [design/shifted-work.md](design/shifted-work.md) |
 | turnos-bajio-grown, 29 machines | 0.68 | 0.827 (before the change of the lists of servers) | the same, and the price of machines |
-| a day at 300 machines without a broken rule | clean | **not shown**: stopped at 15 GB of memory, 45 MB a machine, before its traffic began; since then candidates take a tenth of that memory, not played again | memory of the machine that plays it; processor time of the start |
+| a day at 300 machines without a broken rule | clean | **not shown**: stopped at 15 GB of memory, 45 MB a machine, before its traffic began; candidates are kept in flat lists since, and it was not played again | memory of the machine that plays it; processor time of the start |
 
-On the virtual clock an idle instance of 99 sends 38 renewals a second with 4.3 kB and answers as many with 32 kB; neither depends on the number of pools.
+On the virtual clock an idle instance of 99 sends 38 renewals a second with 4.3 kB and answers as many with 32 kB.
 """
 
 
