Log when the lease of a backend server lapses

Event 8018 names the server, the tasks, and how many of their starts have no reply. It is logged once for each lapse, since later failed polls requeue nothing new.

--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -88,6 +88,13 @@
     logging.WARNING,
     "A backend server refused to renew its lease and to list its runs; it gets no tasks.",
 )
+LEASE_LAPSED = event.define(
+    8018,
+    "server_lease_lapsed",
+    logging.WARNING,
+    "The lease of a backend server has expired, so the tasks of its runs are placed elsewhere; the "
+    "field unconfirmed counts the runs whose start command has no reply.",
+)
 JOB_ENDED = event.define(
     8020,
     "rerunnable_job_ended",
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -201,12 +201,24 @@
             # The next listing is read before the lease is renewed, or the renewal would extend
             # runs that were started by delayed commands.
             state.is_synced = False
+            self._log_lapse(state)
             state.has_lease_lapsed = True
             for run in list(state.runs.values()):
                 self.owner.requeue_task(run)
             self.owner.wake_scheduler()
         self.owner.runtime.sleep(self.owner.timing.order_s / 2)
 
+    def _log_lapse(self, state):
+        """Log the tasks that a lapsed lease requeues; further failed polls requeue nothing new."""
+        requeued = [run for run in state.runs.values() if not run.is_over]
+        if requeued:
+            event.log(
+                events.LEASE_LAPSED,
+                server=state.server.id,
+                tasks=[run.task for run in requeued],
+                unconfirmed=sum(run.confirmed_at is None for run in requeued),
+            )
+
     def _suspend(self, state):
         state.suspended_until = self.owner.runtime.now() + SERVER_BACKOFF_S
 
