Do not send a start whose task was requeued after the placement

Cause: a check and the act that relies on it lie on both sides of a yield. The scheduler enters a run and spawns the green thread that sends its start. If the lease of the server is over by the owner's clock, a poll that fails before that thread runs requeues all runs of the server, the one just placed too, since after a lapse no run can be left there. The thread then sent the start all the same, with a new deadline, while the task was placed on another server.

Ruled out for this violation by the trace: a start delivered late by TCP, a stop taken for an end, commands of an earlier owner, a lost holder, a reused run number.

Fix: the start is sent only while the run is still the one that was placed, and otherwise the run is discarded, as nothing can have started. The check and the deadline are taken without a yield between them, and the deadline renews the lease by the owner's clock, so no lapse can follow before the command is resolved. Event 8019 counts discarded starts.

The new test failed before: 6 of 31 subtests, 'j2.0.0.4 runs on s-a-0 and s-a-1'.

--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -95,6 +95,13 @@
     "The lease of a backend server has expired, so the tasks of its runs are placed elsewhere; the "
     "field unconfirmed counts the runs whose start command has no reply.",
 )
+START_DISCARDED = event.define(
+    8019,
+    "start_discarded",
+    logging.INFO,
+    "A run was not started because its task was requeued or its job cancelled after the run was "
+    "placed.",
+)
 JOB_ENDED = event.define(
     8020,
     "rerunnable_job_ended",
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -36,6 +36,10 @@
         """Start a run on a server and process the result."""
         if not self.owner.can_send():
             return
+        if not state.expects_start(run):
+            event.log(events.START_DISCARDED, task=run.task, run=run.number, server=state.server.id)
+            self.owner.discard_run(state, run)
+            return
         now = self.owner.runtime.now()
         command = ports.StartCommand(
             run.task,
--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -23,6 +23,17 @@
     )
 
 
+def delay_starts(region, name, delay_s):
+    """Send the starts of an instance's pools later than they are placed, as a busy process does."""
+    for owner in region.members[name].node.owned_pools.values():
+
+        def send_later(*arguments, send=owner.commands.start):
+            region.runtime.sleep(delay_s)
+            send(*arguments)
+
+        owner.commands.start = send_later
+
+
 class DelayedCommands(unittest.TestCase):
     def test_task_of_a_delayed_start_does_not_run_twice(self):
         # Guards against a start that executes seconds later, after its task was placed elsewhere.
@@ -188,6 +199,23 @@
         self.assertEqual(later_servers, {"s-a-1"})
 
 
+class LapsedLeases(unittest.TestCase):
+    def test_task_that_a_lapse_requeues_before_its_start_is_sent_runs_once(self):
+        # Guards against sending the start of a run whose task was placed again in the meantime.
+        for healed_after_s in [0.8 + 0.02 * step for step in range(31)]:
+            with self.subTest(healed_after_s=round(healed_after_s, 2)):
+                region = started_region({"a": 1}, servers=2)
+                delay_starts(region, "a-1", 0.05)
+                region.backend.partitioned = {("a-1", "s-a-0")}
+                submissions = [region.submit("a-1", "j1", count=2, duration_s=0.3)]
+                region.run(healed_after_s)
+                region.backend.partitioned = set()
+                submissions.append(region.submit("a-1", "j2", count=8, duration_s=0.3))
+                region.run(3.0)
+                self.assertEqual([item.outcome for item in submissions], [DONE] * 2)
+                self.assertEqual(region.backend.violations, [])
+
+
 class FailingJob(unittest.TestCase):
     def test_job_fails_after_its_attempts_are_used_up(self):
         region = started_region()
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -180,6 +180,15 @@
             and not self.has_orphans()
         )
 
+    def expects_start(self, run: Run) -> bool:
+        """Return whether the start command of a placed run may still be sent.
+
+        Between the placement and the command, a lapsed lease may requeue the task, or the job may
+        be cancelled.
+        """
+        is_known = self.runs.get(run.key) is run
+        return is_known and run.state is RunState.STARTING and not run.is_over
+
     def update_entry(self, server: ports.Server, now: float) -> None:
         """Apply a changed entry of the platform."""
         self.server, self.cold_until = server, now + server.cold_s
