Make the simulated servers as strict as the protocol

- A start was late by its own deadline.
A deadline applies to everything on the server, so a start that arrives late runs if another command keeps the lease valid.
- A stop was answered when the run had ended.
It is answered at once, and the run ends up to 50 ms later.
- A restarted server kept its clock and its lease.
Both start anew.
- Commands to an unreachable server were lost.
On an idle connection TCP sends them again after the partition, though the sender has stopped waiting; without one they fail with ConnectionFailed.
Connections to an earlier incarnation are lost with it.

--- a/rosedyke/standins/leased_servers.py
+++ b/rosedyke/standins/leased_servers.py
@@ -13,6 +13,14 @@
 
 NETWORK_DELAY_S = 0.0005
 MS_PER_S = 1000
+# How long a stopped run continues after the reply to the stop command.
+STOP_DELAY_S = 0.05
+# Connections, as of ``gateways.http_client``.
+CONNECT_TIMEOUT_S = 0.15
+MAX_IDLE_S = 2.5
+MAX_IDLE_CONNECTIONS = 6
+# When TCP sends lost bytes again, counted from the first time.  The sender need not be waiting.
+RETRANSMISSIONS_S = (0.2, 0.6, 1.4, 3.0)
 
 
 @attrs.define(eq=False)
@@ -48,6 +56,7 @@
         self.is_hanging = False
         self.fails_all = False
         self.born_ms = listed.born_ms or 1
+        self.clock_zero_s = -7.0
         self.highest_token = 0
         self.lease_end_s = 0.0
         self.runs: dict[tuple[str, int], RunInProgress] = {}
@@ -60,7 +69,7 @@
 
     def clock_ms(self) -> int:
         """Return the server's monotonic clock."""
-        return int(self.runtime.now() * MS_PER_S) + 7_000
+        return int((self.runtime.now() - self.clock_zero_s) * MS_PER_S)
 
     def crash(self) -> None:
         """Stop responding and lose all runs."""
@@ -71,7 +80,9 @@
         """Start again with empty state under the same id."""
         self.born_ms += 1000
         self.is_up = True
+        self.clock_zero_s = self.runtime.now()
         self.highest_token = self.count = 0
+        self.lease_end_s = 0.0
         self.ended, self.excluded = [], {}
 
     def _check(self, token, sender):
@@ -83,7 +94,7 @@
             self.world.violations.append(f"token {token} of {owner} used by {sender}")
 
     def start(self, command: ports.StartCommand, sender: str) -> None:
-        """Start a run."""
+        """Start a run, also after the command's deadline if the server's lease is still valid."""
         self._check(command.token, sender)
         self._extend(command.lease_end_ms)
         key = (command.task, command.run)
@@ -91,7 +102,7 @@
             return
         if command.run <= self.excluded.get(command.task, 0):
             raise ports.CommandRefused(ports.RefusalReason.OLD_RUN)
-        if self.clock_ms() >= command.lease_end_ms:
+        if self.runtime.now() >= self.lease_end_s:
             raise ports.CommandRefused(ports.RefusalReason.LATE)
         duration_s = self.world.duration_s(command.task) / self.speed
         run = RunInProgress(*key, command.payload, self.runtime.now(), duration_s)
@@ -116,14 +127,17 @@
         self.run_ended = self.runtime.signal()
 
     def stop(self, task: str, number: int, token: int, sender: str) -> None:
-        """Stop a run, or exclude it from starting later."""
+        """Exclude a run from starting later, and end it soon if it is in progress."""
         self._check(token, sender)
+        self.excluded[task] = max(number, self.excluded.get(task, 0))
         run = self.runs.get((task, number))
         if run is not None:
-            self.runtime.sleep(0.03)
-            if self.runs.get((task, number)) is run:
-                self._end(run, ports.RunResult.STOPPED)
-        self.excluded[task] = max(number, self.excluded.get(task, 0))
+            self.runtime.spawn(self._end_stopped, run)
+
+    def _end_stopped(self, run):
+        self.runtime.sleep(STOP_DELAY_S)
+        if self.runs.get((run.task, run.number)) is run:
+            self._end(run, ports.RunResult.STOPPED)
 
     def renew_lease(self, token, acknowledged, lease_end_ms, wait_s, sender) -> ports.RunListing:
         """Renew the lease and list the active and ended runs."""
@@ -218,13 +232,29 @@
         return self.demands.get(job.job_id(run.task), job.Demand(1000))
 
 
+@attrs.define(eq=False)
+class Exchange:
+    """One command and its reply."""
+
+    ended: virtual.VirtualSignal
+    reply: ports.RunListing | None = None
+    refusal: ports.CommandRefused | None = None
+
+
 class SimulatedGateway:
-    """Implements ``ports.ServerGateway`` for one instance."""
+    """Implements ``ports.ServerGateway`` for one instance.
+
+    Attributes
+    ----------
+    idle_connections : dict of str to list of float
+        When each idle connection was last used, by server id.
+    """
 
     def __init__(self, world: SimulatedBackend, instance: str):
         self.world = world
         self.runtime = world.runtime
         self.instance = instance
+        self.idle_connections: dict[str, list[float]] = {}
 
     def start(self, server: ports.Server, command: ports.StartCommand, timeout_s: float) -> None:
         """Start a run."""
@@ -250,25 +280,69 @@
         )
 
     def disconnect(self, server_id: str) -> None:
-        """Do nothing: there are no connections."""
+        """Close the idle connections to a server."""
+        self.idle_connections.pop(server_id, None)
 
     def _send(self, kind, server, timeout_s, action):
+        """Send a command over TCP and wait for its reply.
+
+        Without an idle connection a command to an unreachable server is not sent.  On an idle one
+        its bytes are sent again until they arrive, whether or not the sender still waits.
+        """
         target = self.world.servers[server.id]
+        deadline = self.runtime.now() + timeout_s
         delay_s = self.world.fault_injector(kind, self.instance, server.id)
-        if not self._is_reachable(server.id):
-            self.runtime.sleep(timeout_s)
-            raise ports.NoReply("server unreachable")
+        self._acquire_connection(server.id, timeout_s)
+        exchange = Exchange(self.runtime.signal())
         if delay_s is not None:
             self.runtime.spawn(self._execute_late, target, delay_s, action)
-            self.runtime.sleep(timeout_s)
-            raise ports.NoReply("reply lost")
-        self.runtime.sleep(NETWORK_DELAY_S)
-        reply = action(target)
-        if not self._is_reachable(server.id):
-            self.runtime.sleep(timeout_s)
-            raise ports.NoReply("server unreachable")
+        else:
+            self.runtime.spawn(self._deliver, target, action, exchange)
+        if not exchange.ended.wait(max(0.0, deadline - self.runtime.now())):
+            raise ports.NoReply(f"no reply from {server.id}")
+        self._release_connection(server.id)
+        if exchange.refusal is not None:
+            raise exchange.refusal
+        return exchange.reply
+
+    def _acquire_connection(self, server_id, timeout_s):
+        """Use an idle connection, or connect."""
+        idle_connections = self.idle_connections.get(server_id, [])
+        while idle_connections:
+            if self.runtime.now() - idle_connections.pop() <= MAX_IDLE_S:
+                return
+        if not self._is_reachable(server_id):
+            self.runtime.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
+            raise ports.ConnectionFailed(f"{server_id} unreachable")
+
+    def _release_connection(self, server_id):
+        idle_connections = self.idle_connections.setdefault(server_id, [])
+        if len(idle_connections) < MAX_IDLE_CONNECTIONS:
+            idle_connections.append(self.runtime.now())
+
+    def _deliver(self, target, action, exchange):
+        """Execute a command, and deliver its reply."""
+        born_ms = target.born_ms
+        if not self._transfer(target, born_ms):
+            return
+        try:
+            exchange.reply = action(target)
+        except ports.CommandRefused as refusal:
+            exchange.refusal = refusal
+        if self._transfer(target, born_ms):
+            exchange.ended.set()
+
+    def _transfer(self, target, born_ms):
+        """Wait until bytes have arrived; return False if the connection is lost before."""
         self.runtime.sleep(NETWORK_DELAY_S)
-        return reply
+        sent_at = self.runtime.now()
+        for retransmitted_s in RETRANSMISSIONS_S:
+            if target.born_ms != born_ms:
+                return False
+            if self._is_reachable(target.listed.id):
+                return True
+            self.runtime.sleep(sent_at + retransmitted_s - self.runtime.now())
+        return self._is_reachable(target.listed.id) and target.born_ms == born_ms
 
     def _is_reachable(self, server_id):
         is_partitioned = (self.instance, server_id) in self.world.partitioned
