Don't send a start whose task was requeued before the command left

Cause: a task is placed in one green thread and its start command is sent in another one. After a partition a stop is answered, the server's runs are read (_refresh) and the server is usable again, while an older poll still waits on its connection. If that poll fails after the placement and before the start, the lease is over by the owner's clock (the last command with a deadline is from the partition), so all runs of the server are requeued, the new one included. The start was sent all the same, with a fresh deadline, and the task was also placed elsewhere. A busy process makes the interval longer.

The start now checks at the last point before it is sent that its run wasn't requeued.

The virtual clock can delay the first step of spawned tasks (spawn_delay_s), as a busy process does.

--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -36,6 +36,10 @@
         """Start a run on a server and process the result."""
         if not self.owner.can_send():
             return
+        if run.is_over:
+            # Requeued before this green thread ran, so another server may have its task by now.
+            self.owner.discard_run(state, run)
+            return
         now = self.owner.runtime.now()
         command = ports.StartCommand(
             run.task,
--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -88,6 +88,37 @@
         self.assertGreater(done, 50)
 
 
+class LapsedLeases(unittest.TestCase):
+    def region_with_unresolved_start(self):
+        """Return a region in which a start was sent to s-a-0 right after it became unreachable."""
+        region = started_region({"a": 1}, servers=2)
+        region.submit("a-1", "j0", count=8, duration_s=0.1)
+        region.run(0.3)  # leaves idle connections
+        region.backend.partitioned = {("a-1", "s-a-0")}
+        region.submit("a-1", "j1", count=1, duration_s=0.1, timeout_s=1.2)
+        return region
+
+    def test_start_is_not_sent_after_its_task_was_requeued(self):
+        # Guards against a task that runs twice in a busy process: the server is usable again, but a
+        # poll from the partition fails between the placement of a task and the start command.
+        servers = []
+        for delay_ms in range(20, 60, 2):
+            with self.subTest(delay_ms=delay_ms):
+                region = self.region_with_unresolved_start()
+                region.run(1.4)
+                region.backend.partitioned = set()
+                region.runtime.spawn_delay_s = 0.005
+                region.run(delay_ms / 1000)
+                submission = region.submit("a-1", "j2", count=2, duration_s=0.3)
+                region.run(2.0)
+                self.assertEqual((submission.outcome, region.backend.violations), (DONE, []))
+                servers.append(
+                    {server for _, task, server in region.backend.starts if "j2" in task}
+                )
+        # The poll fails at one of these delays: earlier the server is usable, later it is not.
+        self.assertEqual((servers[0], servers[-1]), ({"s-a-0"}, {"s-a-1"}))
+
+
 class FaultyServers(unittest.TestCase):
     def test_tasks_of_an_unreachable_server_run_elsewhere_after_its_lease(self):
         # Guards against waiting for a server that continues to run but is unreachable.
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -88,9 +88,15 @@
         Seed of the random numbers, and of the order of ready tasks when ``shuffle`` is set.
     shuffle : bool
         Run ready tasks in a random order instead of first in, first out.
+
+    Attributes
+    ----------
+    spawn_delay_s : float
+        How long a spawned task waits for its first step, as in a busy process.
     """
 
     def __init__(self, seed: int = 0, shuffle: bool = False):
+        self.spawn_delay_s = 0.0
         self.generator = random_module.Random(seed)
         self.shuffle = shuffle
         self.time = 0.0
@@ -138,7 +144,10 @@
                 task.ended.set()
 
         task.greenlet = greenlet.greenlet(body)
-        self.ready(task.greenlet)
+        if self.spawn_delay_s:
+            self.at(self.spawn_delay_s, task.greenlet)
+        else:
+            self.ready(task.greenlet)
         return task
 
     def at(self, seconds: float, waiter: greenlet.greenlet) -> None:
