Keep the unresolved starts of a server that leaves the platform's list and returns

What callers would see: a task that runs twice, after a server was unreachable for longer than its lease and missing from the platform's list meanwhile.

Cause: PoolOwner.on_servers deleted the ServerState of an unlisted server whose lease was over, and with it the runs whose start commands may still be executed. When the server was listed again, the new state knew of none of them, so its lease was renewed at once, and a start that TCP delivered after the partition ran under that lease, past its own deadline, while its task ran elsewhere.

Evidence: LapsedLeases.test_lease_of_a_server_that_is_listed_again_is_not_renewed_before_starts_are_resolved failed before: "4.800: j1.0.0.0 runs on s-a-1 and s-a-0" (start sent at 1.8 s, task placed on s-a-1 at 3.25 s, partition over at 4.5 s, two stops lost, start delivered at 4.8 s).

The owner now keeps such runs by server. When the server is back, its new state begins with them as after a lapse, so no lease is renewed and nothing is placed there before each of them is stopped or listed. While the server is not listed nobody renews its lease, so their stops, which were sent without end, can rest.

--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -72,6 +72,12 @@
         Returns the servers that the platform lists for the pool.
     predecessor_servers : frozenset of str or None
         The servers that the previous owner used, None if unknown.
+
+    Attributes
+    ----------
+    unresolved_runs : dict of str to dict
+        Runs on servers that are no longer listed whose start commands may still be executed, by
+        server id and run key.
     """
 
     def __init__(
@@ -99,6 +105,7 @@
         self.owned_since = runtime.now()
         self.loop_ran_at = self.owned_since
         self.server_states: dict[str, server_state.ServerState] = {}
+        self.unresolved_runs: dict[str, dict[tuple[str, int], server_state.Run]] = {}
         self.jobs: dict[messages.PartKey, owned_job.OwnedJob] = {}
         self.by_job: dict[str, list[owned_job.OwnedJob]] = {}
         self.finished: dict[messages.PartKey, owned_job.FinishedJob] = {}
@@ -138,21 +145,36 @@
             self.speeds.set_kind(server_id, server.kind)
             state = self.server_states.get(server_id)
             if state is None:
-                state = self.server_states[server_id] = server_state.ServerState(server)
-                state.update_entry(server, self.runtime.now())
-                state.born_ms = server.born_ms
-                self.runtime.spawn(self.commands.poll_server, state)
+                self._add_server(server)
             elif server != state.server:
                 state.update_entry(server, self.runtime.now())
         for server_id, state in list(self.server_states.items()):
             state.is_unlisted = server_id not in listed
             if state.is_unlisted and self._is_finished(state):
-                del self.server_states[server_id]
-                for run in state.runs.values():
-                    self.requeue_task(run)
-                self.gateway.disconnect(server_id)
+                self._remove_server(state)
         self.wake_scheduler()
 
+    def _add_server(self, server):
+        """Add a server, with the unresolved starts if it was listed before."""
+        state = server_state.ServerState(server, self.unresolved_runs.pop(server.id, {}))
+        state.update_entry(server, self.runtime.now())
+        state.born_ms = server.born_ms
+        state.has_lease_lapsed = bool(state.runs)
+        self.server_states[server.id] = state
+        self.commands.resume_stops(state)
+        self.runtime.spawn(self.commands.poll_server, state)
+
+    def _remove_server(self, state):
+        """Remove a server whose runs are over, and keep its unresolved starts for its return."""
+        del self.server_states[state.server.id]
+        for run in state.runs.values():
+            self.requeue_task(run)
+        unresolved = {key: run for key, run in state.runs.items() if run.confirmed_at is None}
+        if unresolved:
+            self.unresolved_runs[state.server.id] = unresolved
+        state.runs.clear()
+        self.gateway.disconnect(state.server.id)
+
     def _is_finished(self, state):
         """Return whether no run is left on a server that is no longer listed."""
         is_empty = state.is_synced and not state.runs
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -99,6 +99,12 @@
         run.state = server_state.RunState.STOPPING
         self.owner.runtime.spawn(self._stop_until_answered, state, run)
 
+    def resume_stops(self, state):
+        """Stop the unresolved runs of a server that is listed again."""
+        for run in state.runs.values():
+            run.state = server_state.RunState.STOPPING
+            self.owner.runtime.spawn(self._stop_until_answered, state, run)
+
     def _stop_until_answered(self, state, run):
         """Repeat a stop command until the server answers it."""
         while self.owner.can_send() and state.runs.get(run.key) is run:
--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -89,13 +89,13 @@
 
 
 class LapsedLeases(unittest.TestCase):
-    def region_with_unresolved_start(self):
+    def region_with_unresolved_start(self, duration_s=0.1):
         """Return a region in which a start was sent to s-a-0 right after it became unreachable."""
         region = started_region({"a": 1}, servers=2)
         region.submit("a-1", "j0", count=8, duration_s=0.1)
         region.run(0.3)  # leaves idle connections
         region.backend.partitioned = {("a-1", "s-a-0")}
-        region.submit("a-1", "j1", count=1, duration_s=0.1, timeout_s=1.2)
+        region.submit("a-1", "j1", count=1, duration_s=duration_s)
         return region
 
     def test_start_is_not_sent_after_its_task_was_requeued(self):
@@ -118,6 +118,29 @@
         # The poll fails at one of these delays: earlier the server is usable, later it is not.
         self.assertEqual((servers[0], servers[-1]), ({"s-a-0"}, {"s-a-1"}))
 
+    def test_lease_of_a_server_that_is_listed_again_is_not_renewed_before_starts_are_resolved(self):
+        # Guards against a task that runs twice: the server was removed and its tasks placed
+        # elsewhere, and when it is back its lease is renewed before a delayed start arrives.
+        region = self.region_with_unresolved_start(duration_s=3.0)
+        listed = region.members["a-1"].listed
+        partitioned_at = region.runtime.now()
+        region.run(1.5)
+        listed.hidden.add("s-a-0")
+        listed.changed()
+        region.run(0.5)
+        self.assertNotIn("s-a-0", region.members["a-1"].node.owned_pools["a/r1"].server_states)
+        self.assertEqual(region.backend.starts[-1][1:], ("j1.0.0.0", "s-a-1"))
+        listed.hidden.clear()
+        listed.changed()
+        region.run(0.7)
+        region.backend.partitioned = set()
+        lose_replies(region, "stop", 9.0, 9.0)
+        region.runtime.run(partitioned_at + 3.1)
+        self.assertEqual(region.backend.violations, [])
+        submission = region.submit("a-1", "j2", count=6, duration_s=0.2)
+        region.run(1.0)
+        self.assertEqual((submission.outcome, region.backend.violations), (DONE, []))
+
 
 class FaultyServers(unittest.TestCase):
     def test_tasks_of_an_unreachable_server_run_elsewhere_after_its_lease(self):
