Keep a lapse of the lease over a server's restart until its starts are resolved

What callers would see: a task that runs twice, after a server was unreachable for longer than its lease and restarted under its id meanwhile.

Cause: ServerState.on_restart keeps the runs whose start commands may still be executed, but it cleared has_lease_lapsed. Their tasks had been requeued when the lease lapsed. The next poll renewed the lease of the new incarnation, so a delayed start ran under it, past its own deadline, while its task ran elsewhere.

Evidence: LapsedLeases.test_lease_of_a_restarted_server_is_not_renewed_before_starts_are_resolved failed before: "4.300: j1.0.0.0 runs on s-a-1 and s-a-0".

A restart doesn't clear the lapse any more: clear_lapse does, once every such start is stopped or listed. A start whose deadline is still ahead by the new incarnation's clock, which starts anew, runs in any case if it reaches that incarnation; over TCP it can't, as its connection ended with the earlier one.

--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -141,6 +141,29 @@
         region.run(1.0)
         self.assertEqual((submission.outcome, region.backend.violations), (DONE, []))
 
+    def test_lease_of_a_restarted_server_is_not_renewed_before_starts_are_resolved(self):
+        # Guards against a task that runs twice: its lease lapsed and it was placed elsewhere, and a
+        # restart of the server made its owner forget that a delayed start was still unresolved.
+        region = rerun_region.Region({"a": 1}, 2)
+        server = region.backend.servers["s-a-0"]
+        server.clock_zero_s = 0.0  # just started, so the clock of the next incarnation passes it
+        region.run(STARTUP_S)
+        lose_replies(region, "start", 2.8)
+        submission = region.submit("a-1", "j1", count=1, duration_s=3.0)
+        region.run(0.001)
+        region.backend.partitioned = {("a-1", "s-a-0")}
+        region.run(0.3)
+        server.crash()
+        server.restart()
+        region.run(2.2)
+        self.assertEqual(region.backend.starts[-1][1:], ("j1.0.0.0", "s-a-1"))
+        region.backend.partitioned = set()
+        lose_replies(region, "stop", 9.0, 9.0)
+        region.run(0.4)
+        self.assertEqual(region.backend.violations, [])
+        region.run(3.0)
+        self.assertEqual((submission.outcome, len(region.backend.starts)), (DONE, 1))
+
 
 class FaultyServers(unittest.TestCase):
     def test_tasks_of_an_unreachable_server_run_elsewhere_after_its_lease(self):
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -215,7 +215,8 @@
         """Reset the state for a new incarnation and return the runs that ended with the old one.
 
         Runs whose start was not confirmed before the listing was requested are kept, because the
-        new incarnation may still execute the command.
+        new incarnation may still execute the command.  A lapse of the lease lasts until they are
+        resolved, as without a restart.
         """
         ended_runs = [
             run
@@ -226,7 +227,7 @@
             del self.runs[run.key]
         self.acknowledged = 0
         self.born_ms = born_ms
-        self.is_synced = self.is_fenced = self.has_lease_lapsed = False
+        self.is_synced = self.is_fenced = False
         self.failures = 0
         return ended_runs
 
