Don't adopt a run of a task that has ended

What callers would see: a task that runs again after its end was taken note of.

Cause: a listing that a newer one has overtaken shows ended runs as if they were in progress, and each becomes an orphan until the next listing. If the task of one of them waits (its run failed, say), its job is adopted, and HolderRequests.adopt took over the orphans of all tasks of that job, finished ones included. The next listing lacks these runs, so the tasks waited again and were placed.

Evidence: OvertakenListings.test_finished_task_is_not_adopted failed before: the four finished tasks started twice ([2, 2, 2, 2] starts).

Only waiting tasks are adopted.

--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -72,7 +72,7 @@
                 task = owned.tasks.get(run.task)
                 if task is None or run.state is not server_state.RunState.ORPHAN:
                     continue
-                if task.state is owned_job.TaskState.PLACED:
+                if task.state is not owned_job.TaskState.WAITING:
                     continue  # a duplicate run stays an orphan and is stopped
                 run.demand, run.estimate_s = task.step.demand, task.step.estimate_s
                 run.state = server_state.RunState.STARTED
--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -165,6 +165,39 @@
         self.assertEqual((submission.outcome, len(region.backend.starts)), (DONE, 1))
 
 
+class OvertakenListings(unittest.TestCase):
+    def test_finished_task_is_not_adopted(self):
+        # Guards against a task that runs again after its end: listings from before the end arrive
+        # late, and another task of the job waits when its former run is found in one of them.
+        region = started_region({"a": 1}, servers=2)
+        owner = region.members["a-1"].node.owned_pools["a/r1"]
+        fast, failing = (region.backend.servers[name] for name in ("s-a-0", "s-a-1"))
+        failing.speed = 0.5
+        submission = region.submit("a-1", "j1", count=8, duration_s=0.1)
+        region.run(0.05)
+        failing.fails_all = True
+        requested_at = region.runtime.now()
+        listings = {
+            server.listed.id: region.runtime.call(
+                server.renew_lease, owner.token, 0, None, 0.0, "a-1"
+            )
+            for server in (fast, failing)
+        }
+        region.run(0.1)
+        self.assertEqual([len(fast.runs), len(failing.runs)], [0, 4])
+        for server, seconds in ((fast, 0.1), (failing, 0.0)):
+            state = owner.server_states[server.listed.id]
+            region.runtime.call(
+                owner.apply_listing, state, listings[server.listed.id], requested_at
+            )
+            region.run(seconds)
+        failing.fails_all = False
+        region.run(4.0)
+        self.assertEqual(submission.outcome, DONE)
+        starts = [task for _, task, _ in region.backend.starts]
+        self.assertEqual([starts.count(f"j1.0.0.{index}") for index in range(4)], [1] * 4)
+
+
 class FaultyServers(unittest.TestCase):
     def test_tasks_of_an_unreachable_server_run_elsewhere_after_its_lease(self):
         # Guards against waiting for a server that continues to run but is unreachable.
