Check in LapsedLeases what mutations of the fixes leave behind

Mutations on a scratch copy passed: a state that is listed again without its lapse (the polls that fail while it is unreachable set it anyway), without resuming the stops, with stops that go on while it is not listed, and a start that is dropped but stays in the server's runs. The tests now fail for each of them: the server is also listed again when it is reachable, gets tasks after its starts are resolved, gets no stops while it is not listed, and has no run left at the end. Nothing that was checked before is checked less.

--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -115,31 +115,65 @@
                 servers.append(
                     {server for _, task, server in region.backend.starts if "j2" in task}
                 )
+                states = region.members["a-1"].node.owned_pools["a/r1"].server_states
+                self.assertEqual(states["s-a-0"].runs, {})
         # The poll fails at one of these delays: earlier the server is usable, later it is not.
         self.assertEqual((servers[0], servers[-1]), ({"s-a-0"}, {"s-a-1"}))
 
-    def test_lease_of_a_server_that_is_listed_again_is_not_renewed_before_starts_are_resolved(self):
-        # Guards against a task that runs twice: the server was removed and its tasks placed
-        # elsewhere, and when it is back its lease is renewed before a delayed start arrives.
+    def region_with_unlisted_server(self):
+        """Return a region from whose list s-a-0 was removed with an unresolved start."""
         region = self.region_with_unresolved_start(duration_s=3.0)
-        listed = region.members["a-1"].listed
-        partitioned_at = region.runtime.now()
         region.run(1.5)
-        listed.hidden.add("s-a-0")
-        listed.changed()
-        region.run(0.5)
-        self.assertNotIn("s-a-0", region.members["a-1"].node.owned_pools["a/r1"].server_states)
+        self.set_hidden(region, {"s-a-0"})
+        region.run(0.4)
         self.assertEqual(region.backend.starts[-1][1:], ("j1.0.0.0", "s-a-1"))
-        listed.hidden.clear()
+        return region
+
+    @staticmethod
+    def set_hidden(region, servers):
+        listed = region.members["a-1"].listed
+        listed.hidden = servers
         listed.changed()
-        region.run(0.7)
-        region.backend.partitioned = set()
+
+    def check_delayed_start(self, region):
+        """Check that the start, which arrives now unless it is stopped, does not run its task."""
         lose_replies(region, "stop", 9.0, 9.0)
-        region.runtime.run(partitioned_at + 3.1)
+        region.run(0.4)
         self.assertEqual(region.backend.violations, [])
+        region.run(0.3)
         submission = region.submit("a-1", "j2", count=6, duration_s=0.2)
         region.run(1.0)
         self.assertEqual((submission.outcome, region.backend.violations), (DONE, []))
+        servers = {server for _, task, server in region.backend.starts if "j2" in task}
+        self.assertEqual(servers, {"s-a-0", "s-a-1"})
+
+    def test_lease_of_a_server_that_is_listed_again_is_not_renewed_before_starts_are_resolved(self):
+        # Guards against a task that runs twice: the server was removed and its tasks placed
+        # elsewhere, and when it is back its lease is renewed before a delayed start arrives.
+        region = self.region_with_unlisted_server()
+        region.run(0.1)
+        self.set_hidden(region, set())
+        region.run(0.7)
+        region.backend.partitioned = set()
+        self.check_delayed_start(region)
+
+    def test_lease_of_a_server_that_is_listed_again_once_reachable_is_not_renewed_at_once(self):
+        # Guards against a renewal by the first poll, which no failed one precedes.
+        region = self.region_with_unlisted_server()
+        region.run(0.8)
+        region.backend.partitioned = set()
+        self.set_hidden(region, set())
+        self.check_delayed_start(region)
+
+    def test_no_stops_are_sent_to_a_server_that_is_not_listed(self):
+        # Guards against stops without end to a server that never returns.
+        region = self.region_with_unlisted_server()
+        stops = []
+        region.backend.fault_injector = lambda kind, name, server: (
+            stops.append(server) if kind == "stop" else None
+        )
+        region.run(1.0)
+        self.assertEqual(stops, [])
 
     def test_lease_of_a_restarted_server_is_not_renewed_before_starts_are_resolved(self):
         # Guards against a task that runs twice: its lease lapsed and it was placed elsewhere, and a
