Notice a lapsed lease before it is relied on or renewed, not only when a poll fails

What callers could see: work thrown away, and one of the two conditions of a task that ran twice.

Cause: the lapse of a server's lease was noticed only when a poll of it failed. After a partition a listing that is read outside the poll made the server usable again while the poll was still outstanding. A start sent then renewed the lapsed lease while earlier starts were unresolved, and the server executed those, as TCP delivers them after the partition. And the failure of that older poll was then applied to runs that had been placed after it.

The new test was red: at all four times of the end of the partition the server executed the starts from before it.

Fix: the lease is checked wherever it is relied on or renewed (before tasks are placed, before a poll renews it) as well as after a failed poll. The deadline of a start is set with the placement, so that a lapse cannot fall between the two. A new owner counts the lease as renewed until it takes the pool, since its predecessor may have; before, it counted as over. A lapse blocks a server only if a start is unresolved; a listing that resolves the last one ends it at once.

The test of a start that is not sent after its task was requeued ended with a check that the older poll makes the server unusable at some of its delays. That state can't be reached any more, so it now checks that the server stays usable at all of them; a test of its own requeues a placed run directly and is red without the check in ServerCommands.start.

--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -159,6 +159,7 @@
         state = server_state.ServerState(server, self.unresolved_runs.pop(server.id, {}))
         state.update_entry(server, self.runtime.now())
         state.born_ms = server.born_ms
+        state.renewed_at = self.runtime.now()  # an earlier owner may have renewed it until now
         state.has_lease_lapsed = bool(state.runs)
         self.server_states[server.id] = state
         self.commands.resume_stops(state)
@@ -347,6 +348,8 @@
     def available_servers(self, now: float) -> list[server_state.ServerState]:
         """Return the servers that accept tasks."""
         contact_s = self.timing.contact_s
+        for state in self.server_states.values():
+            self.commands.check_lease(state, now)
         return [
             state for state in self.server_states.values() if state.accepts_tasks(now, contact_s)
         ]
@@ -411,6 +414,7 @@
         if not state.is_synced:
             event.log(events.SERVER_LISTED, server=state.server.id, running=len(listing.running))
         ended, vanished = state.apply_listing(listing, requested_at, now)
+        state.clear_lapse()
         for run, end in ended:
             self.completion_handler.on_end(state, run, end, now)
         for run in vanished:
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -97,6 +97,8 @@
             server_state.RunState.STARTING,
             now,
             task.step.estimate_s,
+            # Set with the placement, so that the lease cannot lapse before the command is sent.
+            state.lease_end_ms(now, self.owner.timing),
         )
         state.runs[run.key] = run
         self.owner.runtime.spawn(self.owner.commands.start, owned, state, run)
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -40,13 +40,8 @@
             event.log(events.START_DISCARDED, task=run.task, run=run.number, server=state.server.id)
             self.owner.discard_run(state, run)
             return
-        now = self.owner.runtime.now()
         command = ports.StartCommand(
-            run.task,
-            run.number,
-            owned.work.payload,
-            state.lease_end_ms(now, self.owner.timing),
-            self.owner.token,
+            run.task, run.number, owned.work.payload, run.lease_end_ms, self.owner.token
         )
         try:
             self.owner.gateway.start(state.server, command, self.owner.timing.order_s)
@@ -173,7 +168,7 @@
         """Renew a server's lease and read its listing until the owner steps down."""
         while self.owner.can_send() and self.owner.server_states.get(state.server.id) is state:
             now = self.owner.runtime.now()
-            state.clear_lapse()
+            self.check_lease(state, now)
             needs_sync = not state.is_synced or state.has_lease_lapsed
             wait_s = 0.0 if needs_sync else self.owner.timing.look_s
             lease_end = None if needs_sync else state.lease_end_ms(now, self.owner.timing)
@@ -207,27 +202,33 @@
         if state.is_synced and now - state.last_contact_at > self.owner.timing.contact_s:
             event.log(events.SERVER_UNRESPONSIVE, server=state.server.id, error=error)
             state.is_synced = False
-        if state.is_lease_over(now, self.owner.timing):
-            # The next listing is read before the lease is renewed, or the renewal would extend
-            # runs that were started by delayed commands.
-            state.is_synced = False
-            self._log_lapse(state)
-            state.has_lease_lapsed = True
-            for run in list(state.runs.values()):
-                self.owner.requeue_task(run)
-            self.owner.wake_scheduler()
+        self.check_lease(state, now)
         self.owner.runtime.sleep(self.owner.timing.order_s / 2)
 
-    def _log_lapse(self, state):
-        """Log the tasks that a lapsed lease requeues; further failed polls requeue nothing new."""
+    def check_lease(self, state, now):
+        """Requeue the tasks of a server whose lease is over, since no run can be left there.
+
+        Called before anything that relies on the lease or renews it.  If a start sent before the
+        lapse is unresolved, the lease is not renewed, because the server would execute that start
+        under the renewed lease.
+        """
+        if not state.is_lease_over(now, self.owner.timing):
+            return
+        if any(run.confirmed_at is None for run in state.runs.values()):
+            state.is_synced = False
+            state.has_lease_lapsed = True
         requeued = [run for run in state.runs.values() if not run.is_over]
-        if requeued:
-            event.log(
-                events.LEASE_LAPSED,
-                server=state.server.id,
-                tasks=[run.task for run in requeued],
-                unconfirmed=sum(run.confirmed_at is None for run in requeued),
-            )
+        if not requeued:
+            return
+        event.log(
+            events.LEASE_LAPSED,
+            server=state.server.id,
+            tasks=[run.task for run in requeued],
+            unconfirmed=sum(run.confirmed_at is None for run in requeued),
+        )
+        for run in requeued:
+            self.owner.requeue_task(run)
+        self.owner.wake_scheduler()
 
     def _suspend(self, state):
         state.suspended_until = self.owner.runtime.now() + SERVER_BACKOFF_S
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -36,7 +36,9 @@
     demand : Demand or None
         Its resources; None for an orphan, whose server accepts no tasks until it is resolved.
     created_at : float
-        When the start command was sent or the orphan was found.
+        When it was placed or, for an orphan, found.
+    lease_end_ms : int
+        Deadline of its start command, on the server's clock.
     confirmed_at : float or None
         When the server confirmed the start.  If a listing that was requested later does not
         contain the run, it is over.
@@ -57,6 +59,7 @@
     state: RunState
     created_at: float
     estimate_s: float = 0.0
+    lease_end_ms: int = 0
     confirmed_at: float | None = None
     percent: int = 0
     progress_at: float = 0.0
@@ -110,7 +113,7 @@
     clock_ms, clock_at
         The server's clock in the last listing, and the local time when it arrived.
     renewed_at : float
-        When the last command that may have extended the lease was sent.
+        When the deadline of the last command that may extend the lease was set.
     last_contact_at : float
         When the server last answered.
     last_read_at : float
