Red test: a run of an earlier owner that its successor continues is started a second time

What callers could see: a task that runs twice.

Cause: since `ServerCommands.check_lease` takes a lease to be over 0.966 s after `renewed_at`, which a new owner sets when it takes the pool. An earlier owner that is still up renews the lease until a server refuses its token, so a run that the first listing of a server shows later than that may be alive. It is requeued, its lease is renewed by the next poll, and its task is placed again.

--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -98,6 +98,30 @@
         self.assertEqual(submission.outcome, job.Outcome(job.EndState.SUCCEEDED))
         self.assertEqual((len(region.backend.starts), region.backend.violations), (4, []))
 
+    def test_runs_found_on_a_server_that_was_unreachable_since_the_takeover_are_continued(self):
+        # Guards against a task that runs twice: the earlier owner renewed the lease until it was
+        # fenced, but its successor counts the lease as over because it never renewed it itself.
+        region = rerun_region.Region({"a": 2}, servers=2)
+        region.run(STARTUP_S)
+        old_owner, successor = region.owner("a"), region.non_owner("a")
+        submission = region.submit(successor, "j1", count=1, duration_s=3.0)
+        region.run(0.2)
+        unreachable = region.backend.starts[0][2]
+        region.backend.partitioned = {(successor, unreachable)}
+        region.partition_instances([old_owner], [successor])
+        while region.owner("a") != successor:
+            region.run(0.005)
+        region.run(0.9)
+        self.assertNotIn("a/r1", region.members[old_owner].node.owned_pools)
+        self.assertEqual(len(region.backend.servers[unreachable].runs), 1)
+        region.backend.partitioned = set()
+        region.run(2.5)
+        self.assertEqual(
+            (submission.outcome, region.backend.violations),
+            (job.Outcome(job.EndState.SUCCEEDED), []),
+        )
+        self.assertEqual(len(region.backend.starts), 1)
+
     def test_pool_is_available_within_a_second(self):
         region = rerun_region.Region({"a": 3})
         region.run(STARTUP_S)
