Count a server's lease as renewed until its first listing for a new owner

Cause: a new owner counted a lease from its takeover, though an earlier owner may renew it until the server has seen the new token.

Fix: the first listing, which is the first reply under the new token (or of a new incarnation), counts as the last moment of a renewal by an earlier owner.

--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -113,7 +113,8 @@
     clock_ms, clock_at
         The server's clock in the last listing, and the local time when it arrived.
     renewed_at : float
-        When the deadline of the last command that may extend the lease was set.
+        When the deadline of the last command that may extend the lease was set, or until when an
+        earlier owner may have extended it.
     last_contact_at : float
         When the server last answered.
     last_read_at : float
@@ -262,6 +263,8 @@
         """
         self.clock_ms, self.clock_at = listing.clock_ms, now
         self.last_contact_at = now
+        if not self.is_fenced:
+            self.renewed_at = now  # an earlier owner may have renewed it until now
         self.is_synced = self.is_fenced = True
         ended = self._apply_ends(listing)
         listed_runs = {(active.task, active.run): active for active in listing.running}
