A run that a listing shows is not over

What callers could see: a second run of a task whose first one was taken for over by mistake. In the trace of a task that ran twice the listing at 23.645 showed both first runs; a task still waiting then would have been placed again.

Cause: the mark that a lease has lapsed was never revoked, although a listing that shows the run is better evidence than the owner's clock.

Fix: a listing that shows the run clears the mark, and the task waits for its end as for any other run's.

The new test was red: 'j1.0.0.0 runs on s-a-0 and s-a-0'. Tests of rerunnable_jobs pass.

--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -23,6 +23,14 @@
     )
 
 
+def set_draining(region, is_draining):
+    """Make all servers drain, or accept tasks again."""
+    for server in region.backend.servers.values():
+        server.listed = attrs.evolve(server.listed, is_draining=is_draining)
+    for member in region.members.values():
+        member.listed.changed()
+
+
 class DelayedCommands(unittest.TestCase):
     def test_task_of_a_delayed_start_does_not_run_twice(self):
         # Guards against a start that executes seconds later, after its task was placed elsewhere.
@@ -135,6 +143,21 @@
         self.assertEqual((submission.outcome, region.backend.violations), (DONE, []))
         self.assertEqual(len(region.backend.starts), 1)
 
+    def test_task_of_a_run_that_a_listing_shows_is_not_placed_again(self):
+        # Guards against a second run of a task whose first one was taken for over by mistake.
+        region = started_region({"a": 1}, servers=2)
+        owner = region.members["a-1"].node.owned_pools["a/r1"]
+        submission = region.submit("a-1", "j1", count=1, duration_s=1.0)
+        region.run(0.1)
+        state = next(state for state in owner.server_states.values() if state.runs)
+        set_draining(region, True)
+        for run in state.runs.values():
+            owner.requeue_task(run)
+        region.run(0.4)
+        set_draining(region, False)
+        region.run(1.0)
+        self.assertEqual((submission.outcome, region.backend.violations), (DONE, []))
+
     def test_start_from_before_a_lapse_is_not_executed_under_a_lease_renewed_after_it(self):
         # Guards against a lapse that is noticed only by a failed poll: after a partition a start to
         # the server renewed its lease while earlier starts were unresolved.
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -50,7 +50,7 @@
         Progress when the run was confirmed; may exceed 0 for an orphan.
     is_over : bool
         Its lease has expired, so its task may start elsewhere.  Its capacity is freed by the next
-        listing.
+        listing; a listing that shows it running revokes this.
     """
 
     task: str
@@ -301,6 +301,7 @@
     def _update_progress(run, active, now):
         if active.percent > run.percent or not run.progress_at:
             run.percent, run.progress_at = active.percent, now
+        run.is_over = False
         if run.state is RunState.STARTING:
             run.state = RunState.STARTED
         if run.confirmed_at is None:
