Bound the lease on a run by the last renewal of its holder

What callers saw: a task ran twice at once (TWICE), when the instance that held a job was killed, the pool's owner, or its link to the servers, failed 0.5 to 0.7 s later, and the caller resubmitted the job 1.3 s after the first failure to an instance that chose another pool. Only tasks that run for over 1.3 s show it.

Cause: the owner renewed the leases on its servers for 0.7 s after the last renewal by the holder, each time for 0.9 s, so that runs went on up to 1.6 s after the holder's death. A successor renewed them again, while it waited 0.4 s for their holder. settings.check compared the lease and the loss of a holder with the caller's delay each by itself, but not their sum.

Why the fix works: a lease ends at most holder_lease_s (1.2 s) after the holder sent its last renewal or submission, which is before its death; drift and a margin make up the rest of the 1.3 s. A lease applies to everything on a server and is never shortened, so the run with the most silent holder bounds it, a task isn't started on a whole lease that its holder's last renewal doesn't cover, and a server with a run that no holder has claimed isn't renewed until the claim, which renews it at once. Renewals state when they were sent, so that one that was delayed until after the death of its sender doesn't count as new. holder_lease_s follows from the times; settings.check rejects times with which it cuts short the leases of holders that renew on time, or ends a server's lease before a lost holder's runs are stopped.

--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -24,7 +24,7 @@
                 self._move_to_holder(existing, message, now)
         existing = self.owner.jobs.get((message.work.id, message.part))
         if existing is not None:
-            existing.renewed_at = now
+            existing.renew(now, message.sent_s)
             return
         finished = self.owner.finished.get((message.work.id, message.part))
         if finished is not None and finished.covers(message):
@@ -60,7 +60,8 @@
         )
         if set(existing.tasks) == set(message.tasks):
             self.owner.remove_job(existing)
-            existing.holder, existing.part, existing.renewed_at = message.holder, message.part, now
+            existing.holder, existing.part = message.holder, message.part
+            existing.renew(now, message.sent_s)
             self.owner.add_job(existing)
         else:
             self.owner.cancel_job(existing)
@@ -68,33 +69,45 @@
     def adopt(self, owned):
         """Take over a job's runs and completions from an earlier owner."""
         for state in self.owner.server_states.values():
+            had_orphans = state.has_orphans()
             for run in state.runs.values():
                 task = owned.tasks.get(run.task)
                 if task is None or run.state is not server_state.RunState.ORPHAN:
                     continue
                 if task.state is owned_job.TaskState.PLACED:
                     continue  # a duplicate run stays an orphan and is stopped
-                run.demand, run.estimate_s = task.step.demand, task.step.estimate_s
+                run.owned, run.demand, run.estimate_s = (
+                    owned,
+                    task.step.demand,
+                    task.step.estimate_s,
+                )
                 run.state = server_state.RunState.STARTED
                 task.state, task.run_number = owned_job.TaskState.PLACED, run.number
                 task.server_id = state.server.id
+            if had_orphans and not state.has_orphans():
+                self.owner.runtime.spawn(self.owner.commands.renew_lease, state)
         for name, task in owned.tasks.items():
             if name in self.owner.completed_tasks and task.state is owned_job.TaskState.WAITING:
                 task.state = owned_job.TaskState.DONE
 
     def renew(
-        self, holder: messages.Instance, wanted: tuple[messages.PartKey, ...]
+        self, holder: messages.Instance, wanted: tuple[messages.PartKey, ...], sent_at: float
     ) -> tuple[messages.PartKey, ...]:
         """Renew a holder's jobs and return the unknown ones.
 
         The outcome of a finished job is sent again, because its message was lost.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the holder sent the renewal, on the local clock.
         """
         now = self.owner.runtime.now()
         unknown = []
         for key in wanted:
             owned = self.owner.jobs.get(key)
             if owned is not None and owned.holder.name == holder.name:
-                owned.renewed_at = now
+                owned.renew(now, sent_at)
             elif owned is None and key in self.owner.finished:
                 self.owner.report_outcome(holder, key, self.owner.finished[key])
             else:
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -97,6 +97,9 @@
         The holder.
     parts : tuple of (str, int)
         Job id and number of each renewed part.
+    sent_s : float
+        When it was sent, on the receiver's clock.  Unknown before the receiver's first reply, when
+        there are no parts.
     claims_version : int
         The version up to which the sender knows the receiver's claims, 0 for none.
     documents : dict of str to DocumentVersion
@@ -105,6 +108,7 @@
 
     sender: Instance
     parts: tuple[PartKey, ...]
+    sent_s: float
     claims_version: int
     documents: dict[str, DocumentVersion]
 
@@ -119,7 +123,7 @@
     unknown : tuple of (str, int)
         Renewed parts that the sender does not have.
     clock_s : float
-        The sender's clock, to which holders convert ``Submit.sent_s``.
+        The sender's clock, to which holders convert ``Submit.sent_s`` and ``Renew.sent_s``.
     pools : tuple of PoolReport
         Reports of the pools that the sender owns.
     claims : tuple of Claim
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rosedyke.rerunnable_jobs import job, messages
+from rosedyke.rerunnable_jobs import job, messages, settings
 
 
 class TaskState(enum.Enum):
@@ -57,7 +57,9 @@
     arrived_at : float
         When the holder received the job, on the local clock.
     renewed_at : float
-        When the holder last renewed it.
+        When the last renewal by the holder arrived.
+    heard_at : float
+        When the holder sent the last renewal, on the local clock; it was alive then.
     may_have_run : bool
         An earlier owner had it.  Tasks that were not found on any server wait until every server
         has listed its runs or its lease has expired.
@@ -72,6 +74,7 @@
     holder: messages.Instance
     arrived_at: float
     renewed_at: float
+    heard_at: float
     may_have_run: bool
     tasks: dict[str, OwnedTask]
     has_started: bool = False
@@ -92,12 +95,31 @@
             message.holder,
             now - message.age_s,
             now,
+            min(now, message.sent_s),
             message.may_have_run,
             tasks,
             message.may_have_run or message.has_started,
             message.moves,
         )
 
+    def renew(self, now: float, sent_at: float) -> None:
+        """Record that a renewal, or another submission, has arrived from the holder.
+
+        Parameters
+        ----------
+        sent_at : float
+            When it was sent, on the local clock.
+        """
+        self.renewed_at = now
+        self.heard_at = max(self.heard_at, min(now, sent_at))
+
+    def may_start(self, now: float, timing: settings.RerunSettings) -> bool:
+        """Return whether the holder was heard from recently enough to start a task.
+
+        The lease on a server is never shortened, so a new run there may continue for all of it.
+        """
+        return now + timing.lease_s <= self.heard_at + timing.holder_lease_s
+
     @property
     def key(self) -> messages.PartKey:
         """The key by which holder and owner identify it."""
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -386,6 +386,8 @@
                 self.requeue_task(run)
         elif listing.born_ms:
             state.born_ms = listing.born_ms
+        if not state.is_fenced:
+            state.on_fenced(now, self.timing)
         if not state.is_synced:
             event.log(events.SERVER_LISTED, server=state.server.id, running=len(listing.running))
         ended, vanished = state.apply_listing(listing, requested_at, now)
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -26,6 +26,9 @@
         When the loop last ran.
     known_claims : dict of str to int
         Up to which version the claims of each instance are known here.
+    clock_offsets : dict of str to float
+        The clock of each instance minus the local one.  Too low by the transit time of the reply
+        that told it, so a computed age is never too small.
     """
 
     def __init__(self, node):
@@ -35,6 +38,7 @@
         self.owners_with_jobs: set[str] = set()
         self.loop_ran_at = node.runtime.now()
         self.known_claims: dict[str, int] = {}
+        self.clock_offsets: dict[str, float] = {}
         node.fleet.removal_callbacks.append(self.known_claims.clear)
 
     def run(self):
@@ -48,7 +52,8 @@
                     self.node.runtime.spawn(self.renew, instance)
             own_parts = self.node.holder.parts_at(self.node.this_instance.name)
             for owned_pool in list(self.node.owned_pools.values()):
-                owned_pool.requests.renew(self.node.this_instance, own_parts)
+                now = self.node.runtime.now()
+                owned_pool.requests.renew(self.node.this_instance, own_parts, now)
                 report = owned_pool.reports.recent_report()
                 self.node.fleet.record_report(
                     self.node.this_instance, report, self.node.runtime.now()
@@ -158,6 +163,7 @@
         message = messages.Renew(
             self.node.this_instance,
             self.node.holder.parts_at(instance.name),
+            sent_at + self.clock_offsets.get(instance.name, 0.0),
             self.known_claims.get(instance.name, 0),
             self.node.documents.versions(),
         )
@@ -178,6 +184,7 @@
 
     def _on_reply(self, reply, sent_at):
         self.node.fleet.record_contact(reply.sender)
+        self.clock_offsets[reply.sender.name] = reply.clock_s - self.node.runtime.now()
         for claim in reply.claims:
             self.node.fleet.record_claim(claim)
         self.known_claims[reply.sender.name] = reply.claims_version
@@ -195,7 +202,7 @@
         self.node.fleet.record_contact(message.sender)
         unknown = set(message.parts)
         for owned_pool in self.node.owned_pools.values():
-            unknown &= set(owned_pool.requests.renew(message.sender, message.parts))
+            unknown &= set(owned_pool.requests.renew(message.sender, message.parts, message.sent_s))
         self.node.synchroniser.sync_from(message.sender, message.documents)
         return messages.RenewReply(
             self.node.this_instance,
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -31,7 +31,12 @@
 
     def _waiting_jobs(self, now):
         """Return the jobs with waiting tasks that may be placed now."""
-        waiting = [owned for owned in self.owner.jobs.values() if owned.has_waiting_tasks()]
+        timing = self.owner.timing
+        waiting = [
+            owned
+            for owned in self.owner.jobs.values()
+            if owned.has_waiting_tasks() and owned.may_start(now, timing)
+        ]
         if not waiting or self.owner.is_recovered(now):
             return waiting
         return [owned for owned in waiting if not owned.may_have_run]
@@ -97,6 +102,7 @@
             server_state.RunState.STARTING,
             now,
             task.step.estimate_s,
+            owned=owned,
         )
         state.runs[run.key] = run
         self.owner.runtime.spawn(self.owner.commands.start, owned, state, run)
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -36,13 +36,12 @@
         """Start a run on a server and process the result."""
         if not self.owner.can_send():
             return
-        now = self.owner.runtime.now()
+        lease_end = state.lease_end_ms(self.owner.runtime.now(), self.owner.timing)
+        if lease_end is None:
+            self.owner.discard_run(state, run)
+            return
         command = ports.StartCommand(
-            run.task,
-            run.number,
-            owned.work.payload,
-            state.lease_end_ms(now, self.owner.timing),
-            self.owner.token,
+            run.task, run.number, owned.work.payload, lease_end, self.owner.token
         )
         try:
             self.owner.gateway.start(state.server, command, self.owner.timing.order_s)
@@ -119,7 +118,13 @@
                 self._refresh(state)
                 return
 
-    def _refresh(self, state):
+    def renew_lease(self, state):
+        """Renew a server's lease at once, after the last of its orphans was claimed."""
+        if state.is_synced and not state.has_lease_lapsed:
+            now = self.owner.runtime.now()
+            self._refresh(state, state.lease_end_ms(now, self.owner.timing))
+
+    def _refresh(self, state, lease_end=None):
         """Read a server's listing at once instead of waiting for the long poll."""
         if not self.owner.can_send():
             return
@@ -129,7 +134,7 @@
                 state.server,
                 self.owner.token,
                 state.acknowledged,
-                None,
+                lease_end,
                 0.0,
                 self.owner.timing.order_s,
             )
@@ -165,8 +170,8 @@
             now = self.owner.runtime.now()
             state.clear_lapse()
             needs_sync = not state.is_synced or state.has_lease_lapsed
-            wait_s = 0.0 if needs_sync else self.owner.timing.look_s
             lease_end = None if needs_sync else state.lease_end_ms(now, self.owner.timing)
+            wait_s = 0.0 if needs_sync else self.owner.timing.look_s
             token_used = self.owner.token
             try:
                 listing = self.owner.gateway.renew_lease(
--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -87,6 +87,29 @@
         done = sum(submission.outcome == DONE for submission in submissions)
         self.assertGreater(done, 50)
 
+    def test_server_whose_lease_must_not_be_renewed_gets_no_tasks(self):
+        # Guards against starts that a server rejects as late, again and again.
+        region = started_region({"a": 3})
+        holder = region.non_owner("a")
+        remaining, started_on = [9.0], []
+
+        def lose_first_start_and_its_stops(kind, name, server):
+            if kind == "start":
+                started_on.append(server)
+                return remaining.pop() if remaining else None
+            return 9.0 if kind == "stop" else None
+
+        region.backend.fault_injector = lose_first_start_and_its_stops
+        region.submit(holder, "j1", duration_s=3.0)
+        region.run(0.05)
+        region.kill(holder)
+        region.run(region.timing.resubmit_s)
+        lapsed_server = started_on.pop()
+        submissions = [region.submit(region.owner("a"), f"k{n}", 2, 0.1) for n in range(4)]
+        region.run(0.6)
+        self.assertEqual([submission.outcome for submission in submissions], [DONE] * 4)
+        self.assertEqual((len(started_on), started_on.count(lapsed_server)), (8, 0))
+
 
 class FaultyServers(unittest.TestCase):
     def test_tasks_of_an_unreachable_server_run_elsewhere_after_its_lease(self):
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from rosedyke.rerunnable_jobs import job, ports, settings
+from rosedyke.rerunnable_jobs import job, owned_job, ports, settings
 
 # Minimum progress from which the end of a run is extrapolated; servers report whole percent.
 MIN_PROGRESS_PERCENT = 5
@@ -35,6 +35,8 @@
         Identify the run.
     demand : Demand or None
         Its resources; None for an orphan, whose server accepts no tasks until it is resolved.
+    owned : OwnedJob or None
+        The job that it was started or adopted for, even if that has ended; None for an orphan.
     created_at : float
         When the start command was sent or the orphan was found.
     confirmed_at : float or None
@@ -62,6 +64,7 @@
     progress_at: float = 0.0
     initial_percent: int = 0
     is_over: bool = False
+    owned: owned_job.OwnedJob | None = None
 
     @property
     def key(self) -> tuple[str, int]:
@@ -109,8 +112,8 @@
         The server has seen this owner's token, so earlier owners can start nothing there.
     clock_ms, clock_at
         The server's clock in the last listing, and the local time when it arrived.
-    renewed_at : float
-        When the last command that may have extended the lease was sent.
+    lease_until : float
+        When the lease ends that this owner or an earlier one may have given, by the local clock.
     last_contact_at : float
         When the server last answered.
     last_read_at : float
@@ -136,7 +139,7 @@
     born_ms: int = 0
     clock_ms: int = 0
     clock_at: float = 0.0
-    renewed_at: float = 0.0
+    lease_until: float = 0.0
     last_contact_at: float = 0.0
     last_read_at: float = 0.0
     suspended_until: float = 0.0
@@ -176,6 +179,7 @@
             and not self.is_unlisted
             and self.is_capacity_current()
             and now >= self.suspended_until
+            and now < self.lease_until
             and now - self.last_contact_at <= contact_s
             and not self.has_orphans()
         )
@@ -196,14 +200,27 @@
         """
         return not self.born_ms or self.server.born_ms in (0, self.born_ms)
 
-    def lease_end_ms(self, now: float, timing: settings.RerunSettings) -> int:
-        """Return when a lease that is renewed now expires, on the server's clock."""
-        self.renewed_at = now
-        return int(self.clock_ms + (now - self.clock_at + timing.lease_s) * 1000)
+    def lease_end_ms(self, now: float, timing: settings.RerunSettings) -> int | None:
+        """Return when a lease that is renewed now expires, on the server's clock.
+
+        A lease applies to all runs on the server, so it is bounded by the holder that was not heard
+        from for the longest time.  Returns None if it must not be renewed, because the holder of an
+        orphan may have failed before the previous owner.
+        """
+        if any(run.owned is None for run in self.runs.values()):
+            return None
+        heard_at = min((run.owned.heard_at for run in self.runs.values()), default=now)
+        lease_end = min(now + timing.lease_s, heard_at + timing.holder_lease_s)
+        self.lease_until = max(self.lease_until, lease_end)
+        return int(self.clock_ms + (lease_end - self.clock_at) * 1000)
+
+    def on_fenced(self, now: float, timing: settings.RerunSettings) -> None:
+        """Allow for the lease that an earlier owner may have given until the first listing."""
+        self.lease_until = max(self.lease_until, now + timing.lease_s)
 
     def is_lease_over(self, now: float, timing: settings.RerunSettings) -> bool:
         """Return whether the lease has expired, so that no run can be left."""
-        return now - self.renewed_at > timing.lease_end_s
+        return now - self.lease_until > timing.lease_end_s - timing.lease_s
 
     def clear_lapse(self) -> None:
         """Allow lease renewals again once every command sent before the lapse is resolved."""
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -11,6 +11,8 @@
 
 # Maximum drift of a server's monotonic clock; leases last longer on a slow clock.
 CLOCK_DRIFT = 0.02
+# Time by which the last lease on a lost holder's run ends before the resubmission.
+HOLDER_LEASE_MARGIN_S = 0.03
 
 
 class InvalidTimings(fault.RosedykeError):
@@ -28,7 +30,8 @@
     resubmit_s : float
         Minimum time before a caller resubmits a job whose answer was lost.
     lease_s : float
-        Runs on a server end this long after the last lease renewal.
+        Runs on a server end this long after the last lease renewal, or ``holder_lease_s`` after one
+        of their holders was last heard from if that is earlier.
     look_s : float
         Long-poll timeout of a server's listing; each poll renews the lease.  A third of the
         lease, so that two renewals may be lost.
@@ -106,6 +109,15 @@
         """The longest time that a run continues after the last renewal was sent, by local clock."""
         return self.lease_s * (1 + 2 * CLOCK_DRIFT) + 0.03
 
+    @property
+    def holder_lease_s(self) -> float:
+        """The longest lease on a run, counted from when its holder sent the last renewal.
+
+        The caller may resubmit the job ``resubmit_s`` after the holder has failed.  The owner, or
+        its link to the server, may fail later than the holder, so that no stop command arrives.
+        """
+        return self.resubmit_s - (self.lease_end_s - self.lease_s) - HOLDER_LEASE_MARGIN_S
+
 
 def check(timing: RerunSettings) -> None:
     """Raise ``InvalidTimings`` with every inequality that does not hold."""
@@ -119,6 +131,13 @@
     # The holder may fail right after the submission, which may arrive up to ``stale_s`` later.
     if timing.stale_s + timing.holder_lost_s + timing.order_s >= timing.resubmit_s:
         violations.append("a job that arrives late must be over before the caller sends it again")
+    # A lease on a run is bounded by the last renewal of its holder and applies to the whole server.
+    if timing.lease_s + timing.renew_s >= timing.holder_lease_s:
+        violations.append(
+            "renewals on time must suffice for a whole lease within the time to resubmit"
+        )
+    if timing.holder_lost_s + timing.order_s + timing.stop_retry_s >= timing.holder_lease_s:
+        violations.append("an owner must stop a lost holder's job before the server's lease ends")
     if timing.pause_s >= timing.holder_lost_s:
         violations.append("a paused owner must step down before its jobs count as lost")
     if 2 * timing.renew_at_most_s >= timing.holder_lost_s:
--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -4,6 +4,7 @@
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
+SUCCEEDED = {job.EndState.SUCCEEDED}
 
 
 class Owners(unittest.TestCase):
@@ -279,6 +280,195 @@
         self.assertEqual(sum(len(server.runs) for server in region.backend.servers.values()), 0)
 
 
+class LostHolderAndOwner(unittest.TestCase):
+    """The owner, or its link to the servers, fails up to ``holder_lost_s`` after the holder."""
+
+    SIZES = {"a": 3, "b": 2}
+
+    def check_resubmission(self, fail_owner, sizes=None, holder_data_centre="a"):
+        """Check for several delays that no run is left when the caller resubmits its job.
+
+        Parameters
+        ----------
+        fail_owner : callable
+            ``fail_owner(region, owner)`` is called some time after the holder was killed.
+        """
+        for delay_s in (0.0, 0.2, 0.4, 0.5, 0.6, 0.65, 0.7, 0.75):
+            with self.subTest(delay_s=delay_s):
+                region = rerun_region.Region(sizes or self.SIZES)
+                region.run(STARTUP_S)
+                owner, holder = region.owner("a"), region.non_owner(holder_data_centre)
+                submit_to_pool(region, holder, "a")
+                region.run(0.2)
+                region.kill(holder)
+                region.run(delay_s)
+                fail_owner(region, owner)
+                region.run(region.timing.resubmit_s - delay_s)
+                self.assertEqual(running_tasks(region), [])
+                resubmission = region.submit(region.non_owner("b"), "j1", 3, 0.5)
+                region.run(1.5)
+                self.assertEqual(region.backend.violations, [])
+                self.assertEqual(resubmission.outcome, job.Outcome(job.EndState.SUCCEEDED))
+
+    def test_runs_are_over_before_the_resubmission_after_both_were_killed(self):
+        # Guards against an owner that extends the lease of a run whose holder is silent.
+        self.check_resubmission(lambda region, owner: region.kill(owner), {"a": 2, "b": 2})
+
+    def test_runs_are_over_before_the_resubmission_after_a_takeover(self):
+        # Guards against a successor that extends the lease of a run that no holder has claimed.
+        self.check_resubmission(lambda region, owner: region.kill(owner))
+
+    def test_runs_are_over_before_the_resubmission_if_the_servers_are_out_of_reach(self):
+        # Guards against a lease that outlasts a lost holder's job by the time of its stop commands.
+        self.check_resubmission(isolate_from_servers)
+
+    def test_runs_for_a_holder_in_another_data_centre_are_over_before_the_resubmission(self):
+        # Guards against the same failures with a holder that renews over a longer distance.
+        sizes = {"a": 3, "b": 3}
+        for fail_owner in (lambda region, owner: region.kill(owner), isolate_from_servers):
+            self.check_resubmission(fail_owner, sizes, "b")
+
+    def test_delayed_renewals_of_a_killed_holder_do_not_extend_its_runs(self):
+        # Guards against renewals that arrive after the death of their sender.
+        for delay_s in (0.65, 0.75, 0.85):
+            with self.subTest(delay_s=delay_s):
+                region = rerun_region.Region(self.SIZES)
+                region.run(STARTUP_S)
+                owner, holder = region.owner("a"), region.non_owner("a")
+                submit_to_pool(region, holder, "a")
+                region.run(0.2)
+                delay_messages(region, messages.Renew, 0.6, holder)
+                region.run(0.3)
+                region.kill(holder)
+                region.run(delay_s)
+                self.assertEqual(len(running_tasks(region)), 3)
+                isolate_from_servers(region, owner)
+                region.run(region.timing.resubmit_s - delay_s)
+                self.assertEqual(running_tasks(region), [])
+
+    def test_task_that_waited_for_a_killed_holder_is_over_before_the_resubmission(self):
+        # Guards against a whole lease for a task that starts long after its holder's last renewal.
+        for duration_s in (0.3, 0.5, 0.65, 0.75):
+            with self.subTest(duration_s=duration_s):
+                region = rerun_region.Region({"a": 3, "b": 2}, servers=1)
+                region.run(STARTUP_S)
+                owner, holder = region.owner("a"), region.non_owner("a")
+                submit_to_pool(region, owner, "a", "k1", 4, duration_s)
+                region.run(0.01)
+                submit_to_pool(region, holder, "a", "j1", 2)
+                region.run(0.01)
+                region.kill(holder)
+                killed_at = region.runtime.now()
+                region.run(duration_s)
+                region.kill(owner)
+                region.run(region.timing.resubmit_s - (region.runtime.now() - killed_at))
+                self.assertEqual(running_tasks(region), [])
+
+    def test_delayed_submission_of_a_killed_holder_is_over_before_the_resubmission(self):
+        # Guards against a lease that is counted from the arrival of a job instead of its sending.
+        for transit_s in (0.15, 0.25, 0.38):
+            for delay_s in (0.65, 0.75, 0.85):
+                with self.subTest(transit_s=transit_s, delay_s=delay_s):
+                    region = rerun_region.Region(self.SIZES)
+                    region.run(STARTUP_S)
+                    owner, holder = region.owner("a"), region.non_owner("a")
+                    delay_messages(region, messages.Submit, transit_s, holder)
+                    submit_to_pool(region, holder, "a")
+                    region.run(0.01)
+                    region.kill(holder)
+                    region.run(delay_s)
+                    isolate_from_servers(region, owner)
+                    region.run(region.timing.resubmit_s - delay_s)
+                    self.assertEqual(running_tasks(region), [])
+
+    def test_successor_knows_that_the_lease_of_a_failed_owner_is_not_over(self):
+        # Guards against a task that runs twice because its server is lost right after a takeover.
+        region = rerun_region.Region({"a": 3})
+        region.run(STARTUP_S)
+        owner, holder = region.owner("a"), region.non_owner("a")
+        submit_to_pool(region, holder, "a", count=1)
+        region.run(0.2)
+        server = region.backend.servers[region.backend.starts[0][2]]
+        region.kill(holder)
+        region.kill(owner)
+        while not is_listed(region, server.listed.id):
+            region.run(0.0005)
+        successor = region.members[region.owner("a")]
+        isolate_from_servers(region, successor.own.name, [server.listed.id])
+        state = successor.node.owned_pools["a/r1"].server_states[server.listed.id]
+        while server.runs:
+            self.assertFalse(state.is_lease_over(region.runtime.now(), region.timing))
+            region.run(0.01)
+
+    def test_runs_of_live_holders_continue_beside_those_of_a_killed_one(self):
+        # Guards against a server whose lease lapses because of one job's silent holder.
+        for phase_s in (0.0, 0.06, 0.12, 0.18, 0.24, 0.3):
+            region = rerun_region.Region(self.SIZES, servers=1)
+            region.run(STARTUP_S)
+            owner = region.owner("a")
+            first_holder, second_holder = [
+                name for name in region.members if name[0] == "a" and name != owner
+            ]
+            submit_to_pool(region, first_holder, "a", count=2)
+            submission = submit_to_pool(region, second_holder, "a", "j2", count=2)
+            region.run(0.2 + phase_s)
+            region.kill(first_holder)
+            region.run(4.0)
+            self.assertEqual(submission.outcome, job.Outcome(job.EndState.SUCCEEDED))
+            starts = [task for _, task, _ in region.backend.starts if job.job_id(task) == "j2"]
+            self.assertEqual(len(starts), 2)
+
+    def test_runs_of_live_holders_continue_during_a_takeover(self):
+        # Guards against a successor whose servers lapse before the holders have claimed the runs.
+        for phase_s in (0.0, 0.06, 0.12, 0.18, 0.24, 0.3):
+            with self.subTest(phase_s=phase_s):
+                region = rerun_region.Region({"a": 3})
+                region.run(STARTUP_S)
+                owner = region.owner("a")
+                submissions = [
+                    region.submit(name, f"j-{name}", 3, 2.5)
+                    for name in region.members
+                    if name != owner
+                ]
+                region.run(0.3 + phase_s)
+                delay_messages(region, messages.Submit, 0.05)
+                region.kill(owner)
+                region.run(4.0)
+                self.assertEqual({submission.outcome.end for submission in submissions}, SUCCEEDED)
+                self.assertEqual(len(region.backend.starts), 6)
+
+
+def submit_to_pool(region, name, data_centre, job_id="j1", count=3, duration_s=3.0):
+    """Submit a job to an instance, which sees only the servers of one data centre from then on."""
+    listed = region.members[name].listed
+    listed.hidden = {
+        key
+        for key, server in region.backend.servers.items()
+        if server.listed.data_centre != data_centre
+    }
+    listed.changed()
+    return region.submit(name, job_id, count, duration_s)
+
+
+def isolate_from_servers(region, name, server_ids=None):
+    """Partition an instance from some or all servers."""
+    for server_id in server_ids or region.backend.servers:
+        region.backend.partitioned.add((name, server_id))
+
+
+def is_listed(region, server_id):
+    """Return whether the owner of data centre ``a`` has read a server's listing."""
+    owner = region.owner("a")
+    return (
+        owner and region.members[owner].node.owned_pools["a/r1"].server_states[server_id].is_synced
+    )
+
+
+def running_tasks(region):
+    """Return the tasks that run on any server."""
+    return [run.task for server in region.backend.servers.values() for run in server.runs.values()]
+
+
 class Pause(unittest.TestCase):
     def test_owner_steps_down_after_a_process_pause_before_it_sends_commands(self):
         # Guards against starting a task that its caller has resubmitted elsewhere: after a pause
