--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -159,7 +159,6 @@
         state = server_state.ServerState(server, self.unresolved_runs.pop(server.id, {}))
         state.update_entry(server, self.runtime.now())
         state.born_ms = server.born_ms
-        state.renewed_at = self.runtime.now()  # an earlier owner may have renewed it until now
         state.has_lease_lapsed = bool(state.runs)
         self.server_states[server.id] = state
         self.commands.resume_stops(state)
@@ -348,8 +347,6 @@
     def available_servers(self, now: float) -> list[server_state.ServerState]:
         """Return the servers that accept tasks."""
         contact_s = self.timing.contact_s
-        for state in self.server_states.values():
-            self.commands.check_lease(state, now)
         return [
             state for state in self.server_states.values() if state.accepts_tasks(now, contact_s)
         ]
@@ -411,6 +408,8 @@
                 self.requeue_task(run)
         elif listing.born_ms:
             state.born_ms = listing.born_ms
+        if not state.is_fenced:
+            state.on_fenced(now, self.timing)
         if not state.is_synced:
             event.log(events.SERVER_LISTED, server=state.server.id, running=len(listing.running))
         ended, vanished = state.apply_listing(listing, requested_at, now)
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -124,7 +124,14 @@
                 self._refresh(state)
                 return
 
-    def _refresh(self, state):
+    def renew_lease(self, state):
+        """Renew a server's lease at once, after the last of its orphans was claimed."""
+        now = self.owner.runtime.now()
+        self.check_lease(state, now)
+        if state.is_synced and not state.has_lease_lapsed:
+            self._refresh(state, state.lease_end_ms(now, self.owner.timing))
+
+    def _refresh(self, state, lease_end=None):
         """Read a server's listing at once instead of waiting for the long poll."""
         if not self.owner.can_send():
             return
@@ -134,7 +141,7 @@
                 state.server,
                 self.owner.token,
                 state.acknowledged,
-                None,
+                lease_end,
                 0.0,
                 self.owner.timing.order_s,
             )
