Membership: log why a death is withheld, E1110 with the data centres asked and those that confirmed

The logs of an isolated survivor had E1108 and then nothing, so that a witness that reaches the suspect, one that doesn't answer and one that is isolated itself looked the same. No decision changes; a second failed try no longer logs again. 43 tests of swim_test pass.

--- a/rosedyke/membership/events.py
+++ b/rosedyke/membership/events.py
@@ -60,6 +60,14 @@
     logging.INFO,
     "Enough members respond again, or witnesses confirmed that the unresponsive ones are dead.",
 )
+DEATH_WITHHELD = event.define(
+    1110,
+    "death_withheld",
+    logging.WARNING,
+    "A suspect is not declared dead: too few members of the local data centre respond, and too few "
+    "other data centres confirmed that they can't reach it either. ``confirmed`` lists those that "
+    "did; one that didn't reaches the suspect, did not answer, or its witness is isolated itself.",
+)
 NAME_TAKEN = event.define(
     1107,
     "name_taken",
--- a/rosedyke/membership/isolation.py
+++ b/rosedyke/membership/isolation.py
@@ -92,11 +92,21 @@
     def may_declare_dead(self, suspected: record.Record) -> bool:
         """Return whether there is evidence that the suspect, not this instance, is at fault."""
         key = (suspected.name, suspected.peer.incarnation)
-        has_evidence = self.has_majority() and not self.is_unanswered()
-        if has_evidence or self.ask_witnesses(suspected.peer).is_quorum():
+        if self.has_majority() and not self.is_unanswered():
             self.unproven_suspects.discard(key)
             return True
-        self.unproven_suspects.add(key)
+        votes = self.ask_witnesses(suspected.peer)
+        if votes.is_quorum():
+            self.unproven_suspects.discard(key)
+            return True
+        if key not in self.unproven_suspects:
+            self.unproven_suspects.add(key)
+            event.log(
+                events.DEATH_WITHHELD,
+                name=suspected.name,
+                asked=",".join(votes.data_centres),
+                confirmed=",".join(sorted(votes.unreachable_from)),
+            )
         return False
 
     def discard_resolved(self, new_record: record.Record) -> None:
