Isolation: break ties of witnesses in a cycle, so that two survivors don't wait for each other

What callers saw: an instance dies in each of two data centres of two within 0.7 s; from then on every job of the region ends with code deadline, ran no, or 503 not_ready at the two survivors, until one of the dead instances is started again.

Cause: each survivor is isolated until its peer's death is declared, for which it needs witnesses in half of the other two data centres including the first in name order. That is dc2 for dc1 and dc1 for dc2, and an isolated witness has no vote. So neither death is ever declared, a new owner of a pool waits for the replies of the dead instances, and holders go on asking a dead owner. Now the next data centre in name order decides, the first after the last: dc2 needs dc3, whose vote is there, and dc1 then has dc2's. Each data centre still has exactly one that breaks its ties, so two sides of a partition can't both have a quorum.

--- a/rosedyke/membership/isolation.py
+++ b/rosedyke/membership/isolation.py
@@ -8,8 +8,10 @@
   data centre.  Two partitions of a data centre can't both have a majority.
 - Without a majority, for example as the survivor of two, an instance asks witnesses: members of
   other data centres that it reaches and that can't reach the suspect.  It needs the votes of more
-  than half of the other data centres, or of half including the first in name order, so that two
-  partitions can't both have a quorum.
+  than half of the other data centres, or of half including the next one in name order (the first
+  after the last), so that two partitions can't both have a quorum.  The order is a cycle: an
+  isolated witness has no vote, so two data centres that break each other's ties and lose an
+  instance each at the same time would wait for each other for ever.
 - With neither, the instance keeps the suspects as members and is isolated: it starts nothing new
   until a suspect answers or the witnesses form a quorum.
 
@@ -32,12 +34,15 @@
 
     Attributes
     ----------
+    own : str
+        The data centre of the suspect.
     data_centres : tuple of str
         The data centres asked, in name order.
     unreachable_from : set of str
         The data centres whose witness can't reach the suspect.
     """
 
+    own: str
     data_centres: tuple[str, ...]
     unreachable_from: frozenset[str]
 
@@ -45,7 +50,12 @@
         """Return whether no other partition of the data centre can have as many votes."""
         if 2 * len(self.unreachable_from) != len(self.data_centres):
             return 2 * len(self.unreachable_from) > len(self.data_centres)
-        return bool(self.data_centres) and self.data_centres[0] in self.unreachable_from
+        return bool(self.data_centres) and self.tie_breaker() in self.unreachable_from
+
+    def tie_breaker(self) -> str:
+        """Return the data centre whose vote decides between two halves."""
+        following = (name for name in self.data_centres if name > self.own)
+        return next(following, self.data_centres[0])
 
 
 class Isolation:
@@ -135,7 +145,9 @@
             self.protocol.runtime.spawn(ask, remote)
         if remote_data_centres:
             done.wait(self._witness_timeout_s() + self.options.probe_timeout_s)
-        return WitnessVotes(tuple(remote_data_centres), frozenset(unreachable_from))
+        return WitnessVotes(
+            self.protocol.data_centre, tuple(remote_data_centres), frozenset(unreachable_from)
+        )
 
     def on_witness(
         self, sender: peer.Peer, request: messages.WitnessRequest
--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -439,7 +439,7 @@
 
     def test_only_one_of_two_partitions_with_a_witness_each_continues(self):
         # Each partition reaches a witness in one other data centre.  Only the one that reaches the
-        # first data centre in name order may continue.
+        # next data centre in name order may continue.
         cluster = self.start("dc2", "dc3")
         cluster.network.partition(["d", "w0"], ["e", "w1"])
         cluster.run(20)
@@ -458,6 +458,72 @@
         self.assertFalse(cluster["d"].is_isolated())
 
 
+class ConcurrentDeaths(unittest.TestCase):
+    """Data centres of two instances that lose one each, so that the survivors need witnesses."""
+
+    DATA_CENTRES = ("dc1", "dc2", "dc3")
+    # A round of witnesses takes up to a second.  The member asked is chosen at random and may be
+    # the other dead instance, so several rounds can pass.
+    LIMIT_S = 15.0
+
+    def region(self, seed=1):
+        cluster = instances.Instances(seed)
+        for data_centre in self.DATA_CENTRES:
+            cluster.start(f"{data_centre}-1", data_centre)
+            cluster.start(f"{data_centre}-2", data_centre)
+        cluster.wait_for(lambda: cluster.agree(State.LIVE), 30)
+        return cluster
+
+    def test_survivors_of_two_data_centres_do_not_wait_for_each_other(self):
+        # Jobs at every instance end with `deadline`, none of their tasks run: an instance dies in
+        # each of two data centres before the first death is declared.  Both survivors are isolated
+        # then, and an isolated witness has no vote.  If each needed the other's, neither death
+        # would ever be declared, and the new owner of a pool waits for the dead instances.
+        for first in self.DATA_CENTRES:
+            for second in self.DATA_CENTRES:
+                for gap_s in (0.05, 0.4) if first != second else ():
+                    with self.subTest(first=first, second=second, gap_s=gap_s):
+                        cluster = self.region()
+                        cluster.crash(f"{first}-1")
+                        cluster.run(gap_s)
+                        cluster.crash(f"{second}-1")
+                        for lost in (first, second):
+                            cluster.wait_for(
+                                lambda c=cluster, d=lost: c.state(f"{d}-2", f"{d}-1") is State.DEAD,
+                                self.LIMIT_S,
+                            )
+                            self.assertTrue(cluster[f"{lost}-2"].is_confirmed())
+
+    def test_only_one_of_two_partitions_with_a_witness_each_continues(self):
+        # In every data centre, whichever of the other two decides there: the two instances lose
+        # each other, and each of them reaches one other data centre.
+        for lost in self.DATA_CENTRES:
+            with self.subTest(data_centre=lost):
+                cluster = self.region()
+                left, right = [d for d in self.DATA_CENTRES if d != lost]
+                cluster.network.partition(
+                    [f"{lost}-1", f"{left}-1", f"{left}-2"],
+                    [f"{lost}-2", f"{right}-1", f"{right}-2"],
+                )
+                cluster.run(20)
+                isolated = [cluster[f"{lost}-{number}"].is_isolated() for number in (1, 2)]
+                self.assertCountEqual(isolated, [True, False])
+
+    def test_no_split_of_the_region_leaves_two_instances_that_declared_each_other_dead(self):
+        # Every way to split the six instances in two.
+        names = [
+            f"{data_centre}-{number}" for data_centre in self.DATA_CENTRES for number in (1, 2)
+        ]
+        for split in range(1, 2 ** (len(names) - 1)):
+            left = [name for index, name in enumerate(names) if split >> index & 1]
+            cluster = self.region()
+            deaths = count_deaths(cluster)
+            cluster.network.partition(left, [name for name in names if name not in left])
+            cluster.run(8)
+            mutual = [(a, b) for a, b in deaths if (b, a) in deaths]
+            self.assertEqual(mutual, [], left)
+
+
 class Leaving(unittest.TestCase):
     def test_all_members_see_an_instance_leave_before_it_stops(self):
         cluster = instances.Instances()
