Isolation: probe the first peer at once, and let jobs wait for its answer instead of refusing them

What callers saw: 503 not_ready, ran no, "This instance may be cut off", from a serving instance in contact with everyone, for up to 0.28 s when the second instance of its data centre starts, or starts again.

Cause: an instance without an answer from its data centre for isolation_s is isolated. One that is alone there has nobody to answer, but its silence counted from its start; so it was isolated from the moment the newcomer appeared until the next regular probe. Now the newcomer is probed at once, and a job waits for the outcome, isolation_s at most, before it is refused. Claims and slots are retried anyway.

--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -219,6 +219,7 @@
         return answer.Answer(request.job_id, code.Code.DEADLINE, UNKNOWN, detail=detail)
 
     def _refusal(self, request: submission.Submission) -> ports.Refusal | None:
+        self.node.membership.wait_for_first_answer()
         if self.is_draining or self.node.is_stopped:
             return ports.Refusal(
                 code.Code.DRAINING,
--- a/rosedyke/membership/isolation.py
+++ b/rosedyke/membership/isolation.py
@@ -19,11 +19,16 @@
 of its requests sent after t is answered, so it is isolated at ``t + isolation_s``.  A peer's probe
 that fails was sent after t less the delay of one message; the death follows at least
 ``probe_timeout_s + suspicion_s`` after that.  The settings keep the first below the second.
+
+An instance that was alone in its data centre is isolated from the moment the first other member
+appears until that one answers, since its last answer may be any time ago: the newcomer may have
+suspected it long before it learned of the newcomer.  It probes the newcomer at once, and callers
+wait for the outcome (``is_first_answer_due``), so that an ordinary join refuses no job.
 """
 
 import attrs
 
-from rosedyke.membership import events, messages, probe, protocol_state, record
+from rosedyke.membership import events, member, messages, probe, protocol_state, record
 from rosedyke.observe import event
 from rosedyke.wire import peer
 
@@ -68,6 +73,9 @@
         # Name and incarnation of suspects not declared dead for lack of evidence.
         self.unproven_suspects: set[tuple[str, int]] = set()
         self.was_isolated = False
+        # Time at which the first other member of the data centre appeared.
+        self.accompanied_since = float("-inf")
+        shared_state.subscribers.append(self._on_view)
         shared_state.is_isolated = self.is_isolated
         shared_state.rejoin_hooks.append(self.unproven_suspects.clear)
 
@@ -93,6 +101,11 @@
             self.protocol.runtime.now() - self.protocol.last_answered_at > self.options.isolation_s
         )
 
+    def is_first_answer_due(self) -> bool:
+        """Return whether the first other member appeared just now and has not answered yet."""
+        waited_s = self.protocol.runtime.now() - self.accompanied_since
+        return waited_s <= self.options.isolation_s and self.is_unanswered()
+
     def has_majority(self) -> bool:
         """Return whether more than half of the members, this one included, are not suspected."""
         others = self.protocol.others()
@@ -160,6 +173,25 @@
         is_reached = self.prober.reaches_directly(target) or self.prober.reaches_directly(target)
         return messages.WitnessReply(is_missed=not is_reached)
 
+    def _on_view(self, old: member.View, new: member.View) -> None:
+        if self._has_others(new) and not self._has_others(old):
+            self.accompanied_since = self.protocol.runtime.now()
+            self.protocol.runtime.spawn(self._probe_first)
+
+    def _has_others(self, view: member.View) -> bool:
+        return any(
+            other.data_centre == self.protocol.data_centre
+            and other.state is not member.State.DEAD
+            and other.name != self.protocol.own.name
+            for other in view.members
+        )
+
+    def _probe_first(self):
+        # A lost probe is no evidence against the newcomer: the regular ones decide.
+        others = self.protocol.others()
+        if others:
+            self.prober.reaches_directly(others[0])
+
     def _is_unreachable_from(self, data_centre, target):
         witness = self.protocol.choose_random(self.protocol.table.alive(data_centre))
         try:
--- a/rosedyke/membership/ports.py
+++ b/rosedyke/membership/ports.py
@@ -44,3 +44,10 @@
         While true, its peers may declare it dead and take over its work, so it must not grant or
         accept anything new.
         """
+
+    def wait_for_first_answer(self) -> None:
+        """Block while this instance is isolated only because its first peer has just appeared.
+
+        Until that peer answers it can't be told from one that has declared this instance dead.
+        The wait is short and bounded; ``is_isolated`` tells the outcome.
+        """
--- a/rosedyke/membership/swim.py
+++ b/rosedyke/membership/swim.py
@@ -144,6 +144,11 @@
         """Return whether this instance may be isolated from its data centre."""
         return self.isolation.is_isolated()
 
+    def wait_for_first_answer(self) -> None:
+        """Block while the first other member of the data centre has yet to answer, if it will."""
+        while self.isolation.is_first_answer_due():
+            self.protocol.runtime.sleep(CONFIRMATION_POLL_S)
+
     def wait_until_confirmed(self, timeout_s: float) -> bool:
         """Block until confirmed and return true, or return false after the timeout."""
         deadline = self.protocol.runtime.now() + timeout_s
--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -458,6 +458,103 @@
         self.assertFalse(cluster["d"].is_isolated())
 
 
+class FirstPeer(unittest.TestCase):
+    """An instance that has been alone in its data centre gets its first peer there."""
+
+    STEP_S = 0.005
+    LIMIT_S = 3.0
+
+    def start_alone(self, seed=1):
+        cluster = instances.Instances(seed)
+        cluster.start("w", "dc2")
+        cluster.start("a")
+        cluster.wait_for(lambda: cluster.agree(State.LIVE), 30)
+        cluster.run(2 * cluster["a"].protocol.options.isolation_s)
+        return cluster
+
+    def steps(self, cluster):
+        """Let time pass in small steps and yield the time since the start."""
+        started_at = cluster.runtime.now()
+        while cluster.runtime.now() < started_at + self.LIMIT_S:
+            yield cluster.runtime.now() - started_at
+            cluster.run(self.STEP_S)
+
+    def isolated_s(self, cluster):
+        """Let time pass and return for how long "a" was isolated."""
+        return sum(self.STEP_S for _ in self.steps(cluster) if cluster["a"].is_isolated())
+
+    def test_instance_is_isolated_only_until_its_first_peer_answers(self):
+        # Callers get 503 `not_ready` from an instance that is serving and in contact with everyone:
+        # another one joins its data centre, and it is isolated until the next regular probe.
+        for seed in range(1, 11):
+            with self.subTest(seed=seed):
+                cluster = self.start_alone(seed)
+                cluster.start("b")
+                self.assertLessEqual(self.isolated_s(cluster), 2 * self.STEP_S)
+                self.assertTrue(cluster.agree(State.LIVE))
+
+    def test_instance_is_isolated_only_until_its_restarted_peer_answers(self):
+        cluster = self.start_alone()
+        cluster.start("b")
+        cluster.wait_for(lambda: cluster.agree(State.LIVE), 10)
+        cluster.crash("b")
+        cluster.wait_for(lambda: cluster.state("a", "b") is State.DEAD, 15)
+        cluster.run(2 * cluster["a"].protocol.options.isolation_s)
+        cluster.start("b", incarnation=2)
+        self.assertLessEqual(self.isolated_s(cluster), 2 * self.STEP_S)
+        self.assertTrue(cluster.agree(State.LIVE))
+
+    def test_wait_ends_with_the_answer_of_the_first_peer(self):
+        cluster = self.start_alone()
+        cluster.start("b")
+        cluster.wait_for(lambda: cluster.state("a", "b") is not None, 5)
+        cluster.runtime.call(cluster["a"].wait_for_first_answer)
+        self.assertFalse(cluster["a"].is_isolated())
+
+    def test_wait_for_a_first_peer_that_never_answers_is_bounded(self):
+        # "a" hears of "b" but reaches nobody: it stays isolated, and callers are told so.
+        cluster = self.start_alone()
+        cluster.network.cut |= {("a", "b"), ("a", "w")}
+        cluster.start("b")
+        while cluster.state("a", "b") is None:
+            cluster.run(self.STEP_S)
+        appeared_at = cluster.runtime.now()
+        self.assertTrue(cluster["a"].isolation.is_first_answer_due())
+        cluster.runtime.call(cluster["a"].wait_for_first_answer)
+        waited_s = cluster.runtime.now() - appeared_at
+        self.assertLess(waited_s, cluster["a"].protocol.options.isolation_s + 0.1)
+        self.assertTrue(cluster["a"].is_isolated())
+        self.assertFalse(cluster["a"].isolation.is_first_answer_due())
+
+    def test_message_of_the_first_peer_alone_does_not_end_the_isolation(self):
+        # "a" is cut off before "b" appears, so "b" may be about to declare it dead when one of its
+        # messages gets through.  A period of grace for "a" would let both serve.
+        for step in range(1, 14):
+            with self.subTest(step=step):
+                cluster = self.start_alone()
+                cluster.start("b")
+                cluster.network.partition(["a"], ["b", "w"])
+                cluster.run(0.2 * step)
+                cluster.network.cut -= {("b", "a"), ("w", "a")}
+                for _ in self.steps(cluster):
+                    if cluster["a"].own.peer.incarnation == 1 and cluster.state("a", "b"):
+                        self.assertTrue(cluster["a"].is_isolated())
+
+    def test_instance_stops_before_its_first_peer_declares_it_dead(self):
+        # The partition begins at any time during the join.  If "a" were serving when "b", which
+        # still reaches a witness, declares it dead, a job could run at both.
+        for step in range(60):
+            with self.subTest(step=step):
+                cluster = self.start_alone()
+                cluster.start("b")
+                cluster.run(self.STEP_S * step)
+                cluster.network.partition(["a"], ["b", "w"])
+                for _ in self.steps(cluster):
+                    if cluster.state("a", "b") is not None:
+                        is_dead = cluster.state("b", "a") is State.DEAD
+                        self.assertFalse(is_dead and not cluster["a"].is_isolated())
+
+
 class ConcurrentDeaths(unittest.TestCase):
     """Data centres of two instances that lose one each, so that the survivors need witnesses."""
 
--- a/rosedyke/standins/explore_region.py
+++ b/rosedyke/standins/explore_region.py
@@ -65,6 +65,9 @@
         """Return False: partitions within a data data_centre are not simulated."""
         return False
 
+    def wait_for_first_answer(self) -> None:
+        """Return at once: isolation is not simulated."""
+
 
 @attrs.define
 class Run:
--- a/rosedyke/standins/fleet.py
+++ b/rosedyke/standins/fleet.py
@@ -52,6 +52,9 @@
         """Return False: partitions within a data centre are not simulated."""
         return False
 
+    def wait_for_first_answer(self):
+        """Return at once: isolation is not simulated."""
+
 
 class FakeConfigurationSource:
     """Implements ``configuration.ports.ConfigurationSource`` with a fixed configuration."""
