--- a/tools/region.py
+++ b/tools/region.py
@@ -1,7 +1,7 @@
 """A region of processes on loopback: store, backend servers and entry instances.
 
-Shared by the demo, the benchmarks and the tests with real processes.  Every instance has a loopback
-address of its own; the kernel assigns the ports.
+Shared by the demo, the benchmarks and the tests with real processes.  Every program has a loopback
+address of its own, also among regions that run at the same time; the kernel assigns the ports.
 """
 
 import collections
@@ -59,18 +59,18 @@
         self.data_centres = tuple(data_centres)
         self.options = tuple(options)
         self.http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(10.0))
-        self.store_address = f"127.0.0.1:{processes.free_port()}"
+        store_ip = processes.unique_loopback_address()
+        self.store_address = f"{store_ip}:{processes.free_port(store_ip)}"
         self.store = None
         self.backends: list[BackendServers] = []
         self.instances: list[EntryInstance] = []
-        for index, data_centre in enumerate(self.data_centres):
+        for data_centre in self.data_centres:
             for number in range(1, instances_each + 1):
-                self.add_instance(
-                    f"{data_centre}-{number}", data_centre, f"127.0.{10 + index}.{number}"
-                )
+                self.add_instance(f"{data_centre}-{number}", data_centre)
 
-    def add_instance(self, name, data_centre, ip) -> EntryInstance:
+    def add_instance(self, name, data_centre) -> EntryInstance:
         """Add an instance and assign its addresses, without starting it."""
+        ip = processes.unique_loopback_address()
         addresses = [f"{ip}:{processes.free_port(ip)}" for _ in range(3)]
         instance = EntryInstance(name, data_centre, *addresses)
         self.instances.append(instance)
