--- a/rosedyke/membership/isolation.py
+++ b/rosedyke/membership/isolation.py
@@ -8,8 +8,10 @@
   data centre.  Two partitions of a data centre can't both have a majority.
 - Without a majority, for example as the survivor of two, an instance asks witnesses: members of
   other data centres that it reaches and that can't reach the suspect.  It needs the votes of more
-  than half of the other data centres, or of half including the first in name order, so that two
-  partitions can't both have a quorum.
+  than half of the other data centres, or of half including the next one in name order (the first
+  after the last), so that two partitions can't both have a quorum.  The order is a cycle: an
+  isolated witness has no vote, so two data centres that break each other's ties and lose an
+  instance each at the same time would wait for each other for ever.
 - With neither, the instance keeps the suspects as members and is isolated: it starts nothing new
   until a suspect answers or the witnesses form a quorum.
 
@@ -17,11 +19,16 @@
 of its requests sent after t is answered, so it is isolated at ``t + isolation_s``.  A peer's probe
 that fails was sent after t less the delay of one message; the death follows at least
 ``probe_timeout_s + suspicion_s`` after that.  The settings keep the first below the second.
+
+An instance that was alone in its data centre is isolated from the moment the first other member
+appears until that one answers, since its last answer may be any time ago: the newcomer may have
+suspected it long before it learned of the newcomer.  It probes the newcomer at once, and callers
+wait for the outcome (``is_first_answer_due``), so that an ordinary join refuses no job.
 """
 
 import attrs
 
-from rosedyke.membership import events, messages, probe, protocol_state, record
+from rosedyke.membership import events, member, messages, probe, protocol_state, record
 from rosedyke.observe import event
 from rosedyke.wire import peer
 
@@ -32,12 +39,15 @@
 
     Attributes
     ----------
+    own : str
+        The data centre of the suspect.
     data_centres : tuple of str
         The data centres asked, in name order.
     unreachable_from : set of str
         The data centres whose witness can't reach the suspect.
     """
 
+    own: str
     data_centres: tuple[str, ...]
     unreachable_from: frozenset[str]
 
@@ -45,7 +55,12 @@
         """Return whether no other partition of the data centre can have as many votes."""
         if 2 * len(self.unreachable_from) != len(self.data_centres):
             return 2 * len(self.unreachable_from) > len(self.data_centres)
-        return bool(self.data_centres) and self.data_centres[0] in self.unreachable_from
+        return bool(self.data_centres) and self.tie_breaker() in self.unreachable_from
+
+    def tie_breaker(self) -> str:
+        """Return the data centre whose vote decides between two halves."""
+        following = (name for name in self.data_centres if name > self.own)
+        return next(following, self.data_centres[0])
 
 
 class Isolation:
@@ -58,6 +73,9 @@
         # Name and incarnation of suspects not declared dead for lack of evidence.
         self.unproven_suspects: set[tuple[str, int]] = set()
         self.was_isolated = False
+        # Time at which the first other member of the data centre appeared.
+        self.accompanied_since = float("-inf")
+        shared_state.subscribers.append(self._on_view)
         shared_state.is_isolated = self.is_isolated
         shared_state.rejoin_hooks.append(self.unproven_suspects.clear)
 
@@ -83,6 +101,11 @@
             self.protocol.runtime.now() - self.protocol.last_answered_at > self.options.isolation_s
         )
 
+    def is_first_answer_due(self) -> bool:
+        """Return whether the first other member appeared just now and has not answered yet."""
+        waited_s = self.protocol.runtime.now() - self.accompanied_since
+        return waited_s <= self.options.isolation_s and self.is_unanswered()
+
     def has_majority(self) -> bool:
         """Return whether more than half of the members, this one included, are not suspected."""
         others = self.protocol.others()
@@ -92,11 +115,21 @@
     def may_declare_dead(self, suspected: record.Record) -> bool:
         """Return whether there is evidence that the suspect, not this instance, is at fault."""
         key = (suspected.name, suspected.peer.incarnation)
-        has_evidence = self.has_majority() and not self.is_unanswered()
-        if has_evidence or self.ask_witnesses(suspected.peer).is_quorum():
+        if self.has_majority() and not self.is_unanswered():
             self.unproven_suspects.discard(key)
             return True
-        self.unproven_suspects.add(key)
+        votes = self.ask_witnesses(suspected.peer)
+        if votes.is_quorum():
+            self.unproven_suspects.discard(key)
+            return True
+        if key not in self.unproven_suspects:
+            self.unproven_suspects.add(key)
+            event.log(
+                events.DEATH_WITHHELD,
+                name=suspected.name,
+                asked=",".join(votes.data_centres),
+                confirmed=",".join(sorted(votes.unreachable_from)),
+            )
         return False
 
     def discard_resolved(self, new_record: record.Record) -> None:
@@ -125,7 +158,9 @@
             self.protocol.runtime.spawn(ask, remote)
         if remote_data_centres:
             done.wait(self._witness_timeout_s() + self.options.probe_timeout_s)
-        return WitnessVotes(tuple(remote_data_centres), frozenset(unreachable_from))
+        return WitnessVotes(
+            self.protocol.data_centre, tuple(remote_data_centres), frozenset(unreachable_from)
+        )
 
     def on_witness(
         self, sender: peer.Peer, request: messages.WitnessRequest
@@ -138,6 +173,25 @@
         is_reached = self.prober.reaches_directly(target) or self.prober.reaches_directly(target)
         return messages.WitnessReply(is_missed=not is_reached)
 
+    def _on_view(self, old: member.View, new: member.View) -> None:
+        if self._has_others(new) and not self._has_others(old):
+            self.accompanied_since = self.protocol.runtime.now()
+            self.protocol.runtime.spawn(self._probe_first)
+
+    def _has_others(self, view: member.View) -> bool:
+        return any(
+            other.data_centre == self.protocol.data_centre
+            and other.state is not member.State.DEAD
+            and other.name != self.protocol.own.name
+            for other in view.members
+        )
+
+    def _probe_first(self):
+        # A lost probe is no evidence against the newcomer: the regular ones decide.
+        others = self.protocol.others()
+        if others:
+            self.prober.reaches_directly(others[0])
+
     def _is_unreachable_from(self, data_centre, target):
         witness = self.protocol.choose_random(self.protocol.table.alive(data_centre))
         try:
--- a/rosedyke/membership/swim_test.py
+++ b/rosedyke/membership/swim_test.py
@@ -439,7 +439,7 @@
 
     def test_only_one_of_two_partitions_with_a_witness_each_continues(self):
         # Each partition reaches a witness in one other data centre.  Only the one that reaches the
-        # first data centre in name order may continue.
+        # next data centre in name order may continue.
         cluster = self.start("dc2", "dc3")
         cluster.network.partition(["d", "w0"], ["e", "w1"])
         cluster.run(20)
@@ -458,6 +458,169 @@
         self.assertFalse(cluster["d"].is_isolated())
 
 
+class FirstPeer(unittest.TestCase):
+    """An instance that has been alone in its data centre gets its first peer there."""
+
+    STEP_S = 0.005
+    LIMIT_S = 3.0
+
+    def start_alone(self, seed=1):
+        cluster = instances.Instances(seed)
+        cluster.start("w", "dc2")
+        cluster.start("a")
+        cluster.wait_for(lambda: cluster.agree(State.LIVE), 30)
+        cluster.run(2 * cluster["a"].protocol.options.isolation_s)
+        return cluster
+
+    def steps(self, cluster):
+        """Let time pass in small steps and yield the time since the start."""
+        started_at = cluster.runtime.now()
+        while cluster.runtime.now() < started_at + self.LIMIT_S:
+            yield cluster.runtime.now() - started_at
+            cluster.run(self.STEP_S)
+
+    def isolated_s(self, cluster):
+        """Let time pass and return for how long "a" was isolated."""
+        return sum(self.STEP_S for _ in self.steps(cluster) if cluster["a"].is_isolated())
+
+    def test_instance_is_isolated_only_until_its_first_peer_answers(self):
+        # Callers get 503 `not_ready` from an instance that is serving and in contact with everyone:
+        # another one joins its data centre, and it is isolated until the next regular probe.
+        for seed in range(1, 11):
+            with self.subTest(seed=seed):
+                cluster = self.start_alone(seed)
+                cluster.start("b")
+                self.assertLessEqual(self.isolated_s(cluster), 2 * self.STEP_S)
+                self.assertTrue(cluster.agree(State.LIVE))
+
+    def test_instance_is_isolated_only_until_its_restarted_peer_answers(self):
+        cluster = self.start_alone()
+        cluster.start("b")
+        cluster.wait_for(lambda: cluster.agree(State.LIVE), 10)
+        cluster.crash("b")
+        cluster.wait_for(lambda: cluster.state("a", "b") is State.DEAD, 15)
+        cluster.run(2 * cluster["a"].protocol.options.isolation_s)
+        cluster.start("b", incarnation=2)
+        self.assertLessEqual(self.isolated_s(cluster), 2 * self.STEP_S)
+        self.assertTrue(cluster.agree(State.LIVE))
+
+    def test_wait_ends_with_the_answer_of_the_first_peer(self):
+        cluster = self.start_alone()
+        cluster.start("b")
+        cluster.wait_for(lambda: cluster.state("a", "b") is not None, 5)
+        cluster.runtime.call(cluster["a"].wait_for_first_answer)
+        self.assertFalse(cluster["a"].is_isolated())
+
+    def test_wait_for_a_first_peer_that_never_answers_is_bounded(self):
+        # "a" hears of "b" but reaches nobody: it stays isolated, and callers are told so.
+        cluster = self.start_alone()
+        cluster.network.cut |= {("a", "b"), ("a", "w")}
+        cluster.start("b")
+        while cluster.state("a", "b") is None:
+            cluster.run(self.STEP_S)
+        appeared_at = cluster.runtime.now()
+        self.assertTrue(cluster["a"].isolation.is_first_answer_due())
+        cluster.runtime.call(cluster["a"].wait_for_first_answer)
+        waited_s = cluster.runtime.now() - appeared_at
+        self.assertLess(waited_s, cluster["a"].protocol.options.isolation_s + 0.1)
+        self.assertTrue(cluster["a"].is_isolated())
+        self.assertFalse(cluster["a"].isolation.is_first_answer_due())
+
+    def test_message_of_the_first_peer_alone_does_not_end_the_isolation(self):
+        # "a" is cut off before "b" appears, so "b" may be about to declare it dead when one of its
+        # messages gets through.  A period of grace for "a" would let both serve.
+        for step in range(1, 14):
+            with self.subTest(step=step):
+                cluster = self.start_alone()
+                cluster.start("b")
+                cluster.network.partition(["a"], ["b", "w"])
+                cluster.run(0.2 * step)
+                cluster.network.cut -= {("b", "a"), ("w", "a")}
+                for _ in self.steps(cluster):
+                    if cluster["a"].own.peer.incarnation == 1 and cluster.state("a", "b"):
+                        self.assertTrue(cluster["a"].is_isolated())
+
+    def test_instance_stops_before_its_first_peer_declares_it_dead(self):
+        # The partition begins at any time during the join.  If "a" were serving when "b", which
+        # still reaches a witness, declares it dead, a job could run at both.
+        for step in range(60):
+            with self.subTest(step=step):
+                cluster = self.start_alone()
+                cluster.start("b")
+                cluster.run(self.STEP_S * step)
+                cluster.network.partition(["a"], ["b", "w"])
+                for _ in self.steps(cluster):
+                    if cluster.state("a", "b") is not None:
+                        is_dead = cluster.state("b", "a") is State.DEAD
+                        self.assertFalse(is_dead and not cluster["a"].is_isolated())
+
+
+class ConcurrentDeaths(unittest.TestCase):
+    """Data centres of two instances that lose one each, so that the survivors need witnesses."""
+
+    DATA_CENTRES = ("dc1", "dc2", "dc3")
+    # A round of witnesses takes up to a second.  The member asked is chosen at random and may be
+    # the other dead instance, so several rounds can pass.
+    LIMIT_S = 15.0
+
+    def region(self, seed=1):
+        cluster = instances.Instances(seed)
+        for data_centre in self.DATA_CENTRES:
+            cluster.start(f"{data_centre}-1", data_centre)
+            cluster.start(f"{data_centre}-2", data_centre)
+        cluster.wait_for(lambda: cluster.agree(State.LIVE), 30)
+        return cluster
+
+    def test_survivors_of_two_data_centres_do_not_wait_for_each_other(self):
+        # Jobs at every instance end with `deadline`, none of their tasks run: an instance dies in
+        # each of two data centres before the first death is declared.  Both survivors are isolated
+        # then, and an isolated witness has no vote.  If each needed the other's, neither death
+        # would ever be declared, and the new owner of a pool waits for the dead instances.
+        for first in self.DATA_CENTRES:
+            for second in self.DATA_CENTRES:
+                for gap_s in (0.05, 0.4) if first != second else ():
+                    with self.subTest(first=first, second=second, gap_s=gap_s):
+                        cluster = self.region()
+                        cluster.crash(f"{first}-1")
+                        cluster.run(gap_s)
+                        cluster.crash(f"{second}-1")
+                        for lost in (first, second):
+                            cluster.wait_for(
+                                lambda c=cluster, d=lost: c.state(f"{d}-2", f"{d}-1") is State.DEAD,
+                                self.LIMIT_S,
+                            )
+                            self.assertTrue(cluster[f"{lost}-2"].is_confirmed())
+
+    def test_only_one_of_two_partitions_with_a_witness_each_continues(self):
+        # In every data centre, whichever of the other two decides there: the two instances lose
+        # each other, and each of them reaches one other data centre.
+        for lost in self.DATA_CENTRES:
+            with self.subTest(data_centre=lost):
+                cluster = self.region()
+                left, right = [d for d in self.DATA_CENTRES if d != lost]
+                cluster.network.partition(
+                    [f"{lost}-1", f"{left}-1", f"{left}-2"],
+                    [f"{lost}-2", f"{right}-1", f"{right}-2"],
+                )
+                cluster.run(20)
+                isolated = [cluster[f"{lost}-{number}"].is_isolated() for number in (1, 2)]
+                self.assertCountEqual(isolated, [True, False])
+
+    def test_no_split_of_the_region_leaves_two_instances_that_declared_each_other_dead(self):
+        # Every way to split the six instances in two.
+        names = [
+            f"{data_centre}-{number}" for data_centre in self.DATA_CENTRES for number in (1, 2)
+        ]
+        for split in range(1, 2 ** (len(names) - 1)):
+            left = [name for index, name in enumerate(names) if split >> index & 1]
+            cluster = self.region()
+            deaths = count_deaths(cluster)
+            cluster.network.partition(left, [name for name in names if name not in left])
+            cluster.run(8)
+            mutual = [(a, b) for a, b in deaths if (b, a) in deaths]
+            self.assertEqual(mutual, [], left)
+
+
 class Leaving(unittest.TestCase):
     def test_all_members_see_an_instance_leave_before_it_stops(self):
         cluster = instances.Instances()
