--- a/rosedyke/dispatch/speed.py
+++ b/rosedyke/dispatch/speed.py
@@ -77,7 +77,7 @@
         else:
             task_factor.learn(error, 0.3)
             server_factor.learn(error, 0.7)
-        # The residual is attributed to the pair.
+        # The pair gets only the residual, so that it takes nothing from the other two.
         predicted = task_factor.value + server_factor.value
         pair_factor.learn(clamp_error(log_ratio - predicted - pair_factor.value), 1.0)
         self.mean = sum(factor.value for factor in self.tasks.values()) / len(self.tasks)
--- a/rosedyke/gateways/etcd.py
+++ b/rosedyke/gateways/etcd.py
@@ -189,7 +189,8 @@
         raise _request_error(url, f"{status} {message}", is_write)
 
     def _record_failure(self, url: str, error: object) -> None:
-        # The other pooled connections are often dead too, and each would cost a call its timeout.
+        # The other pooled connections are often dead too, and each would cost a call its timeout,
+        # while new connections are cheap.
         self.pool.clear()
         self.circuit_breaker.record_failure(url)
         metric.count(etcd_metrics.FAILURES)
--- a/rosedyke/job/claiming.py
+++ b/rosedyke/job/claiming.py
@@ -11,7 +11,8 @@
 from rosedyke.wire import peer
 
 GRANTED = claim.Outcome.GRANTED
-# Outcomes other than a grant that end claiming, in order of precedence.
+# Outcomes other than a grant that end claiming, in order of precedence: an existing claim says most
+# about the job.
 OUTCOME_PRECEDENCE = (
     claim.Outcome.HELD,
     claim.Outcome.OTHER_BODY,
--- a/rosedyke/membership/relay.py
+++ b/rosedyke/membership/relay.py
@@ -102,7 +102,8 @@
                 self._pull(data_centre, partner)
                 self.last_contact_at[data_centre] = self.protocol.runtime.now()
         except peer.PeerError:
-            # Any member can answer, so choose another one the next time.
+            # Any member can answer, so choose another one the next time: a failed relay must not
+            # make its data centre unreachable.
             self.partners.pop(data_centre, None)
         finally:
             if self.protocol.own.peer == own.peer:
--- a/rosedyke/membership/settings.py
+++ b/rosedyke/membership/settings.py
@@ -51,9 +51,10 @@
     tombstone_s : float
         Seconds for which the record of a dead member is kept.
     record_bytes : int
-        Maximum bytes of member records piggybacked on one message.
+        Maximum bytes of member records piggybacked on one message.  There are few records, except
+        when many instances start or fail at once, and then they are urgent.
     advert_bytes : int
-        Maximum bytes of adverts piggybacked on one message.
+        Maximum bytes of adverts, which change all the time, piggybacked on one message.
     exchange_bytes : int
         Maximum bytes of adverts in one exchange with another data centre.
     """
--- a/rosedyke/rerunnable_jobs/capacity_offers.py
+++ b/rosedyke/rerunnable_jobs/capacity_offers.py
@@ -9,9 +9,10 @@
 
 from rosedyke.rerunnable_jobs import messages
 
-# A request expires unless it is repeated.
+# A request expires unless it is repeated; a pool that does not repeat it is no longer full.
 REQUEST_LIFETIME_S = 0.04
 # An offered server is not offered to another pool until the moved tasks may have arrived.
+# Otherwise two full pools would move tasks to the same capacity in vain.
 OFFER_LIFETIME_S = 0.01
 
 
@@ -22,7 +23,8 @@
     Attributes
     ----------
     missing_millicores : int
-        Requested minus offered millicores.  The pool repeats the request if it needs more.
+        Requested minus offered millicores.  The pool repeats the request if it needs more; offering
+        it more than that would keep the capacity from other pools.
     """
 
     message: messages.CapacityRequest
--- a/rosedyke/rerunnable_jobs/completions.py
+++ b/rosedyke/rerunnable_jobs/completions.py
@@ -3,7 +3,8 @@
 from rosedyke.observe import event, metric
 from rosedyke.rerunnable_jobs import events, job, metrics, owned_job, ports
 
-# A server with this many failed runs in a row is suspended.
+# A server with this many failed runs in a row is suspended: they are attributed to the server, not
+# to the tasks.
 MAX_CONSECUTIVE_FAILURES = 3
 SUSPENSION_S = 2.0
 
--- a/rosedyke/rerunnable_jobs/election.py
+++ b/rosedyke/rerunnable_jobs/election.py
@@ -12,7 +12,8 @@
 from rosedyke.membership import rendezvous
 from rosedyke.rerunnable_jobs import messages
 
-# Greater than 1, or many slow machines together would own most pools despite a few fast ones.
+# A machine twice as fast owns 2 ** SPEED_EXPONENT times as many pools.  Greater than 1, or many
+# slow machines together would own most pools despite a few fast ones.
 SPEED_EXPONENT = 2.0
 
 
--- a/rosedyke/rerunnable_jobs/job_ordering.py
+++ b/rosedyke/rerunnable_jobs/job_ordering.py
@@ -19,7 +19,8 @@
     """Return waiting jobs in scheduling order.
 
     Jobs that can still meet their objective come first, by latest start.  Late jobs follow by the
-    priority of their queue.  Started jobs come before equal ones, so that their work is not wasted.
+    priority of their queue, since their order only decides which of them get an answer at all.
+    Started jobs come before equal ones, so that their work is not wasted.
 
     Parameters
     ----------
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -353,7 +353,7 @@
         # The list may lack servers whose entries expired while they could not reach the platform,
         # and a server that is unreachable from here may be reachable for the earlier owner.  That
         # owner steps down within one poll, when another server refuses its token; the leases on
-        # its servers then expire.
+        # its servers then expire.  A task whose run was missed before that could run twice.
         return now - self.owned_since > self.timing.look_s + self.timing.lease_end_s
 
     def running_tasks(self) -> set[str]:
--- a/rosedyke/rerunnable_jobs/routing.py
+++ b/rosedyke/rerunnable_jobs/routing.py
@@ -13,7 +13,7 @@
 # Added to the expected wait in pools of other data centres, for the round trip and the risk of a
 # network partition.
 REMOTE_PENALTY_S = 0.02
-# Expected waits that differ by less are treated as equal.
+# Expected waits that differ by less are treated as equal; reports are usually older than this.
 WAIT_TOLERANCE_S = 0.005
 # Each part costs two more messages and depends on one more owner.
 MAX_PARTS = 3
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -46,7 +46,7 @@
         takeover, after which the successor continues the jobs.
     stale_s : float
         A submission with a longer transit time is rejected, because its caller may have
-        resubmitted the job elsewhere.
+        resubmitted the job elsewhere.  A network partition can delay bytes by seconds.
     rank_delay_s : float
         Additional takeover delay per rank of a candidate.
     foreign_delay_s : float
--- a/rosedyke/rerunnable_jobs/spillover.py
+++ b/rosedyke/rerunnable_jobs/spillover.py
@@ -5,9 +5,11 @@
 
 from rosedyke.rerunnable_jobs import owned_job
 
-# Tasks that are expected to wait less than this stay, because moving one takes two messages.
+# Tasks that are expected to wait less than this stay: moving one takes two messages, and the
+# offered capacity may be gone by then.
 MIN_WAIT_S = 0.01
-# Keeps tasks from being moved endlessly between pools that all fill up.
+# Keeps tasks from being moved endlessly between pools that all fill up.  Each server is offered to
+# one pool at a time, so a second move is rare.
 MAX_MOVES = 4
 
 WaitingTask = tuple[owned_job.OwnedJob, owned_job.OwnedTask]
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -24,11 +24,13 @@
 from rosedyke.wire import peer
 
 CHECK_INTERVAL_S = 0.04
-# Limits how much longer the check interval gets in a large fleet.
+# Limits how much longer the check interval gets in a large fleet, in which the timeouts of owners
+# are longer as well.
 MAX_INTERVAL_FACTOR = 2.5
 # Time for peers to report the owner of a pool before it is considered unowned.
 NO_OWNER_DELAY_S = 0.06
-# If a peer had contact with the owner within this time, the owner is alive.
+# If a peer had contact with the owner within this time, the owner is alive and only unreachable
+# from this instance.
 RECENT_CONTACT_S = 0.35
 # Peers that are asked about an unresponsive owner.
 MAX_QUERIED_PEERS = 6
@@ -83,7 +85,7 @@
         self.in_progress: set[str] = set()
         self.ranks = candidate_rank.RankCache(view)
         self.is_running = True
-        # Set while the instance starts or shuts down.
+        # Set while the instance starts or shuts down; it then takes no pool.
         self.is_suspended = False
 
     def run(self) -> None:
--- a/rosedyke/rerunnable_jobs/withdrawal.py
+++ b/rosedyke/rerunnable_jobs/withdrawal.py
@@ -9,7 +9,8 @@
 from rosedyke.observe import event
 from rosedyke.rerunnable_jobs import events, fan_out, job, messages
 
-# An owner that does not answer in time may have started its part.
+# Time for two messages within a region.  An owner that does not answer in time may have started its
+# part.
 WITHDRAW_TIMEOUT_S = 0.15
 
 
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -16,6 +16,7 @@
 
 from rosedyke.wire import codec, peer
 
+# Far more than any instant of a real run needs.
 MAX_STEPS_PER_INSTANT = 100_000
 
 
