Red test: tasks on the far side of a partition are started again when it ends

A partition divides a data centre: the owner, the holder and some servers on one side, a successor and the other servers on the other. The successor counts every run that it can't see as over 1.27 s after its takeover (PoolOwner.is_recovered), on the premise that the former owner is refused by some server within one poll and steps down. A former owner that reaches none of the successor's servers isn't refused, and goes on renewing leases and starting tasks, because the holder still renews with it. At the end of the partition the holder learns of the successor and submits the job there before the successor's next poll reaches the other servers, and its tasks start at once.

--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -248,6 +248,28 @@
         region.run(4.0)
         self.assertEqual(region.owner("b"), "b-3")
 
+    def test_runs_on_the_other_side_of_a_partition_are_not_started_again_at_its_end(self):
+        # Guards against a task that runs twice: an owner that reaches none of the other servers is
+        # never refused, goes on renewing the leases on its side while the successor counts them as
+        # over, and the holder comes to the successor before that server does.
+        for partitioned_s in (1.45, 1.5, 1.55, 1.6, 1.85, 1.9, 2.25, 2.3):
+            with self.subTest(partitioned_s=partitioned_s):
+                region = rerun_region.Region({"a": 3, "b": 1}, servers=2)
+                region.run(2.0)
+                owner = region.owner("a")
+                others = [name for name in region.members if name[0] == "a" and name != owner]
+                submit_to_pool(region, "b-1", "a", count=6, duration_s=6.0, timeout_s=9.0)
+                region.run(0.3)
+                region.partition_instances([owner, "b-1"], others)
+                region.backend.partitioned = {(owner, "s-a-0"), *((o, "s-a-1") for o in others)}
+                region.run(partitioned_s)
+                region.network.heal()
+                region.run(0.2)
+                region.backend.partitioned = set()
+                region.run(1.0)
+                self.assertNotEqual(region.owner("a"), owner)
+                self.assertEqual(region.backend.violations, [])
+
     def test_successor_whose_list_lacks_a_server_does_not_start_its_tasks(self):
         # Guards against a task that runs twice because the successor does not see its server.
         region = rerun_region.Region({"a": 3}, servers=3)
@@ -462,7 +484,7 @@
                 self.assertEqual(len(region.backend.starts), 6)
 
 
-def submit_to_pool(region, name, data_centre, job_id="j1", count=3, duration_s=3.0):
+def submit_to_pool(region, name, data_centre, job_id="j1", count=3, duration_s=3.0, timeout_s=5.0):
     """Submit a job to an instance, which sees only the servers of one data centre from then on."""
     listed = region.members[name].listed
     listed.hidden = {
@@ -471,7 +493,7 @@
         if server.listed.data_centre != data_centre
     }
     listed.changed()
-    return region.submit(name, job_id, count, duration_s)
+    return region.submit(name, job_id, count, duration_s, timeout_s)
 
 
 def isolate_from_servers(region, name, server_ids=None):
