Unseen runs of an earlier owner count as over by the time of the holder's submission

What callers could see: a task runs twice at once, at the end of a partition that splits a data centre: owner, holder and some servers on one side, a successor and the other servers on the other side.

Cause: 1.27 s after its takeover a successor took every run that it couldn't see for over, on the premise that some server refuses the former owner, which then steps down. An owner that reaches none of the successor's servers is not refused. While the holder renews with it, it renews leases and starts tasks. At the end of the partition the holder submits its job to the successor, which starts the tasks before its first poll reaches the other servers.

Fix: the time counts from when the holder sent the submission. It renews the job with one owner at a time, and a lease is bounded by the holder's last renewal, so no earlier owner extends a run for longer. After an ordinary takeover the submission follows at once, so nothing waits longer.

--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -67,6 +67,9 @@
         A start command for one of its tasks was sent, here or possibly by another owner.
     moves : int
         How often its tasks were released by pools.
+    submitted_at : float
+        When the holder sent this submission, on the local clock.  It renews with no earlier owner
+        since.
     """
 
     work: job.Job
@@ -79,6 +82,7 @@
     tasks: dict[str, OwnedTask]
     has_started: bool = False
     moves: int = 0
+    submitted_at: float = 0.0
 
     @classmethod
     def from_message(cls, message: messages.Submit, now: float) -> "OwnedJob":
@@ -100,6 +104,7 @@
             tasks,
             message.may_have_run or message.has_started,
             message.moves,
+            min(now, message.sent_s),
         )
 
     def renew(self, now: float, sent_at: float) -> None:
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -362,21 +362,25 @@
             (self.speeds.speed_of(server_id) for server_id in self.server_states), default=1.0
         )
 
-    def is_recovered(self, now: float) -> bool:
-        """Return whether all runs started by earlier owners are known or over."""
-        if self.predecessor_servers is not None:
-            fenced_servers = {
-                server_id for server_id, state in self.server_states.items() if state.is_fenced
-            }
-            if fenced_servers >= self.predecessor_servers and fenced_servers >= set(
-                self.server_states
-            ):
-                return True
+    def may_place(self, owned: owned_job.OwnedJob, now: float) -> bool:
+        """Return whether no run of a job's waiting tasks by an earlier owner can be left unseen."""
+        if not owned.may_have_run or self._has_fenced_all():
+            return True
         # The list may lack servers whose entries expired while they could not reach the platform,
-        # and a server that is unreachable from here may be reachable for the earlier owner.  That
-        # owner steps down within one poll, when another server refuses its token; the leases on
-        # its servers then expire.  A task whose run was missed before that could run twice.
-        return now - self.owned_since > self.timing.look_s + self.timing.lease_end_s
+        # and an earlier owner that reaches none of this owner's servers does not step down.  But
+        # the holder renews the job with this owner only since it submitted it here.
+        return now - owned.submitted_at > self.timing.holder_lease_end_s
+
+    def _has_fenced_all(self):
+        """Return whether every server of the previous owner has refused its token since."""
+        if self.predecessor_servers is None:
+            return False
+        fenced_servers = {
+            server_id for server_id, state in self.server_states.items() if state.is_fenced
+        }
+        return fenced_servers >= self.predecessor_servers and fenced_servers >= set(
+            self.server_states
+        )
 
     def running_tasks(self) -> set[str]:
         """Return the tasks that may be running on any server.
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -31,15 +31,13 @@
 
     def _waiting_jobs(self, now):
         """Return the jobs with waiting tasks that may be placed now."""
-        timing = self.owner.timing
-        waiting = [
+        return [
             owned
             for owned in self.owner.jobs.values()
-            if owned.has_waiting_tasks() and owned.may_start(now, timing)
+            if owned.has_waiting_tasks()
+            and owned.may_start(now, self.owner.timing)
+            and self.owner.may_place(owned, now)
         ]
-        if not waiting or self.owner.is_recovered(now):
-            return waiting
-        return [owned for owned in waiting if not owned.may_have_run]
 
     def _place_jobs(self, waiting, now):
         allocated = {
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -118,6 +118,11 @@
         """
         return self.resubmit_s - (self.lease_end_s - self.lease_s) - HOLDER_LEASE_MARGIN_S
 
+    @property
+    def holder_lease_end_s(self) -> float:
+        """The longest time that a run continues after its holder's last renewal, by local clock."""
+        return self.holder_lease_s + self.lease_end_s - self.lease_s
+
 
 def check(timing: RerunSettings) -> None:
     """Raise ``InvalidTimings`` with every inequality that does not hold."""
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -56,14 +56,13 @@
         if not self.owner.can_send():
             return
         now = self.owner.runtime.now()
-        is_recovered = self.owner.is_recovered(now)
         running = self.owner.running_tasks()
         waiting = [
             (owned, task)
             for owned in job_ordering.order_jobs(
                 list(self.owner.jobs.values()), now, self.owner.fastest_speed()
             )
-            if is_recovered or not owned.may_have_run
+            if self.owner.may_place(owned, now)
             for task in owned.waiting_tasks()
             if task.name not in running
         ]
