--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -372,7 +372,7 @@
         return now - owned.submitted_at > self.timing.holder_lease_end_s
 
     def _has_fenced_all(self):
-        """Return whether every server of the previous owner has refused its token since."""
+        """Return whether the previous owner's servers, and all listed ones, know this token."""
         if self.predecessor_servers is None:
             return False
         fenced_servers = {
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -215,9 +215,9 @@
     def check_lease(self, state, now):
         """Requeue the tasks of a server whose lease is over, since no run can be left there.
 
-        Called before anything that relies on the lease or renews it.  If a start sent before the
-        lapse is unresolved, the lease is not renewed, because the server would execute that start
-        under the renewed lease.
+        Called before each renewal and after a failed poll.  If a start sent before the lapse is
+        unresolved, the lease is not renewed, because the server would execute that start under the
+        renewed lease.
         """
         if not state.is_lease_over(now, self.owner.timing):
             return
