--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -79,6 +79,14 @@
         How long the outcome of a finished job is kept for a holder that missed it.
     late_factor : float
         A caller no longer needs an answer after this many times its objective.
+    link_bytes_per_s : float
+        Rate of the instance's network link in each direction, 0 if it is unlimited.
+    balances_pools : bool
+        An owner of several pools hands some over to instances that own fewer.
+    schedules_by_kind : bool
+        Capacity is reserved for urgent queues while a pool is under pressure.
+    predicts_completion : bool
+        Jobs are refused by their predicted completion, and by a limit on the jobs held.
     """
 
     resubmit_s: float = 1.3
@@ -103,6 +111,10 @@
     pause_s: float = 0.35
     kept_s: float = 2.0
     late_factor: float = 3.0
+    link_bytes_per_s: float = 0.0
+    balances_pools: bool = False
+    schedules_by_kind: bool = False
+    predicts_completion: bool = False
 
     @property
     def lease_end_s(self) -> float:
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -18,6 +18,8 @@
     "fault",
     "runtime",
     "observe",
+    "overload",
+    "scheduling",
     "wire",
     "membership",
     "configuration",
