Pool reports leave out servers that the receiver knows

Each renewal returned the names and speeds of all servers of each pool, and each outcome of a job did so too. Only a successor needs them. A renewal now names the token and version of the servers that its sender knows, and the reply contains them only if they differ. Changed speeds get a new version from 10 % and at most every 2 s, since noisy estimates change several of them each second.

A takeover treats the set as unknown if it was never received under the current token, if a later version was mentioned, or if it was not confirmed within owner_lost_s. The last rule no longer depends on the owner's contact time, which is reset after a process pause.

--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -41,6 +41,14 @@
         Version of this instance's claims at which it recorded this one.
     submitted : list of (float, int)
         Time and millicores of each submission that the last report does not include yet.
+    servers : dict of str to float, or None
+        The last servers and speeds that the owner reported under this token, None before the first.
+    servers_version : int
+        Their version.
+    newest_servers_version : int
+        The highest version that a report mentioned.
+    servers_confirmed_at : float
+        When a report last showed that ``servers`` had not changed.
     """
 
     claim: messages.Claim
@@ -49,6 +57,10 @@
     report: messages.PoolReport | None = None
     clock_offset_s: float | None = None
     submitted: list[tuple[float, int]] = attrs.Factory(list)
+    servers: dict[str, float] | None = None
+    servers_version: int = 0
+    newest_servers_version: int = 0
+    servers_confirmed_at: float = float("-inf")
 
     @property
     def submitted_millicores(self) -> int:
@@ -65,6 +77,29 @@
         self.last_contact_at, self.report = now, report
         cutoff = now - REPORT_LAG_S
         self.submitted = [submission for submission in self.submitted if submission[0] > cutoff]
+        version = report.servers_version
+        self.newest_servers_version = max(self.newest_servers_version, version)
+        # A delayed report may contain an older set than the known one.
+        if report.servers is not None and (self.servers is None or version > self.servers_version):
+            self.servers, self.servers_version = report.servers, version
+        if self.servers is not None and version == self.servers_version:
+            self.servers_confirmed_at = now
+
+    def complete_servers(self, since: float) -> frozenset[str] | None:
+        """Return all servers that may have runs of the owner, None if some may be unknown.
+
+        A set is complete only if no later version has been mentioned, because the owner may have
+        started tasks on a server that it has added since.
+
+        Parameters
+        ----------
+        since : float
+            The earliest time of the report that last confirmed the set.
+        """
+        is_current = self.servers_version == self.newest_servers_version
+        if self.servers is None or not is_current or self.servers_confirmed_at < since:
+            return None
+        return frozenset(self.servers)
 
 
 class FleetView:
@@ -297,6 +332,14 @@
             return 0.0
         return self.runtime.now() - state.last_contact_at
 
+    def servers_versions(self, owner: str) -> dict[str, tuple[int, int]]:
+        """Return the token and version of the known servers of each pool of an owner."""
+        return {
+            pool: (state.claim.token, state.servers_version)
+            for pool, state in self.owners.items()
+            if state.claim.owner.name == owner and state.servers is not None
+        }
+
     def claims_since(self, version: int) -> tuple[messages.Claim, ...]:
         """Return the claims recorded after a version, or all if it is of an earlier incarnation."""
         if version == self.claims_version:
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -43,9 +43,12 @@
         Total capacity of the servers that accept tasks.
     waiting : dict of str to int
         Number of jobs in each queue that have not started.
-    servers : dict of str to float
+    servers : dict of str to float, or None
         Servers that may have runs, with their estimated speeds.  A successor whose list lacks one
-        of them does not see all runs yet.
+        of them does not see all runs yet.  None if the receiver knows them by their version, or if
+        they are left out of a message that must be small.
+    servers_version : int
+        Version of ``servers``, which increases within one token.
     """
 
     pool: str
@@ -54,7 +57,12 @@
     rooms: tuple[tuple[int, float], ...]
     capacity_millicores: int
     waiting: dict[str, int]
-    servers: dict[str, float]
+    servers: dict[str, float] | None
+    servers_version: int = 0
+
+    def without_servers(self) -> "PoolReport":
+        """Return this report with ``servers`` left out."""
+        return attrs.evolve(self, servers=None)
 
 
 @attrs.frozen
@@ -104,6 +112,9 @@
         The version up to which the sender knows the receiver's claims, 0 for none.
     documents : dict of str to DocumentVersion
         The sender's version of each shared document that it knows.
+    servers_versions : dict of str to (int, int)
+        Token and ``PoolReport.servers_version`` of the servers that the sender knows of the
+        receiver's pools.
     """
 
     sender: Instance
@@ -111,6 +122,7 @@
     sent_s: float
     claims_version: int
     documents: dict[str, DocumentVersion]
+    servers_versions: dict[str, tuple[int, int]]
 
 
 @codec.message("rerun.report")
@@ -193,7 +205,7 @@
     tasks : tuple of str
         All tasks of the part.
     report : PoolReport or None
-        A current report of the pool, more recent than the last renewal.
+        A current report of the pool, more recent than the last renewal, without ``servers``.
     """
 
     job_id: str
@@ -219,8 +231,8 @@
     has_started : bool
         Other tasks of the part have started.
     report : PoolReport or None
-        A current report of a pool that is being evacuated, so that the holder does not choose it
-        again by an older one.
+        A current report of a pool that is being evacuated, without ``servers``, so that the holder
+        does not choose it again by an older one.
     """
 
     job_id: str
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -179,19 +179,17 @@
         self._announce(owned_pool)
 
     def _predecessor_servers(self, pool):
-        """Return the servers that the previous owner used, None if its last report is too old."""
+        """Return the servers that the previous owner used, None if some may be unknown."""
         state = self.fleet.owners.get(pool)
-        if state is None or state.report is None:
+        if state is None:
             return None
-        if self.fleet.owner_contact_age_s(pool) > self.timing.owner_lost_s:
-            return None
-        return frozenset(state.report.servers)
+        return state.complete_servers(self.runtime.now() - self.timing.owner_lost_s)
 
     def _import_speeds(self, pool):
         """Import the server speeds that the previous owner reported."""
         state = self.fleet.owners.get(pool)
-        if state is not None and state.report is not None:
-            self.speeds.import_speeds(state.report.servers)
+        if state is not None and state.servers is not None:
+            self.speeds.import_speeds(state.servers)
 
     def _announce(self, owned_pool):
         claim = messages.Claim(owned_pool.name, self.this_instance, owned_pool.token)
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -166,6 +166,7 @@
             sent_at + self.clock_offsets.get(instance.name, 0.0),
             self.known_claims.get(instance.name, 0),
             self.node.documents.versions(),
+            self.node.fleet.servers_versions(instance.name),
         )
         try:
             reply = self.node.peers.request(
@@ -209,7 +210,8 @@
             tuple(sorted(unknown)),
             self.node.runtime.now(),
             tuple(
-                owned_pool.reports.recent_report() for owned_pool in self.node.owned_pools.values()
+                owned_pool.reports.report_for(message.servers_versions.get(pool))
+                for pool, owned_pool in self.node.owned_pools.items()
             ),
             self.node.fleet.claims_since(message.claims_version),
             self.node.fleet.claims_version,
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -6,6 +6,11 @@
 
 # How long a report is reused; all holders renew at about the same time.
 REPORT_CACHE_S = 0.02
+# A speed counts as changed if it differs by this share from the one last reported.
+SPEED_CHANGE = 0.1
+# Changed speeds get a new version at most this often.  Each of a pool's servers crosses
+# ``SPEED_CHANGE`` every few seconds under load, and a successor uses speeds as a hint only.
+SPEEDS_INTERVAL_S = 2.0
 
 
 class ReportBuilder:
@@ -15,12 +20,24 @@
     ----------
     owner : PoolOwner
         The owner of the pool.
+
+    Attributes
+    ----------
+    servers : dict of str to float
+        The servers and speeds of the last report.
+    servers_version : int
+        Increases whenever ``servers`` changes.
+    speeds_changed_at : float
+        When it last increased because of a speed.
     """
 
     def __init__(self, owner):
         self.owner = owner
         self.last_report: messages.PoolReport | None = None
         self.reported_at = owner.owned_since
+        self.servers: dict[str, float] = {}
+        self.servers_version = 0
+        self.speeds_changed_at = float("-inf")
 
     def resignation(self) -> messages.Resign:
         """Return the message that hands the pool to a successor."""
@@ -51,7 +68,7 @@
             ),
             sum(state.server.capacity.millicores for state in servers),
             dict(waiting),
-            self._speeds(),
+            *self._versioned_servers(),
         )
 
     def recent_report(self) -> messages.PoolReport:
@@ -61,6 +78,32 @@
             self.last_report, self.reported_at = self.report(), now
         return self.last_report
 
+    def report_for(self, known_version: tuple[int, int] | None) -> messages.PoolReport:
+        """Return the cached report for a holder, without ``servers`` if the holder knows them.
+
+        Parameters
+        ----------
+        known_version : (int, int) or None
+            Token and version of the servers that the holder knows, None if it knows none.
+        """
+        report = self.recent_report()
+        if known_version == (report.token, report.servers_version):
+            return report.without_servers()
+        return report
+
+    def _versioned_servers(self):
+        """Return the servers with their speeds, and the version of this set."""
+        now, speeds = self.owner.runtime.now(), self._speeds()
+        if speeds.keys() != self.servers.keys() or not self.servers_version:
+            self.servers, self.servers_version = speeds, self.servers_version + 1
+        elif now - self.speeds_changed_at >= SPEEDS_INTERVAL_S and any(
+            abs(speed - self.servers[server_id]) >= SPEED_CHANGE * self.servers[server_id]
+            for server_id, speed in speeds.items()
+        ):
+            self.servers, self.servers_version = speeds, self.servers_version + 1
+            self.speeds_changed_at = now
+        return self.servers, self.servers_version
+
     def _speeds(self):
         return {
             server_id: round(self.owner.speeds.speed_of(server_id), 3)
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -104,7 +104,7 @@
             target_pool,
             moves,
             owned.has_started,
-            None if target_pool else self.owner.reports.report(),
+            None if target_pool else self.owner.reports.report().without_servers(),
         )
         self.owner.listener.send_to_holder(owned.holder, released)
         if owned.tasks:
