Outcomes carry a pool report only if their holder was sent none in the last 50 ms

A busy pool sent a report with each of its outcomes, many of them identical because reports are cached for 20 ms. Replies to renewals count as well.

--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -234,7 +234,8 @@
     tasks : tuple of str
         All tasks of the part.
     report : PoolReport or None
-        A current report of the pool, more recent than the last renewal, without ``servers``.
+        A current report of the pool without ``servers``; None if the holder was sent one just
+        before.
     """
 
     job_id: str
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -239,7 +239,7 @@
 
     def report_outcome(self, holder, key, finished):
         """Report the outcome of a part of a job to its holder."""
-        report = self.reports.recent_report().without_servers()
+        report = self.reports.report_for_outcome(holder.name)
         message = messages.JobEnded(
             *key, self.name, self.token, finished.outcome, finished.tasks, report
         )
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -210,7 +210,9 @@
             tuple(sorted(unknown)),
             self.node.runtime.now(),
             tuple(
-                owned_pool.reports.report_for(message.servers_versions.get(pool))
+                owned_pool.reports.report_for_renewal(
+                    message.sender.name, message.servers_versions.get(pool)
+                )
                 for pool, owned_pool in self.node.owned_pools.items()
             ),
             self.node.fleet.claims_since(message.claims_version),
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -6,6 +6,9 @@
 
 # How long a report is reused; all holders renew at about the same time.
 REPORT_CACHE_S = 0.02
+# A holder gets a report with an outcome only if it was sent none for this long.  Shorter than the
+# interval of renewals, so that the reports of a busy pool are as recent as without the limit.
+REPORT_INTERVAL_S = 0.05
 # A speed counts as changed if it differs by this share from the one last reported.
 SPEED_CHANGE = 0.1
 # Changed speeds get a new version at most this often.  Each of a pool's servers crosses
@@ -23,6 +26,8 @@
 
     Attributes
     ----------
+    sent_at : dict of str to float
+        When a report was sent to each holder, within the last ``REPORT_INTERVAL_S``.
     servers : dict of str to float
         The servers and speeds of the last report.
     servers_version : int
@@ -35,6 +40,7 @@
         self.owner = owner
         self.last_report: messages.PoolReport | None = None
         self.reported_at = owner.owned_since
+        self.sent_at: dict[str, float] = {}
         self.servers: dict[str, float] = {}
         self.servers_version = 0
         self.speeds_changed_at = float("-inf")
@@ -76,17 +82,32 @@
         now = self.owner.runtime.now()
         if self.last_report is None or now - self.reported_at > REPORT_CACHE_S:
             self.last_report, self.reported_at = self.report(), now
+            cutoff = now - REPORT_INTERVAL_S
+            self.sent_at = {name: sent for name, sent in self.sent_at.items() if sent > cutoff}
         return self.last_report
 
-    def report_for(self, known_version: tuple[int, int] | None) -> messages.PoolReport:
+    def report_for_outcome(self, holder: str) -> messages.PoolReport | None:
+        """Return the cached report without ``servers``, None if the holder has a recent one."""
+        now = self.owner.runtime.now()
+        if now - self.sent_at.get(holder, float("-inf")) < REPORT_INTERVAL_S:
+            return None
+        self.sent_at[holder] = now
+        return self.recent_report().without_servers()
+
+    def report_for_renewal(
+        self, holder: str, known_version: tuple[int, int] | None
+    ) -> messages.PoolReport:
         """Return the cached report for a holder, without ``servers`` if the holder knows them.
 
         Parameters
         ----------
+        holder : str
+            Name of the holder's instance.
         known_version : (int, int) or None
             Token and version of the servers that the holder knows, None if it knows none.
         """
         report = self.recent_report()
+        self.sent_at[holder] = self.owner.runtime.now()
         if known_version == (report.token, report.servers_version):
             return report.without_servers()
         return report
--- a/rosedyke/rerunnable_jobs/report_builder_test.py
+++ b/rosedyke/rerunnable_jobs/report_builder_test.py
@@ -54,6 +54,23 @@
         (message,) = sent(self.region, messages.JobEnded, 0.3)
         self.assertIsNone(message.report.servers)
 
+    def test_outcomes_carry_a_report_at_most_every_fifty_milliseconds(self):
+        # Guards against a report with each outcome of a busy pool, and against none at all.
+        holder = self.region.non_owner("a")
+        self.region.members[holder].node.renewal.renew = lambda instance: None
+        self.region.run(0.1)
+        for number in range(10):
+            self.region.submit(holder, f"j{number}", 1, 0.02 + 0.01 * number)
+        ended = sent(self.region, messages.JobEnded, 0.3)
+        self.assertEqual([message.report is not None for message in ended].count(True), 2)
+
+    def test_outcome_carries_no_report_right_after_a_renewal(self):
+        holder = self.others[0].this_instance
+        pool = self.owner.owned_pools["a/r1"]
+        pool.reports.report_for_renewal(holder.name, None)
+        self.assertIsNone(pool.reports.report_for_outcome(holder.name))
+        self.assertIsNotNone(pool.reports.report_for_outcome("another"))
+
     def test_successor_knows_all_servers_although_later_reports_leave_them_out(self):
         # Guards against a successor that counts every server as unknown and delays its tasks.
         self.region.run(2.0)
