Replies to renewals leave out the sender and documents that the requester knows

A reply repeated its sender, which the requester knows unless it asked a seed or the instance has changed, and the versions of all documents, most of which had no effect there. A renewal now carries a checksum of the receiver as the sender knows it, and a reply contains the sender only if that differs. It contains the documents of which the requester would take over the content, the revision or an age lower by more than 0.1 s.

--- a/rosedyke/rerunnable_jobs/documents.py
+++ b/rosedyke/rerunnable_jobs/documents.py
@@ -18,6 +18,9 @@
 # Removed keys that are remembered, so that the copy for a peer can list them.
 MAX_REMOVED_KEYS = 2000
 DIGEST_RANGE = 1 << 64
+# Ages that differ by less are not exchanged.  News takes a few renewals to reach all instances, and
+# the shortest bound on an age is 2 s.
+AGE_TOLERANCE_S = 0.1
 
 Changes = Mapping[str, bytes | None]
 
@@ -125,6 +128,12 @@
     return xxhash.xxh3_64_intdigest(key.encode() + b"\0" + content)
 
 
+def _is_news(version: messages.DocumentVersion, known: messages.DocumentVersion) -> bool:
+    """Return whether a version has an effect at a peer with another one."""
+    is_fresher = version.age_s < known.age_s - AGE_TOLERANCE_S
+    return version.revision > known.revision or (version.digest == known.digest and is_fresher)
+
+
 class Documents:
     """The shared documents of an instance, by topic."""
 
@@ -159,6 +168,16 @@
             if document.revision
         }
 
+    def news_for(
+        self, known: Mapping[str, messages.DocumentVersion]
+    ) -> dict[str, messages.DocumentVersion]:
+        """Return the versions that have an effect at a peer with these versions."""
+        return {
+            topic: version
+            for topic, version in self.versions().items()
+            if topic not in known or _is_news(version, known[topic])
+        }
+
     def outdated_topics(self, versions: Mapping[str, messages.DocumentVersion]) -> list[str]:
         """Return the topics of which a peer with these versions has newer changes.
 
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -1,6 +1,7 @@
 """Messages between instances about rerunnable jobs."""
 
 import collections
+import zlib
 from collections.abc import Iterable
 
 import attrs
@@ -27,6 +28,11 @@
     data_centre: str
     cores: float = 1.0
 
+    def checksum(self) -> int:
+        """Return a checksum of all fields, by which a peer tells that it knows them."""
+        fields = f"{self.name} {self.address} {self.data_centre} {float(self.cores)}"
+        return zlib.crc32(fields.encode())
+
 
 @attrs.frozen
 class PoolReport:
@@ -144,6 +150,8 @@
     servers_versions : dict of str to (int, int)
         Token and ``PoolReport.servers_version`` of the servers that the sender knows of the
         receiver's pools.
+    receiver_checksum : int
+        ``Instance.checksum`` of the receiver as the sender knows it.
     """
 
     sender: Instance
@@ -152,6 +160,7 @@
     claims_version: int
     documents: dict[str, DocumentVersion]
     servers_versions: dict[str, tuple[int, int]]
+    receiver_checksum: int
 
 
 @codec.message("rerun.report")
@@ -161,6 +170,8 @@
 
     Attributes
     ----------
+    sender : Instance or None
+        None if the requester knows it as it is.
     unknown : tuple of (str, int)
         Renewed parts that the sender does not have.
     clock_s : float
@@ -171,9 +182,11 @@
         The sender's claims that the requester does not know.
     claims_version : int
         The version of the sender's claims.
+    documents : dict of str to DocumentVersion
+        The sender's versions of the shared documents that are news to the requester.
     """
 
-    sender: Instance
+    sender: Instance | None
     unknown: tuple[PartKey, ...]
     clock_s: float
     pools: tuple[PoolReport, ...]
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -167,6 +167,7 @@
             self.known_claims.get(instance.name, 0),
             self.node.documents.versions(),
             self.node.fleet.servers_versions(instance.name),
+            instance.checksum(),
         )
         try:
             reply = self.node.peers.request(
@@ -181,22 +182,22 @@
             return  # unresponsive peers are detected and logged elsewhere
         finally:
             self.in_flight.discard(instance.name)
-        self._on_reply(reply, sent_at)
+        self._on_reply(reply, reply.sender or instance, sent_at)
 
-    def _on_reply(self, reply, sent_at):
-        self.node.fleet.record_contact(reply.sender)
-        self.clock_offsets[reply.sender.name] = reply.clock_s - self.node.runtime.now()
+    def _on_reply(self, reply, sender, sent_at):
+        self.node.fleet.record_contact(sender)
+        self.clock_offsets[sender.name] = reply.clock_s - self.node.runtime.now()
         for claim in reply.claims:
             self.node.fleet.record_claim(claim)
-        self.known_claims[reply.sender.name] = reply.claims_version
+        self.known_claims[sender.name] = reply.claims_version
         reported_pools = {pool_report.pool for pool_report in reply.pools}
         for pool, state in list(self.node.fleet.owners.items()):
-            if state.claim.owner.name == reply.sender.name and pool not in reported_pools:
-                self.node.fleet.remove_owner(pool, reply.sender.name)
+            if state.claim.owner.name == sender.name and pool not in reported_pools:
+                self.node.fleet.remove_owner(pool, sender.name)
         for pool_report in reply.pools:
-            self.node.fleet.record_report(reply.sender, pool_report, reply.clock_s)
+            self.node.fleet.record_report(sender, pool_report, reply.clock_s)
         self.node.holder.on_unknown_parts(reply.unknown, sent_at)
-        self.node.synchroniser.sync_from(reply.sender, reply.documents)
+        self.node.synchroniser.sync_from(sender, reply.documents)
 
     def on_renew(self, sender, message):
         """Process a renewal and return the reply."""
@@ -205,8 +206,10 @@
         for owned_pool in self.node.owned_pools.values():
             unknown &= set(owned_pool.requests.renew(message.sender, message.parts, message.sent_s))
         self.node.synchroniser.sync_from(message.sender, message.documents)
+        this_instance = self.node.this_instance
+        is_known = message.receiver_checksum == this_instance.checksum()
         return messages.RenewReply(
-            self.node.this_instance,
+            None if is_known else this_instance,
             tuple(sorted(unknown)),
             self.node.runtime.now(),
             tuple(
@@ -217,5 +220,5 @@
             ),
             self.node.fleet.claims_since(message.claims_version),
             self.node.fleet.claims_version,
-            self.node.documents.versions(),
+            self.node.documents.news_for(message.documents),
         )
--- a/rosedyke/rerunnable_jobs/renewal_test.py
+++ b/rosedyke/rerunnable_jobs/renewal_test.py
@@ -1,8 +1,11 @@
 import collections
 import unittest
 
+import attrs
+
 from rosedyke.rerunnable_jobs import job, messages
 from rosedyke.standins import rerun_region
+from rosedyke.wire import codec
 
 DONE = job.Outcome(job.EndState.SUCCEEDED)
 
@@ -165,6 +168,70 @@
         self.assertEqual(len(fleet.claims_since(fleet.claims_version - 1)), 1)
 
 
+def encoded_as_before(reply, owner):
+    """Return the bytes of a reply before servers, documents and sender were left out of it."""
+    pools = []
+    for pool in owner.owned_pools.values():
+        report = attrs.asdict(pool.reports.recent_report())
+        del report["speeds_by_free"], report["servers_version"]
+        rooms = tuple(
+            (state.free_millicores(), owner.speeds.speed_of(state.server.id))
+            for state in pool.server_states.values()
+        )
+        pools.append(report | {"rooms": rooms})
+    earlier = {
+        "sender": owner.this_instance,
+        "unknown": reply.unknown,
+        "clock_s": reply.clock_s,
+        "pools": pools,
+        "claims": reply.claims,
+        "claims_version": reply.claims_version,
+        "documents": owner.documents.versions(),
+    }
+    return codec.encode(earlier)
+
+
+class Size(unittest.TestCase):
+    """Renewals in a region with 20 servers in each pool."""
+
+    def setUp(self):
+        self.region = rerun_region.Region({"a": 3, "b": 2}, servers=20)
+        for member in self.region.members.values():
+            for topic in ("configuration", "evacuations", "servers"):
+                member.node.documents.add(topic, lambda changes: None)
+                member.node.documents.replace(topic, 123_456, {"key": b"value"})
+        self.region.run(2.0)
+        self.owner = self.region.members[self.region.owner("a")].node
+        for number in range(20):
+            self.owner.speeds.by_server[f"s-a-{number}"] = 0.6 + 0.0417 * number
+        self.region.run(2.5)
+
+    def test_steady_reply_has_at_most_forty_percent_of_its_earlier_size(self):
+        # Guards against replies to renewals that fill the links of owners.
+        self.region.submit(self.region.non_owner("a"), "j1", 30, 2.0)
+        self.region.run(0.5)
+        first = len(self.region.network.log)
+        self.region.run(1.0)
+        replies = [
+            message
+            for _, source, _, message in self.region.network.log[first:]
+            if isinstance(message, messages.RenewReply) and source == self.owner.this_instance.name
+        ]
+        self.assertGreater(len(replies), 10)
+        for reply in replies:
+            size, before = len(codec.encode(reply)), len(encoded_as_before(reply, self.owner))
+            self.assertLessEqual(size, 0.4 * before)
+
+    def test_instance_that_is_known_differently_is_sent_whole(self):
+        # Guards against an instance whose cores or address stay outdated at its peers.
+        node = self.region.members[self.region.non_owner("a")].node
+        current = self.owner.this_instance
+        outdated = attrs.evolve(current, cores=4.0)
+        for known, expected in ((outdated, current), (current, None)):
+            renew = messages.Renew(node.this_instance, (), 0.0, 0, {}, {}, known.checksum())
+            self.assertEqual(self.owner.renewal.on_renew(None, renew).sender, expected)
+
+
 class Holders(unittest.TestCase):
     def test_holders_in_a_large_fleet_renew_at_most_four_times_a_second(self):
         # Guards against owners that are overloaded by the renewals of many holders.
