--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -1,5 +1,9 @@
 """Messages between instances about rerunnable jobs."""
 
+import collections
+import zlib
+from collections.abc import Iterable
+
 import attrs
 
 from rosedyke.rerunnable_jobs import job
@@ -24,6 +28,11 @@
     data_centre: str
     cores: float = 1.0
 
+    def checksum(self) -> int:
+        """Return a checksum of all fields, by which a peer tells that it knows them."""
+        fields = f"{self.name} {self.address} {self.data_centre} {float(self.cores)}"
+        return zlib.crc32(fields.encode())
+
 
 @attrs.frozen
 class PoolReport:
@@ -37,24 +46,58 @@
         The owner's fencing token; the owner with the highest token is valid.
     backlog_s : float
         Time that all servers of the pool need for the waiting tasks.
-    rooms : tuple of (int, float)
-        Free millicores and speed of each server that accepts tasks.
+    speeds_by_free : dict of int to tuple of int
+        Free millicores, and the speeds in percent of the servers that accept tasks and have that
+        much free.  For 20 servers this takes about a quarter of the bytes of a pair of an integer
+        and a float for each server.
     capacity_millicores : int
         Total capacity of the servers that accept tasks.
     waiting : dict of str to int
         Number of jobs in each queue that have not started.
-    servers : dict of str to float
+    servers : dict of str to float, or None
         Servers that may have runs, with their estimated speeds.  A successor whose list lacks one
-        of them does not see all runs yet.
+        of them does not see all runs yet.  None if the receiver knows them by their version, or if
+        they are left out of a message that must be small.
+    servers_version : int
+        Version of ``servers``, which increases within one token.
     """
 
     pool: str
     token: int
     backlog_s: float
-    rooms: tuple[tuple[int, float], ...]
+    speeds_by_free: dict[int, tuple[int, ...]]
     capacity_millicores: int
     waiting: dict[str, int]
-    servers: dict[str, float]
+    servers: dict[str, float] | None
+    servers_version: int = 0
+
+    @property
+    def rooms(self) -> tuple[tuple[int, float], ...]:
+        """Free millicores and speed of each server that accepts tasks."""
+        return tuple(
+            (free, percent / 100)
+            for free, percents in self.speeds_by_free.items()
+            for percent in percents
+        )
+
+    def free_slots(self, millicores: int) -> int:
+        """Return how many tasks of a size, which is more than 0, the servers have room for."""
+        return sum(
+            free // millicores * len(percents) for free, percents in self.speeds_by_free.items()
+        )
+
+    def without_servers(self) -> "PoolReport":
+        """Return this report with ``servers`` left out."""
+        return attrs.evolve(self, servers=None)
+
+
+def group_rooms(rooms: Iterable[tuple[int, float]]) -> dict[int, tuple[int, ...]]:
+    """Return free millicores and speeds of servers as ``PoolReport.speeds_by_free``."""
+    grouped = collections.defaultdict(list)
+    for free, speed in rooms:
+        # At least 1, because run times are divided by the speed.
+        grouped[free].append(max(1, round(100 * speed)))
+    return {free: tuple(percents) for free, percents in grouped.items()}
 
 
 @attrs.frozen
@@ -104,6 +147,11 @@
         The version up to which the sender knows the receiver's claims, 0 for none.
     documents : dict of str to DocumentVersion
         The sender's version of each shared document that it knows.
+    servers_versions : dict of str to (int, int)
+        Token and ``PoolReport.servers_version`` of the servers that the sender knows of the
+        receiver's pools.
+    receiver_checksum : int
+        ``Instance.checksum`` of the receiver as the sender knows it.
     """
 
     sender: Instance
@@ -111,6 +159,8 @@
     sent_s: float
     claims_version: int
     documents: dict[str, DocumentVersion]
+    servers_versions: dict[str, tuple[int, int]]
+    receiver_checksum: int
 
 
 @codec.message("rerun.report")
@@ -120,6 +170,8 @@
 
     Attributes
     ----------
+    sender : Instance or None
+        None if the requester knows it as it is.
     unknown : tuple of (str, int)
         Renewed parts that the sender does not have.
     clock_s : float
@@ -130,9 +182,11 @@
         The sender's claims that the requester does not know.
     claims_version : int
         The version of the sender's claims.
+    documents : dict of str to DocumentVersion
+        The sender's versions of the shared documents that are news to the requester.
     """
 
-    sender: Instance
+    sender: Instance | None
     unknown: tuple[PartKey, ...]
     clock_s: float
     pools: tuple[PoolReport, ...]
@@ -193,7 +247,8 @@
     tasks : tuple of str
         All tasks of the part.
     report : PoolReport or None
-        A current report of the pool, more recent than the last renewal.
+        A current report of the pool without ``servers``; None if the holder was sent one just
+        before.
     """
 
     job_id: str
@@ -219,8 +274,8 @@
     has_started : bool
         Other tasks of the part have started.
     report : PoolReport or None
-        A current report of a pool that is being evacuated, so that the holder does not choose it
-        again by an older one.
+        A current report of a pool that is being evacuated, without ``servers``, so that the holder
+        does not choose it again by an older one.
     """
 
     job_id: str
