An owner of several pools hands some over to instances with fewer

Pools are owned by the best candidate by hash, which spreads a few pools unevenly: of 14 instances two owned two of 6 pools each and ten owned none, so four links carried all start commands.

With balances_pools, an owner of two or more pools resigns one to the local instance with the fewest pools per core, if that has no more than the owner after the move. At most one pool moves at a time and in 2 s for each instance. Instances that start or shut down, take a pool over or may be isolated take no part. The receiver checks the numbers again by its own state, and declines a message that is older than the sender's timeout, because the sender goes on and may add servers.

A pool is movable 1.3 s (holder_lease_end_s) after its owner claimed it, when no run of an earlier owner can be left on a server that the owner does not list. The earlier owner of a moved pool does not rest, so that it replaces a receiver that fails at once.

Simulated region, 6 instances and 6 pools: one pool each after 8 s, unchanged for 10 s after.

--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -120,6 +120,20 @@
     logging.INFO,
     "A full or evacuated pool released tasks that had not started, to be moved to another pool.",
 )
+POOL_MOVED = event.define(
+    8040,
+    "pool_moved",
+    logging.INFO,
+    "This instance handed a pool over to an instance that owns fewer pools for its cores; the "
+    "fields name it and give the pools per core that are left here.",
+)
+POOL_MOVE_DECLINED = event.define(
+    8041,
+    "pool_move_declined",
+    logging.INFO,
+    "An instance that owns fewer pools declined to get one, for example because it shuts down or "
+    "has just got another.",
+)
 POOL_EMPTIED = event.define(
     8035,
     "pool_emptied",
--- /dev/null
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -0,0 +1,195 @@
+import collections
+import unittest
+
+import attrs
+
+from rosedyke.rerunnable_jobs import job, messages, ports
+from rosedyke.standins import rerun_region
+
+RACKS = 6
+SUCCEEDED = job.Outcome(job.EndState.SUCCEEDED)
+
+
+def start_region(instances, balances_pools=True):
+    """Return a region whose data centre has several racks and so several pools."""
+    region = rerun_region.Region({})
+    region.timing = attrs.evolve(region.timing, balances_pools=balances_pools)
+    for number in range(2 * RACKS):
+        region.backend.add(
+            ports.Server(
+                f"s-{number}",
+                f"10.9.0.{number}:80",
+                rerun_region.SERVICE,
+                "a",
+                f"r{number % RACKS}",
+                job.Demand(4000, 4096),
+                born_ms=1,
+            )
+        )
+    for number in range(1, instances + 1):
+        region.add(f"a-{number}", "a", f"10.0.0.{number}:7000")
+    return region
+
+
+def owners(region):
+    """Return the owner of each pool, by the highest token."""
+    claims = [
+        (owned.token, pool, name)
+        for name, member in region.members.items()
+        for pool, owned in member.node.owned_pools.items()
+    ]
+    return {pool: name for _, pool, name in sorted(claims)}
+
+
+def most_pools(region):
+    """Return the highest number of pools of an instance."""
+    return max(collections.Counter(owners(region).values()).values())
+
+
+def handle_resigns(region, action):
+    """Call ``action(target)`` for each handover message; its result replaces the delay."""
+    usual_delay = region.network.delay_s
+
+    def delay(source, target, message):
+        if isinstance(message, messages.Resign):
+            return action(target)
+        return usual_delay(source, target, message)
+
+    region.network.delay_s = delay
+    return usual_delay
+
+
+class Balance(unittest.TestCase):
+    """Some instances own several of six pools when the fleet starts."""
+
+    def check_jobs(self, region, submissions):
+        self.assertEqual({submission.outcome for submission in submissions}, {SUCCEEDED})
+        self.assertEqual(region.backend.violations, [])
+
+    def submit_to_all(self, region, duration_s=1.0, prefix="j"):
+        return [
+            region.submit(name, f"{prefix}-{name}", 5, duration_s, timeout_s=9.0)
+            for name in region.members
+        ]
+
+    def test_pools_spread_and_then_stay(self):
+        # Guards against links of a few owners that carry all commands, and against pools that
+        # return to their first owners because of their rank.
+        region = start_region(6, balances_pools=False)
+        region.run(1.0)
+        unbalanced = owners(region)
+        self.assertGreater(most_pools(region), 1)
+        region.run(5.0)
+        self.assertEqual(owners(region), unbalanced)
+        region = start_region(6)
+        region.run(8.0)
+        balanced = owners(region)
+        self.assertEqual((len(balanced), most_pools(region)), (RACKS, 1))
+        region.run(10.0)
+        self.assertEqual(owners(region), balanced)
+
+    def test_jobs_continue_while_pools_move(self):
+        # Guards against tasks that run twice or are lost when their pool moves.
+        region = start_region(6, balances_pools=False)
+        region.run(5.0)
+        submissions = []
+        for member in region.members.values():
+            member.node.timing = attrs.evolve(region.timing, balances_pools=True)
+        for number in range(20):
+            submissions += self.submit_to_all(region, 0.4, f"j{number}")
+            region.run(0.25)
+        region.run(6.0)
+        self.assertEqual(most_pools(region), 1)
+        self.check_jobs(region, submissions)
+        self.assertEqual(len(region.backend.starts), 5 * len(submissions))
+
+    def test_new_instance_gets_a_pool_only_after_it_has_been_alive_for_long(self):
+        # Guards against pools that are lost again because a restarting instance fails again.
+        region = start_region(3)
+        region.run(10.0)
+        self.submit_to_all(region, 20.0)
+        region.add("a-4", "a", "10.0.0.4:7000")
+        region.run(region.timing.return_s - 0.2)
+        self.assertNotIn("a-4", owners(region).values())
+        region.run(2.0)
+        self.assertIn("a-4", owners(region).values())
+
+    def test_owner_keeps_its_pool_if_the_message_is_lost(self):
+        region = start_region(6)
+        usual_delay = handle_resigns(region, lambda target: None)
+        region.run(3.0)
+        submissions = self.submit_to_all(region)
+        region.run(3.0)
+        self.check_jobs(region, submissions)
+        self.assertEqual(len(owners(region)), RACKS)
+        region.network.delay_s = usual_delay
+        region.run(8.0)
+        self.assertEqual(most_pools(region), 1)
+
+    def test_late_message_is_declined(self):
+        # Guards against a receiver that takes servers for complete to which its predecessor, which
+        # went on without a reply, has since added others.
+        region = start_region(6)
+        handle_resigns(region, lambda target: 0.3)
+        region.run(1.0)
+        before = owners(region)
+        region.run(6.0)
+        self.assertEqual(owners(region), before)
+
+    def test_higher_token_wins_if_the_reply_is_lost(self):
+        region = start_region(6)
+        usual_delay = region.network.delay_s
+        region.network.delay_s = lambda source, target, message: (
+            None
+            if isinstance(message, messages.ResignAnswer)
+            else usual_delay(source, target, message)
+        )
+        submissions = self.submit_to_all(region, 3.0)
+        region.run(12.0)
+        owned = [len(member.node.owned_pools) for member in region.members.values()]
+        self.assertEqual((sum(owned), max(owned)), (RACKS, 1))
+        self.check_jobs(region, submissions)
+
+    def test_pool_is_taken_over_if_the_receiver_fails_right_after_the_move(self):
+        # Guards against a pool without an owner because its earlier owner rests after the move.
+        region = start_region(2)
+        region.run(0.5)
+        self.assertGreater(most_pools(region), RACKS // 2)
+        before = owners(region)
+        while owners(region) == before:
+            region.run(0.001)
+            self.assertLess(region.runtime.now(), 8.0)
+        after = owners(region)
+        (pool,) = [pool for pool in after if after[pool] != before[pool]]
+        region.kill(after[pool])
+        region.run(1.0)
+        self.assertEqual(owners(region)[pool], before[pool])
+
+    def test_instance_that_shuts_down_gets_no_pool_and_another_one_does(self):
+        region = start_region(8)
+        stopping = []
+
+        def suspend_first(target):
+            if not stopping:
+                stopping.append(target.name)
+                region.members[target.name].node.takeovers.is_suspended = True
+            return 0.0005
+
+        handle_resigns(region, suspend_first)
+        region.run(12.0)
+        self.assertNotIn(stopping[0], owners(region).values())
+        self.assertEqual(most_pools(region), 1)
+
+    def test_owner_that_may_be_isolated_hands_nothing_over(self):
+        # Guards against a move to an instance that is on the same side of a partition.
+        region = start_region(6)
+        region.run(0.3)
+        owner = collections.Counter(owners(region).values()).most_common(1)[0][0]
+        node = region.members[owner].node
+        unused = next(name for name in region.members if name not in owners(region).values())
+        region.partition_instances(
+            [owner, unused], [name for name in region.members if name not in (owner, unused)]
+        )
+        region.run(1.0)
+        self.assertFalse(node.handover._takes_part(region.runtime.now()))
+        self.assertGreater(len(node.owned_pools), 1)
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -410,20 +410,47 @@
     age_s: float | None
 
 
+@attrs.frozen
+class BalanceMove:
+    """Why an owner hands over one of several pools.
+
+    Attributes
+    ----------
+    sent_s : float
+        When the message was sent, by the receiver's clock.  The owner goes on if it gets no reply,
+        so that a delayed message may lack servers that it has added since.
+    pools_per_core : float
+        Pools per core that the sender owns after the move.
+    """
+
+    sent_s: float
+    pools_per_core: float
+
+
 @codec.message("rerun.resign")
 @attrs.frozen
 class Resign:
-    """An owner hands its pool over to the receiver, for example at shutdown."""
+    """An owner hands its pool over to the receiver, for example at shutdown.
+
+    Attributes
+    ----------
+    balance : BalanceMove or None
+        Set if the owner could keep the pool, but the receiver owns fewer; the receiver may decline.
+    """
 
     pool: str
     token: int
     servers: dict[str, float]
+    balance: BalanceMove | None = None
 
 
 @codec.message("rerun.resign_answer")
 @attrs.frozen
 class ResignAnswer:
-    """Whether the receiver of ``Resign`` took the pool; it declines if it shuts down as well."""
+    """Whether the receiver of ``Resign`` took the pool.
+
+    It declines if it shuts down as well, or if the move would not improve the balance of pools.
+    """
 
     is_taken: bool
 
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -22,6 +22,9 @@
 )
 WAIT = metric.define("rerun.wait", "timer", "From a job's arrival to the start of each task.")
 POOLS = metric.define("rerun.pools", "gauge", "Pools that this instance owns.")
+POOLS_MOVED = metric.define(
+    "rerun.pools_moved", "counter", "Pools handed over to an instance that owned fewer."
+)
 POOLS_TAKEN = metric.define("rerun.pools_taken", "counter", "Times that it took a pool.")
 EVACUATED_RUNS = metric.define(
     "rerun.evacuated_runs",
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -273,7 +273,8 @@
         """Remove a pool that is no longer owned and do not take it again for a while."""
         if self.owned_pools.get(owned_pool.name) is owned_pool:
             del self.owned_pools[owned_pool.name]
-        self.takeovers.back_off(owned_pool.name)
+        if not self.handover.is_moved(owned_pool.name):
+            self.takeovers.back_off(owned_pool.name)
         self.fleet.remove_owner(owned_pool.name, self.this_instance.name)
 
     def on_token_raised(self, owned_pool: pool_owner.PoolOwner) -> None:
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -65,6 +65,7 @@
             )
             metric.gauge(metrics.HELD_JOBS, len(self.node.holder.jobs))
             self.node.handover.return_remote_pools()
+            self.node.handover.balance_pools()
             self.node.holder.end_jobs_of_lost_owners()
             self.node.fleet.expire_instances()
             self.node.runtime.sleep(self.period_s)
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -45,9 +45,9 @@
         self.servers_version = 0
         self.speeds_changed_at = float("-inf")
 
-    def resignation(self) -> messages.Resign:
+    def resignation(self, balance: messages.BalanceMove | None = None) -> messages.Resign:
         """Return the message that hands the pool to a successor."""
-        return messages.Resign(self.owner.name, self.owner.token, self._speeds())
+        return messages.Resign(self.owner.name, self.owner.token, self._speeds(), balance)
 
     def report(self) -> messages.PoolReport:
         """Return a new report, by which holders choose pools."""
