A pool moves only if its owner knows the servers of all earlier owners

After a takeover, an earlier owner behind a partition may still run tasks on a server that its successor does not list. That owner waits with such tasks, but the receiver of its pool would take the servers named by it for all, and start them at once. Such a pool now stays where it is.

--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -125,7 +125,7 @@
         }
         return pool_balance.choose_move(
             self._load(this_instance, pool_counts),
-            self._movable_pools(now),
+            self._movable_pools(),
             [self._load(instance, pool_counts) for instance in receivers.values()],
             lambda pool, name: election.score(pool, receivers[name]),
         )
@@ -137,17 +137,13 @@
             or self.node.fleet.is_alive(claim.owner.name)
         )
 
-    def _movable_pools(self, now):
-        """Return the local pools of which this owner knows all servers that may have runs.
-
-        Soon after a takeover, runs of an earlier owner may be left on servers that are not listed
-        here, and the receiver would not know of them.
-        """
+    def _movable_pools(self):
+        """Return the local pools whose receiver would know all servers that may have runs."""
         return [
             name
             for name, owned_pool in self.node.owned_pools.items()
             if ports.data_centre_of(name) == self.node.this_instance.data_centre
-            and now - owned_pool.owned_since > self.node.timing.holder_lease_end_s
+            and owned_pool.knows_all_servers()
         ]
 
     def _may_receive(self, name, now):
--- a/rosedyke/rerunnable_jobs/handover_test.py
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -136,6 +136,20 @@
         region.run(6.0)
         self.assertEqual(owners(region), before)
 
+    def test_pool_whose_earlier_servers_are_unknown_stays(self):
+        # Guards against a receiver that takes this owner's servers for all that may have runs.
+        region = start_region(1, balances_pools=False)
+        region.run(2.0)
+        node = region.members["a-1"].node
+        pool = node.owned_pools["a/r1"]
+        self.assertEqual(len(node.handover._movable_pools()), RACKS)
+        pool.has_predecessor = True
+        self.assertEqual(len(node.handover._movable_pools()), RACKS - 1)
+        pool.predecessor_servers = frozenset({"s-1", "s-7"})
+        self.assertEqual(len(node.handover._movable_pools()), RACKS)
+        pool.predecessor_servers |= {"s-unlisted"}
+        self.assertEqual(len(node.handover._movable_pools()), RACKS - 1)
+
     def test_higher_token_wins_if_the_reply_is_lost(self):
         region = start_region(6)
         usual_delay = region.network.delay_s
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -157,9 +157,8 @@
         """
         if pool in self.owned_pools or self.takeovers.is_suspended:
             return
-        new_token = fencing_token.next_token(
-            self.instance_bits, self.wall_clock_s(), self.fleet.highest_tokens.get(pool, 0)
-        )
+        highest_token = self.fleet.highest_tokens.get(pool, 0)
+        new_token = fencing_token.next_token(self.instance_bits, self.wall_clock_s(), highest_token)
         event.log(events.POOL_CLAIMED, pool=pool, token=new_token, reason=reason)
         self._import_speeds(pool)
         owned_pool = pool_owner.PoolOwner(
@@ -172,6 +171,7 @@
             self,
             self.speeds,
             predecessor_servers or self._predecessor_servers(pool),
+            highest_token > 0,
         )
         self.owned_pools[pool] = owned_pool
         metric.count(metrics.POOLS_TAKEN)
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -72,6 +72,8 @@
         Returns the servers that the platform lists for the pool.
     predecessor_servers : frozenset of str or None
         The servers that the previous owner used, None if unknown.
+    has_predecessor : bool
+        False if no earlier owner of the pool is known.
 
     Attributes
     ----------
@@ -91,8 +93,10 @@
         listener: Listener,
         speeds: server_speed.ServerSpeeds,
         predecessor_servers: frozenset[str] | None = None,
+        has_predecessor: bool = True,
     ):
         self.predecessor_servers = predecessor_servers
+        self.has_predecessor = has_predecessor
         self.timing = timing
         self.runtime = runtime
         self.gateway = gateway
@@ -382,6 +386,16 @@
             self.server_states
         )
 
+    def knows_all_servers(self) -> bool:
+        """Return whether its servers are all that may have runs, also of earlier owners.
+
+        Otherwise a successor that is told of them would take an incomplete set for complete.
+        """
+        owned_s = self.runtime.now() - self.owned_since
+        if owned_s <= self.timing.holder_lease_end_s:
+            return False
+        return not self.has_predecessor or self._has_fenced_all()
+
     def running_tasks(self) -> set[str]:
         """Return the tasks that may be running on any server.
 
