--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -165,13 +165,13 @@
     def _move(self, owned_pool, receiver):
         """Hand a pool over for balance; it stays here if the receiver declines or is lost."""
         try:
-            # The reply gives the receiver's clock, and shows that it is not overloaded or paused.
-            self.node.renewal.renew(receiver)
-            offset_s = self.node.renewal.clock_offsets.get(receiver.name)
-            if offset_s is None or not owned_pool.is_active or self.node.takeovers.is_suspended:
+            # The reply gives the receiver's clock.
+            if not self.node.renewal.renew(receiver):
+                return
+            if not owned_pool.is_active or self.node.takeovers.is_suspended:
                 return
             balance = messages.BalanceMove(
-                self.node.runtime.now() + offset_s,
+                self.node.runtime.now() + self.node.renewal.clock_offsets[receiver.name],
                 (len(self.node.owned_pools) - 1) / self.node.this_instance.cores,
             )
             reply = self.node.peers.request(
--- a/rosedyke/rerunnable_jobs/handover_test.py
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -46,17 +46,12 @@
     return max(collections.Counter(owners(region).values()).values())
 
 
-def handle_resigns(region, action):
-    """Call ``action(target)`` for each handover message; its result replaces the delay."""
+def handle(region, kind, action):
+    """Call ``action(target)`` for each message of a type; its result replaces the delay."""
     usual_delay = region.network.delay_s
-
-    def delay(source, target, message):
-        if isinstance(message, messages.Resign):
-            return action(target)
-        return usual_delay(source, target, message)
-
-    region.network.delay_s = delay
-    return usual_delay
+    region.network.delay_s = lambda source, target, message: (
+        action(target) if isinstance(message, kind) else usual_delay(source, target, message)
+    )
 
 
 class Balance(unittest.TestCase):
@@ -114,27 +109,18 @@
         region.run(2.0)
         self.assertIn("a-4", owners(region).values())
 
-    def test_owner_keeps_its_pool_if_the_message_is_lost(self):
-        region = start_region(6)
-        usual_delay = handle_resigns(region, lambda target: None)
-        region.run(3.0)
-        submissions = self.submit_to_all(region)
-        region.run(3.0)
-        self.check_jobs(region, submissions)
-        self.assertEqual(len(owners(region)), RACKS)
-        region.network.delay_s = usual_delay
-        region.run(8.0)
-        self.assertEqual(most_pools(region), 1)
-
-    def test_late_message_is_declined(self):
+    def test_owner_keeps_its_pool_if_the_message_is_lost_or_late(self):
         # Guards against a receiver that takes servers for complete to which its predecessor, which
         # went on without a reply, has since added others.
-        region = start_region(6)
-        handle_resigns(region, lambda target: 0.3)
-        region.run(1.0)
-        before = owners(region)
-        region.run(6.0)
-        self.assertEqual(owners(region), before)
+        for delay_s in (None, 0.3):
+            region = start_region(6)
+            handle(region, messages.Resign, lambda target, delay_s=delay_s: delay_s)
+            region.run(1.0)
+            before = owners(region)
+            submissions = self.submit_to_all(region)
+            region.run(6.0)
+            self.assertEqual(owners(region), before)
+            self.check_jobs(region, submissions)
 
     def test_pool_whose_earlier_servers_are_unknown_stays(self):
         # Guards against a receiver that takes this owner's servers for all that may have runs.
@@ -152,12 +138,7 @@
 
     def test_higher_token_wins_if_the_reply_is_lost(self):
         region = start_region(6)
-        usual_delay = region.network.delay_s
-        region.network.delay_s = lambda source, target, message: (
-            None
-            if isinstance(message, messages.ResignAnswer)
-            else usual_delay(source, target, message)
-        )
+        handle(region, messages.ResignAnswer, lambda target: None)
         submissions = self.submit_to_all(region, 3.0)
         region.run(12.0)
         owned = [len(member.node.owned_pools) for member in region.members.values()]
@@ -189,7 +170,7 @@
                 region.members[target.name].node.takeovers.is_suspended = True
             return 0.0005
 
-        handle_resigns(region, suspend_first)
+        handle(region, messages.Resign, suspend_first)
         region.run(12.0)
         self.assertNotIn(stopping[0], owners(region).values())
         self.assertEqual(most_pools(region), 1)
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -158,8 +158,8 @@
         elapsed_s = self.node.runtime.now() - sent_at
         return elapsed_s >= interval_s - self.period_s / 2
 
-    def renew(self, instance):
-        """Renew with one instance and process its reply."""
+    def renew(self, instance) -> bool:
+        """Renew with one instance and process its reply; return whether it answered."""
         sent_at = self.last_sent[instance.name] = self.node.runtime.now()
         message = messages.Renew(
             self.node.this_instance,
@@ -178,12 +178,13 @@
             # The wall clock was behind at the start, so the peer regards this incarnation as an
             # earlier one.
             self.node.peers.new_incarnation(error.newest)
-            return
+            return False
         except peer.PeerError:
-            return  # unresponsive peers are detected and logged elsewhere
+            return False  # unresponsive peers are detected and logged elsewhere
         finally:
             self.in_flight.discard(instance.name)
         self._on_reply(reply, reply.sender or instance, sent_at)
+        return True
 
     def _on_reply(self, reply, sender, sent_at):
         self.node.fleet.record_contact(sender)
