A takeover whose owner was removed while peers were asked ends without an error

The time since the contact with the owner was read after the queries, although a renewal may have removed the owner by then: KeyError in the task of the attempt. Found by a random trial with lost messages and partitions. The attempt now ends, and the next check sees the change.

--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -176,6 +176,8 @@
         if claim is None:
             return True
         contact_ages = self._query_peers(pool, claim)
+        if self.fleet.claim_of(pool) != claim:
+            return False  # changed meanwhile
         event.log(
             events.OWNER_SUSPECTED,
             pool=pool,
--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -194,6 +194,16 @@
         self.assertEqual(submission.outcome.end, job.EndState.REFUSED)
         self.assertLess(submission.ended_at - started_at, 0.05)
 
+    def test_owner_may_be_removed_while_others_are_asked_about_it(self):
+        # Guards against an error that ends the attempt when a renewal tells meanwhile that the
+        # owner has given the pool up.
+        region = rerun_region.Region({"a": 3})
+        region.run(STARTUP_S)
+        owner, other = region.owner("a"), region.members[region.non_owner("a")].node
+        claim = other.fleet.claim_of("a/r1")
+        other.takeovers._query_peers = lambda pool, claim: other.fleet.remove_owner(pool, owner)
+        self.assertFalse(region.runtime.call(other.takeovers._is_owner_lost, "a/r1", claim))
+
     def test_owner_is_not_replaced_while_others_have_contact(self):
         region = rerun_region.Region({"a": 3})
         region.run(STARTUP_S)
