--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -65,6 +65,7 @@
             )
             metric.gauge(metrics.HELD_JOBS, len(self.node.holder.jobs))
             self.node.handover.return_remote_pools()
+            self.node.handover.balance_pools()
             self.node.holder.end_jobs_of_lost_owners()
             self.node.fleet.expire_instances()
             self.node.runtime.sleep(self.period_s)
@@ -157,15 +158,15 @@
         elapsed_s = self.node.runtime.now() - sent_at
         return elapsed_s >= interval_s - self.period_s / 2
 
-    def renew(self, instance):
-        """Renew with one instance and process its reply."""
+    def renew(self, instance) -> bool:
+        """Renew with one instance and process its reply; return whether it answered."""
         sent_at = self.last_sent[instance.name] = self.node.runtime.now()
         message = messages.Renew(
             self.node.this_instance,
             self.node.holder.parts_at(instance.name),
             sent_at + self.clock_offsets.get(instance.name, 0.0),
             self.known_claims.get(instance.name, 0),
-            self.node.documents.versions(),
+            self.node.synchroniser.versions_for(instance.name),
             self.node.fleet.servers_versions(instance.name),
             instance.checksum(),
         )
@@ -177,12 +178,13 @@
             # The wall clock was behind at the start, so the peer regards this incarnation as an
             # earlier one.
             self.node.peers.new_incarnation(error.newest)
-            return
+            return False
         except peer.PeerError:
-            return  # unresponsive peers are detected and logged elsewhere
+            return False  # unresponsive peers are detected and logged elsewhere
         finally:
             self.in_flight.discard(instance.name)
         self._on_reply(reply, reply.sender or instance, sent_at)
+        return True
 
     def _on_reply(self, reply, sender, sent_at):
         self.node.fleet.record_contact(sender)
@@ -220,5 +222,5 @@
             ),
             self.node.fleet.claims_since(message.claims_version),
             self.node.fleet.claims_version,
-            self.node.documents.news_for(message.documents),
+            self.node.synchroniser.versions_for(message.sender.name),
         )
