--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -26,6 +26,9 @@
 # A renewal may overtake a submission that was sent less than this before it.
 REORDER_WINDOW_S = 0.15
 RETRY_AFTER_S = 1.0
+# A job that no owner reported as started is withdrawn this long before its caller's timeout, so
+# that the caller is told whether it ran.  Several times a round trip within a region.
+FINAL_WITHDRAWAL_S = 0.05
 # An instance that has reached no owner for this long, twice a takeover, refuses new jobs at once.
 ISOLATED_WAIT_S = 2.0
 
@@ -39,6 +42,8 @@
         The known pool owners.
     indexed_pools : PoolIndex
         The backend servers by pool.
+    submit : callable
+        Sends a submission to an owner; returns false if it was certainly not sent.
     """
 
     def __init__(
@@ -48,7 +53,7 @@
         peers: peer.Peers,
         view: fleet_view.FleetView,
         indexed_pools: pool_index.PoolIndex,
-        submit: Callable[[messages.Instance, messages.Submit], None],
+        submit: Callable[[messages.Instance, messages.Submit], bool],
     ):
         self.timing = timing
         self.runtime = runtime
@@ -82,19 +87,33 @@
             self._assign_pools(pending, all_tasks)
         self.runtime.spawn(self._watch_caller, pending, disconnected)
         pending.waiters += 1
-        pending.ended.wait(work.timeout_s)
+        self._wait(pending, work.timeout_s)
         pending.waiters -= 1
         if not pending.ended.is_set():
-            self.finish(pending, self._unfinished_outcome(pending, "the caller's time is over"))
+            self.finish(pending, self.unfinished_outcome(pending, "the caller's time is over"))
         return pending.ended.value
 
+    def _wait(self, pending, timeout_s):
+        """Wait for the end of a job, and withdraw it shortly before the timeout."""
+        deadline = self.runtime.now() + timeout_s
+        if self.timing.predicts_completion:
+            final_s = min(FINAL_WITHDRAWAL_S, timeout_s / 10)
+            pending.ended.wait(timeout_s - final_s)
+            if not pending.ended.is_set() and not pending.is_withdrawn:
+                pending.begin_withdrawal()
+                self.withdrawal.withdraw_parts(pending, final_s)
+                if not pending.may_have_run():
+                    return
+        pending.ended.wait(max(0.0, deadline - self.runtime.now()))
+
     def _watch_caller(self, pending, disconnected):
         disconnected.wait(pending.work.timeout_s)
         # The caller may have resubmitted the job on another connection, which still waits.
         if disconnected.is_set() and pending.waiters <= 1 and not pending.ended.is_set():
             self.finish(pending, job.Outcome(job.EndState.CANCELLED, "the caller is gone"))
 
-    def _unfinished_outcome(self, pending, reason):
+    def unfinished_outcome(self, pending: pending_job.PendingJob, reason: str) -> job.Outcome:
+        """Return the outcome of a job that ends before its tasks are done."""
         if pending.may_have_run():
             return job.Outcome(job.EndState.LOST, reason)
         return job.Outcome(job.EndState.REFUSED, reason, RETRY_AFTER_S)
@@ -133,12 +152,17 @@
         for instance in owners.values():
             self.send(instance, message)
 
-    def send(self, instance: messages.Instance, message: object) -> None:
-        """Send a message whose loss the next renewal repairs."""
+    def send(self, instance: messages.Instance, message: object) -> bool:
+        """Send a message whose loss the next renewal repairs.
+
+        Returns false if it was certainly not sent.
+        """
         try:
             self.peers.send(peer.at_address(instance.address), message)
         except peer.PeerError as error:
             event.log(events.MESSAGE_NOT_SENT, to=instance.name, error=error)
+            return not isinstance(error, peer.PeerQueueFull)
+        return True
 
     def request_reply(self, instance: messages.Instance, message: object, timeout_s: float) -> Any:
         """Return an instance's reply, None if the request failed."""
@@ -236,12 +260,10 @@
                 return
             if self.pools.is_evacuated(pending.work.service):
                 reason = "every data centre with servers of the service is being evacuated"
-                self.finish(pending, self._unfinished_outcome(pending, reason))
+                self.withdrawal.end(pending, reason)
                 return
             if self.runtime.now() >= deadline:
-                self.finish(
-                    pending, self._unfinished_outcome(pending, "no pool has an owner in reach")
-                )
+                self.withdrawal.end(pending, "no pool has an owner in reach")
                 return
             self.runtime.sleep(OWNER_POLL_INTERVAL_S)
 
@@ -276,7 +298,7 @@
         )
         pending.parts[part.number] = part
         self.fleet.record_submission(claim.pool, pending.work.millicores_of(part.tasks))
-        self.submit(claim.owner, message)
+        part.is_sent = self.submit(claim.owner, message) is not False
 
     def _resubmit_part(self, pending, part, claim):
         """Submit a part again under a new number.
@@ -287,7 +309,7 @@
         if pending.is_withdrawn:
             return  # the next renewal reports the part as unknown
         del pending.parts[part.number]
-        self._submit_part(pending, claim, part.tasks, part.moves, had_earlier_owner=True)
+        self._submit_part(pending, claim, part.tasks, part.moves, part.may_have_run())
 
     def _on_owner(self, claim):
         """Resubmit the parts of a pool to its new owner, which adopts their runs."""
@@ -387,7 +409,11 @@
     def on_not_owner(self, message: messages.NotOwner) -> None:
         """Choose another pool, because the receiver of a submission did not accept it."""
         pending, part = self._open_part(message.job_id, message.part)
-        if pending is None or pending.is_withdrawn:
+        if pending is None:
+            return
+        if pending.is_withdrawn:
+            if not part.had_earlier_owner:
+                del pending.parts[part.number]  # its only receiver has not started it
             return
         claim = self._reported_owner(message.pool)
         if claim is not None and claim.token > part.token:
@@ -403,10 +429,10 @@
         Their runs end by the owner's timeout for lost holders or by their leases, before a caller
         may resubmit its job.
         """
-        lost = job.Outcome(job.EndState.LOST, "a pool's owner does not answer")
         for pending, part in list(self._open_parts()):
             if self._is_owner_lost(part):
-                self.finish(pending, lost)
+                reason = "a pool's owner does not answer"
+                self.finish(pending, self.unfinished_outcome(pending, reason))
 
     def _is_owner_lost(self, part):
         since_submit_s = self.runtime.now() - part.sent_at
--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -121,13 +121,20 @@
             if owned.holder.name == holder:
                 self.owner.cancel_job(owned)
 
-    def withdraw(self, key: messages.PartKey) -> bool:
-        """Cancel a part of a job unless it has started; return whether it will never run."""
+    def withdraw(self, key: messages.PartKey) -> messages.Withdrawn:
+        """Cancel a part of a job unless it has started.
+
+        A part that is not known here may have been started by an earlier owner, or have ended too
+        long ago, so the answer confirms nothing.
+        """
         owned = self.owner.jobs.get(key)
         if owned is None:
             finished = self.owner.finished.get(key)
-            return finished is not None and finished.outcome.end is job.EndState.REFUSED
+            if finished is None:
+                return messages.Withdrawn(False)
+            is_refused = finished.outcome.end is job.EndState.REFUSED
+            return messages.Withdrawn(is_refused, has_started=not is_refused)
         if owned.has_started:
-            return False
+            return messages.Withdrawn(False, has_started=True)
         self.owner.cancel_job(owned)
-        return True
+        return messages.Withdrawn(True)
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -316,9 +316,12 @@
     ----------
     is_withdrawn : bool
         True if the part has not started and never will; false if it is unchanged or unknown.
+    has_started : bool
+        The part is known to have started.
     """
 
     is_withdrawn: bool
+    has_started: bool = False
 
 
 @codec.message("rerun.cancel")
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -39,3 +39,13 @@
     "counter",
     "Parts of jobs that this holder sent to another pool after their refusal.",
 )
+PARTS_WITHDRAWN = metric.define(
+    "rerun.parts_withdrawn",
+    "counter",
+    "Parts of jobs that their owners confirmed as not started when this holder withdrew them.",
+)
+PARTS_UNCONFIRMED = metric.define(
+    "rerun.parts_unconfirmed",
+    "counter",
+    "Parts of jobs for which a withdrawal got no answer or no definite one; they may have started.",
+)
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -294,8 +294,8 @@
     def _submit(self, target, message):
         if target.name == self.this_instance.name:
             self._on_submit(None, message)
-        else:
-            self.holder.send(target, message)
+            return True
+        return self.holder.send(target, message)
 
     def _on_submit(self, sender, message):
         owned_pool = self.owned_pools.get(message.pool)
@@ -320,8 +320,9 @@
 
     def _on_withdraw(self, sender, message):
         owned_pool = self.owned_pools.get(message.pool)
-        key = (message.job_id, message.part)
-        return messages.Withdrawn(owned_pool is not None and owned_pool.requests.withdraw(key))
+        if owned_pool is None:
+            return messages.Withdrawn(False)
+        return owned_pool.requests.withdraw((message.job_id, message.part))
 
     def _on_cancel(self, sender, message):
         for owned_pool in list(self.owned_pools.values()):
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -31,6 +31,8 @@
         Server of the last run.
     failed_on : set of str
         Servers on which it failed or stalled; others are preferred.
+    discarded_runs : int
+        Number of runs whose start command was not sent or not executed.
     """
 
     name: str
@@ -40,6 +42,7 @@
     failures: int = 0
     server_id: str = ""
     failed_on: set[str] = attrs.Factory(set)
+    discarded_runs: int = 0
 
 
 @attrs.define(eq=False)
@@ -70,6 +73,8 @@
     submitted_at : float
         When the holder sent this submission, on the local clock.  It renews with no earlier owner
         since.
+    has_started_elsewhere : bool
+        Another owner may have sent a start command for one of its tasks.
     """
 
     work: job.Job
@@ -83,6 +88,7 @@
     has_started: bool = False
     moves: int = 0
     submitted_at: float = 0.0
+    has_started_elsewhere: bool = False
 
     @classmethod
     def from_message(cls, message: messages.Submit, now: float) -> "OwnedJob":
@@ -105,6 +111,14 @@
             message.may_have_run or message.has_started,
             message.moves,
             min(now, message.sent_s),
+            message.may_have_run or message.has_started,
+        )
+
+    def discard_run(self, task: OwnedTask) -> None:
+        """Record that a run of a task was proved not to have started."""
+        task.discarded_runs += 1
+        self.has_started = self.has_started_elsewhere or any(
+            task.run_number > task.discarded_runs for task in self.tasks.values()
         )
 
     def renew(self, now: float, sent_at: float) -> None:
--- a/rosedyke/rerunnable_jobs/pending_job.py
+++ b/rosedyke/rerunnable_jobs/pending_job.py
@@ -22,6 +22,8 @@
         It was sent to another owner before, so some tasks may have started there.
     moves : int
         How often pools have released its tasks.
+    is_sent : bool
+        Its submission may have reached the owner.
     """
 
     number: int
@@ -32,6 +34,11 @@
     had_earlier_owner: bool = False
     is_done: bool = False
     moves: int = 0
+    is_sent: bool = True
+
+    def may_have_run(self) -> bool:
+        """Return whether a task of the part may have started."""
+        return self.is_sent or self.had_earlier_owner
 
 
 @attrs.define(eq=False)
@@ -68,6 +75,11 @@
     withdrawals: int = 0
     refused_by: set[str] = attrs.Factory(set)
 
+    def begin_withdrawal(self) -> None:
+        """Submit no part until the withdrawal is complete."""
+        self.is_withdrawn = True
+        self.withdrawals += 1
+
     def may_have_run(self) -> bool:
         """Return whether any task of the job may have started."""
-        return self.has_started or bool(self.parts)
+        return self.has_started or any(part.may_have_run() for part in self.parts.values())
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -429,10 +429,18 @@
             if task is not None and task.state is owned_job.TaskState.WAITING:
                 self.requests.adopt(owned)
 
-    def discard_run(self, state, run):
-        """Remove a run that did not start and requeue its task."""
+    def discard_run(self, state, run, has_not_started=True):
+        """Remove a run that did not start and requeue its task.
+
+        Parameters
+        ----------
+        has_not_started : bool
+            No command to start this run was executed, not even an earlier copy of it.
+        """
         if state.runs.get(run.key) is run:
             del state.runs[run.key]
+        if has_not_started and run.owned is not None and run.task in run.owned.tasks:
+            run.owned.discard_run(run.owned.tasks[run.task])
         self.requeue_task(run)
         self.wake_scheduler()
 
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -17,6 +17,9 @@
 # Minimum interval between reads of a server with an overdue run.  Estimates are off by up to 40%,
 # so overdue runs are common.
 OVERDUE_READ_INTERVAL_S = 0.1
+# Refusals of a start that do not prove that no run of the task has started: the server has seen a
+# run of it, or gave no known reason.
+UNCERTAIN_REFUSALS = (ports.RefusalReason.OLD_RUN, ports.RefusalReason.INVALID)
 
 
 class ServerCommands:
@@ -71,7 +74,7 @@
             self._suspend(state)
         elif error.reason is ports.RefusalReason.OTHER_INCARNATION:
             state.is_synced = False
-        self.owner.discard_run(state, run)
+        self.owner.discard_run(state, run, error.reason not in UNCERTAIN_REFUSALS)
         task = self.owner.task_of(run)
         if error.reason is ports.RefusalReason.OLD_RUN and task is not None:
             # An unknown earlier owner started a run of this task there.  Doubling the number
--- a/rosedyke/rerunnable_jobs/withdrawal.py
+++ b/rosedyke/rerunnable_jobs/withdrawal.py
@@ -6,8 +6,8 @@
 
 import functools
 
-from rosedyke.observe import event
-from rosedyke.rerunnable_jobs import events, fan_out, job, messages
+from rosedyke.observe import event, metric
+from rosedyke.rerunnable_jobs import events, fan_out, job, messages, metrics
 
 # Time for two messages within a region.  An owner that does not answer in time may have started its
 # part.
@@ -40,49 +40,63 @@
         pending.refused_by.add(part.pool)
         if self.holder.timing.predicts_completion and self.holder.submit_elsewhere(pending, part):
             return
-        if not pending.parts and not pending.has_started:
+        if not pending.may_have_run():
             self.holder.finish(pending, outcome)
             return
-        pending.is_withdrawn = True
-        pending.withdrawals += 1
+        pending.begin_withdrawal()
         self.holder.runtime.spawn(self._withdraw, pending, outcome)
 
-    def _withdraw(self, pending, outcome):
+    def end(self, pending, reason: str) -> None:
+        """End a job: as refused if every owner confirms that nothing has started, else as lost."""
+        pending.begin_withdrawal()
+        self.withdraw_parts(pending, WITHDRAW_TIMEOUT_S)
+        if not pending.ended.is_set():
+            self.holder.finish(pending, self.holder.unfinished_outcome(pending, reason))
+
+    def withdraw_parts(self, pending, timeout_s: float) -> None:
+        """Withdraw the parts of a job that has not started, as far as is known here."""
         if not pending.has_started:
             # Concurrently, so that the wait is that for the slowest owner.
             fan_out.run_concurrently(
                 self.holder.runtime,
                 [
-                    functools.partial(self._withdraw_part, pending, part)
+                    functools.partial(self._withdraw_part, pending, part, timeout_s)
                     for part in pending.parts.values()
                 ],
-                2 * WITHDRAW_TIMEOUT_S,
+                2 * timeout_s,
             )
         pending.is_withdrawn = False
+
+    def _withdraw(self, pending, outcome):
+        self.withdraw_parts(pending, WITHDRAW_TIMEOUT_S)
         if pending.ended.is_set():
             return
-        if not pending.has_started and not pending.parts:
+        if not pending.may_have_run():
             self.holder.finish(pending, outcome)
         else:
-            # The job is known to have started, so owners let it wait for longer.
+            # The job may have started, so owners let it wait for longer.
             self.holder.resubmit_missing(pending)
 
-    def _withdraw_part(self, pending, part):
+    def _withdraw_part(self, pending, part, timeout_s):
         """Remove a part if its owner confirms that it has not started and never will."""
         claim = self.holder.fleet.claim_of(part.pool)
-        if claim is None or part.had_earlier_owner or part.is_done:
+        if claim is None or not part.is_sent or part.had_earlier_owner or part.is_done:
             return
         round_number = pending.withdrawals
         message = messages.Withdraw(pending.work.id, part.number, part.pool)
-        reply = self.holder.request_reply(claim.owner, message, WITHDRAW_TIMEOUT_S)
+        reply = self.holder.request_reply(claim.owner, message, timeout_s)
         if reply is None:
+            metric.count(metrics.PARTS_UNCONFIRMED)
             return  # already logged; the part may have started, so it stays
         if not pending.is_withdrawn or pending.withdrawals != round_number:
             # Too late: the missing tasks were already resubmitted.  The next renewal reports this
             # part as unknown, and it is resubmitted too.
             return
         if reply.is_withdrawn:
+            metric.count(metrics.PARTS_WITHDRAWN)
             pending.parts.pop(part.number, None)
-        else:
+        elif reply.has_started:
             pending.has_started = True
             event.log(events.PART_STARTED, job=pending.work.id, pool=part.pool)
+        else:
+            metric.count(metrics.PARTS_UNCONFIRMED)
--- a/rosedyke/rerunnable_jobs/withdrawal_test.py
+++ b/rosedyke/rerunnable_jobs/withdrawal_test.py
@@ -1,6 +1,6 @@
 import unittest
 
-from rosedyke.rerunnable_jobs import job, messages
+from rosedyke.rerunnable_jobs import job, messages, ports, settings
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
@@ -85,6 +85,115 @@
         self.assertEqual((submission.outcome, self.region.backend.violations), (DONE, []))
 
 
+class UnstartedJob(unittest.TestCase):
+    """A job of which nothing has started ends without a refusal by its owner."""
+
+    def start(self, **switches):
+        timing = settings.RerunSettings(**switches)
+        self.region = rerun_region.Region({"a": 2, "b": 2}, timing=timing)
+        self.region.run(STARTUP_S)
+        for member in self.region.members.values():
+            for owned_pool in member.node.owned_pools.values():
+                owned_pool.refusals.to_refuse = lambda *arguments: []
+                owned_pool._end_infeasible_jobs = lambda now: None
+            member.node.request_capacity = lambda *request: None
+        self.holder = self.region.members[self.region.non_owner("a")].node.holder
+
+    def run_job(self, duration_s=0.1):
+        submission = self.region.submit(
+            self.holder.fleet.this_instance.name, "j1", 2, duration_s, timeout_s=1.0
+        )
+        self.region.run(1.2)
+        self.assertLessEqual(submission.duration_s, 1.0 + 1e-6)
+        return submission.outcome.end
+
+    def fill(self, tasks, duration_s=9.0):
+        self.holder.choose_pools = lambda work, count: {"a/r1": count}
+        self.region.submit(self.region.owner("a"), "full", tasks, duration_s, 20)
+        owner = self.region.members[self.region.owner("a")].node.holder
+        owner.choose_pools = self.holder.choose_pools
+        self.region.run(0.02)
+
+    def test_waiting_job_is_refused_at_its_timeout(self):
+        # Guards against status 504, after which a caller does not know whether its job ran.
+        self.start(predicts_completion=True)
+        self.fill(12)
+        self.assertEqual(self.run_job(), job.EndState.REFUSED)
+        self.region.run(10.0)
+        self.assertNotIn("j1", started(self.region))
+
+    def test_partly_started_job_is_lost_at_its_timeout(self):
+        self.start(predicts_completion=True)
+        self.fill(11)
+        self.assertEqual(self.run_job(0.8), job.EndState.LOST)
+
+    def test_owner_out_of_reach_may_have_started_it(self):
+        self.start(predicts_completion=True)
+        self.fill(12)
+        self.region.network.delay_s = lambda source, target, message: (
+            None if isinstance(message, (messages.Withdraw, messages.Withdrawn)) else 0.0005
+        )
+        self.assertEqual(self.run_job(), job.EndState.LOST)
+
+    def test_job_that_was_never_sent_is_refused(self):
+        self.start()
+        self.holder.submit = lambda target, message: False
+        self.assertEqual(self.run_job(), job.EndState.REFUSED)
+
+    def start_with_failing_commands(self, error):
+        self.start(predicts_completion=True)
+
+        def fail(*arguments):
+            self.region.runtime.sleep(0.005)
+            raise error
+
+        for member in self.region.members.values():
+            member.node.gateway.start = fail
+
+    def test_job_whose_starts_were_not_executed_is_refused(self):
+        # Guards against a placed task that counts as started although no server executed it.
+        for error in (
+            ports.ConnectionFailed("closed"),
+            ports.CommandRefused(ports.RefusalReason.UNHEALTHY),
+        ):
+            self.start_with_failing_commands(error)
+            self.assertEqual(self.run_job(), job.EndState.REFUSED)
+
+    def test_job_whose_starts_may_have_been_executed_is_lost(self):
+        for error in (
+            ports.NoReply("timeout"),
+            ports.CommandRefused(ports.RefusalReason.OLD_RUN),
+            ports.CommandRefused(ports.RefusalReason.INVALID),
+        ):
+            self.start_with_failing_commands(error)
+            self.assertEqual(self.run_job(), job.EndState.LOST)
+
+    def test_part_that_its_receiver_did_not_accept_is_not_in_doubt(self):
+        # Guards against a NotOwner message that is ignored because it arrives during a withdrawal.
+        self.start()
+        owner = self.region.members[self.region.owner("b")].node
+        owned_pool = owner.owned_pools.pop("b/r1")
+        self.holder.choose_pools = lambda work, count: {"b/r1": count}
+        self.region.submit(self.holder.fleet.this_instance.name, "j1", 1, 0.1)
+        self.region.run(0.0001)
+        (pending,) = self.holder.jobs.values()
+        pending.begin_withdrawal()
+        self.assertTrue(pending.may_have_run())
+        self.region.run(0.01)
+        self.assertFalse(pending.may_have_run())
+        owner.owned_pools["b/r1"] = owned_pool
+
+
+class WithdrawReply(unittest.TestCase):
+    def test_unknown_part_neither_withdraws_nor_counts_as_started(self):
+        # Guards against status 504 after the loss of a submission, and against status 503 for a
+        # part that an earlier owner may have started.
+        region = rerun_region.Region({"a": 2})
+        region.run(STARTUP_S)
+        requests = region.members[region.owner("a")].node.owned_pools["a/r1"].requests
+        self.assertEqual(requests.withdraw(("j1", 1)), messages.Withdrawn(False, False))
+
+
 class Burst(unittest.TestCase):
     def test_refused_jobs_have_not_run_and_no_task_runs_twice_when_messages_are_slow(self):
         # Guards against tasks that are submitted twice, once as released and once as withdrawn, and
