--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -116,13 +116,15 @@
         """Return the outcome of a job that ends before its tasks are done."""
         if pending.may_have_run():
             return job.Outcome(job.EndState.LOST, reason)
-        retry_after_s = RETRY_AFTER_S
-        if self.timing.predicts_completion:
-            retry_after_s = retry_after.delay_s(
-                RETRY_AFTER_S, pending.work.priority, self.runtime.random()
-            )
+        retry_after_s = self.retry_after_s(pending.work.priority)
         return job.Outcome(job.EndState.REFUSED, reason, retry_after_s)
 
+    def retry_after_s(self, priority: int) -> float:
+        """Return when a caller should submit a job again that no pool's queue has refused."""
+        if not self.timing.predicts_completion:
+            return RETRY_AFTER_S
+        return retry_after.delay_s(RETRY_AFTER_S, priority, self.runtime.random())
+
     def finish(self, pending: pending_job.PendingJob, outcome: job.Outcome) -> None:
         """End a job, and cancel it at its owners unless it succeeded."""
         if pending.ended.is_set():
