--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -178,3 +178,10 @@
     "useful; logged at most once a second, with the number since the last entry. Callers ask for "
     "more than the pool carries.",
 )
+RETRY_BUDGET_SPENT = event.define(
+    8062,
+    "retry_budget_spent",
+    logging.WARNING,
+    "More tasks than usual are moved, submitted again or repeated, so these wait where they are, "
+    "or their jobs are refused; logged at most once a second. Look for failing servers or owners.",
+)
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -15,6 +15,7 @@
     pending_job,
     pool_index,
     ports,
+    resubmissions,
     routing,
     settings,
     withdrawal,
@@ -44,6 +45,8 @@
         The backend servers by pool.
     submit : callable
         Sends a submission to an owner; returns false if it was certainly not sent.
+    retry_budget : Resubmissions
+        The budget of this instance.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         view: fleet_view.FleetView,
         indexed_pools: pool_index.PoolIndex,
         submit: Callable[[messages.Instance, messages.Submit], bool],
+        retry_budget: resubmissions.Resubmissions,
     ):
         self.timing = timing
         self.runtime = runtime
@@ -61,6 +65,7 @@
         self.fleet = view
         self.pools = indexed_pools
         self.submit = submit
+        self.resubmissions = retry_budget
         self.jobs: dict[str, pending_job.PendingJob] = {}
         # A network partition can delay a message until its job has ended and was resubmitted.  If
         # it then matched the new part, tasks could run twice, so part numbers are never reused, not
@@ -84,6 +89,7 @@
                 work, self.runtime.now(), self.runtime.signal(), set(all_tasks)
             )
             self.jobs[work.id] = pending
+            self.resubmissions.record_accepted()
             self._assign_pools(pending, all_tasks)
         self.runtime.spawn(self._watch_caller, pending, disconnected)
         pending.waiters += 1
@@ -227,7 +233,7 @@
             longest_s / routing.fastest_speed(views),
             until - self.runtime.now(),
         )
-        if not pool:
+        if not pool or not self.resubmissions.try_spend():
             return False
         metric.count(metrics.MOVED_AFTER_REFUSAL)
         self._submit_part(pending, self._reported_owner(pool), part.tasks, part.moves)
@@ -250,7 +256,28 @@
         parts = [part.tasks for part in pending.parts.values() if not part.is_done]
         missing = pending.unfinished_tasks.difference(*parts)
         if missing:
-            self._assign_pools(pending, missing)
+            self._assign_pools_again(pending, missing)
+
+    def _assign_pools_again(self, pending, task_names, moves=0):
+        """Submit tasks again; without retry budget, a job that has not started is refused."""
+        if self.resubmissions.try_spend():
+            self._assign_pools(pending, task_names, moves)
+        elif pending.may_have_run():
+            self.runtime.spawn(self._assign_when_affordable, pending, task_names, moves)
+        else:
+            reason = "too many jobs are submitted again"
+            self.finish(pending, self.unfinished_outcome(pending, reason))
+
+    def _assign_when_affordable(self, pending, task_names, moves):
+        """Submit tasks of a job that may have started once there is retry budget."""
+        withdrawals = pending.withdrawals
+        while True:
+            self.runtime.sleep(resubmissions.RETRY_INTERVAL_S)
+            if pending.ended.is_set() or pending.withdrawals != withdrawals:
+                return  # after a withdrawal these tasks are submitted together with others
+            if self.resubmissions.try_spend():
+                self._assign_pools(pending, task_names, moves)
+                return
 
     def _submit_when_owned(self, pending, task_names, moves, withdrawals):
         """Submit tasks to pools, waiting for an owner if there is none."""
@@ -428,7 +455,10 @@
             self._submit_part(pending, claim, part.tasks, part.moves, part.had_earlier_owner)
         elif not part.had_earlier_owner:
             del pending.parts[part.number]
-            self._assign_pools(pending, part.tasks, part.moves)
+            if message.is_late:
+                self._assign_pools_again(pending, part.tasks, part.moves)
+            else:
+                self._assign_pools(pending, part.tasks, part.moves)
 
     def end_jobs_of_lost_owners(self) -> None:
         """End the jobs of owners that have been unresponsive for too long.
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -54,3 +54,8 @@
     "timer",
     "After how long this owner asks callers of refused jobs to submit them again.",
 )
+RESUBMISSIONS_DENIED = metric.define(
+    "rerun.resubmissions_denied",
+    "counter",
+    "Moves, resubmissions and repeated runs that did not take place for lack of retry budget.",
+)
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -19,6 +19,7 @@
     pool_owner,
     ports,
     renewal,
+    resubmissions,
     server_speed,
     settings,
     takeover,
@@ -77,7 +78,10 @@
         self.run_times = run_times.RunTimes()
         self.fleet = fleet_view.FleetView(this_instance, timing, runtime, directory)
         self.pools = pool_index.PoolIndex(registry)
-        self.holder = holder.Holder(timing, runtime, peers, self.fleet, self.pools, self._submit)
+        self.resubmissions = resubmissions.Resubmissions(timing, runtime)
+        self.holder = holder.Holder(
+            timing, runtime, peers, self.fleet, self.pools, self._submit, self.resubmissions
+        )
         self.takeovers = takeover.Takeover(
             timing, runtime, peers, self.fleet, self.pools, gateway, self.claim_pool
         )
@@ -175,6 +179,7 @@
             self.speeds,
             predecessor_servers or self._predecessor_servers(pool),
             self.run_times,
+            self.resubmissions,
         )
         self.owned_pools[pool] = owned_pool
         metric.count(metrics.POOLS_TAKEN)
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -44,6 +44,10 @@
     failed_on: set[str] = attrs.Factory(set)
     discarded_runs: int = 0
 
+    def may_have_started(self) -> bool:
+        """Return whether any of its runs may have started."""
+        return self.run_number > self.discarded_runs
+
 
 @attrs.define(eq=False)
 class OwnedJob:
@@ -118,7 +122,7 @@
         """Record that a run of a task was proved not to have started."""
         task.discarded_runs += 1
         self.has_started = self.has_started_elsewhere or any(
-            task.run_number > task.discarded_runs for task in self.tasks.values()
+            task.may_have_started() for task in self.tasks.values()
         )
 
     def renew(self, now: float, sent_at: float) -> None:
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -20,6 +20,7 @@
     ports,
     refusals,
     report_builder,
+    resubmissions,
     run_reaper,
     scheduler,
     server_commands,
@@ -75,6 +76,8 @@
         The servers that the previous owner used, None if unknown.
     learned_run_times : RunTimes or None
         Shared by the pools of an instance; None for new ones.
+    retry_budget : Resubmissions or None
+        Shared by the roles of an instance; None for a new one.
 
     Attributes
     ----------
@@ -95,7 +98,9 @@
         speeds: server_speed.ServerSpeeds,
         predecessor_servers: frozenset[str] | None = None,
         learned_run_times: run_times.RunTimes | None = None,
+        retry_budget: resubmissions.Resubmissions | None = None,
     ):
+        self.resubmissions = retry_budget or resubmissions.Resubmissions(timing, runtime)
         self.run_times = run_times.RunTimes() if learned_run_times is None else learned_run_times
         self.predecessor_servers = predecessor_servers
         self.timing = timing
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -66,6 +66,8 @@
             if state is None or self._should_wait(owned, task, state, allocated, now):
                 unplaced.append((owned, task))
                 continue
+            if task.may_have_started() and not self.owner.resubmissions.try_spend():
+                continue  # a repeated run, which waits here until there is budget
             if state.is_cold(now):
                 del allocated[state.server.id]  # one task at a time
             else:
