--- a/rosedyke/rerunnable_jobs/refusals_test.py
+++ b/rosedyke/rerunnable_jobs/refusals_test.py
@@ -1,5 +1,7 @@
 import unittest
+import unittest.mock
 
+from rosedyke.observe import metric
 from rosedyke.rerunnable_jobs import job, messages, settings
 from rosedyke.standins import rerun_region
 
@@ -112,6 +114,38 @@
         self.assertNotIn("j1", started(self.region))
 
 
+class Disagreement(unittest.TestCase):
+    """Holder and owner know different things about the end of a job."""
+
+    def setUp(self):
+        self.region = rerun_region.Region({"a": 2}, timing=PREDICTING)
+        self.region.run(STARTUP_S)
+        self.name = self.region.non_owner("a")
+
+    def test_job_that_has_succeeded_is_not_refused_when_its_messages_are_lost(self):
+        # Guards against status 503 for a job that has run, by the withdrawal before its timeout.
+        usual_delay = self.region.network.delay_s
+        self.region.network.delay_s = lambda source, target, message: (
+            None if isinstance(message, messages.JobEnded) else usual_delay(source, target, message)
+        )
+        submission = self.region.submit(self.name, "j1", timeout_s=1.0)
+        self.region.run(1.5)
+        self.assertEqual(submission.outcome.end, job.EndState.LOST)
+
+    def test_refusal_after_the_answer_changes_nothing_and_is_not_counted(self):
+        submission = self.region.submit(self.name, "j1")
+        self.region.run(0.5)
+        holder = self.region.members[self.name].node.holder
+        refusal = messages.JobEnded(
+            "j1", 1, "a/r1", 1 << 62, job.Outcome(REFUSED, "late", 1.0), ("j1.0.0.0",)
+        )
+        with unittest.mock.patch.object(metric, "count") as count:
+            holder.on_ended(refusal)
+            self.region.run(0.5)
+        self.assertEqual(submission.outcome, DONE)
+        self.assertEqual([call for call in count.mock_calls if "jobs_" in str(call)], [])
+
+
 class Overload(unittest.TestCase):
     def test_twice_the_load_that_a_pool_carries(self):
         # Replays 3 s of urgent narrow jobs and of long ones that need 24 cores where there are 12.
