Reserve capacity for urgent work in pools under pressure

Urgent tasks of 60 ms waited for the ends of 0.9 s runs that filled a pool, since only the order of the queue protected them. A reservation applies only to runs so long that the pool would not free the slots of an urgent job within its slack. Capacity offers to other pools leave it out. Tasks of a demand that no server has room for are not tried again in one pass.

--- a/rosedyke/rerunnable_jobs/capacity_offers.py
+++ b/rosedyke/rerunnable_jobs/capacity_offers.py
@@ -88,12 +88,14 @@
 
     def _free_servers(self, now):
         """Return the servers that are not offered yet and their free millicores, fastest first."""
-        free = [
-            (state, state.free_millicores())
+        states = [
+            state
             for state in self.owner.available_servers(now)
             if state.server.id not in self.offered_until
         ]
-        return sorted(free, key=lambda entry: -self.owner.speeds.speed_of(entry[0].server.id))
+        states.sort(key=lambda state: -self.owner.speeds.speed_of(state.server.id))
+        take = self.owner.task_scheduler.reserved.take_for_offer
+        return [(state, take(state.server.service, state.free_millicores())) for state in states]
 
 
 def _reserve(free, request):
--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -170,3 +170,16 @@
     "A pool refused a part of a job while another part had started; the refused tasks are "
     "submitted to other pools.",
 )
+POOL_UNDER_PRESSURE = event.define(
+    8070,
+    "pool_under_pressure",
+    logging.INFO,
+    "Jobs of different priorities compete for a pool that is nearly full, so its owner reserves "
+    "capacity for urgent ones.",
+)
+POOL_PRESSURE_ENDED = event.define(
+    8071,
+    "pool_pressure_ended",
+    logging.INFO,
+    "A pool has not been under pressure for a second; nothing is reserved.",
+)
--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -32,6 +32,7 @@
             return
         owned = owned_job.OwnedJob.from_message(message, now)
         self.owner.add_job(owned)
+        self.owner.task_scheduler.reserved.record_arrival(owned, now)
         if message.may_have_run:
             self.adopt(owned)
             self.owner.finish_if_done(owned)
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -29,3 +29,19 @@
     "Runs left in pools of this owner whose data centre is being evacuated.",
 )
 HELD_JOBS = metric.define("rerun.held", "gauge", "Jobs that callers of this instance wait for.")
+RESERVED = metric.define(
+    "rerun.reserved_millicores",
+    "gauge",
+    "Capacity that this owner's pools under pressure reserve for urgent work.",
+)
+# Higher numbers count as this one.
+LAST_PRIORITY = 3
+HELD_BACK = {
+    priority: metric.define(
+        f"rerun.held_back_p{priority}",
+        "counter",
+        f"Tasks of priority {priority}{' or a higher number' if priority == LAST_PRIORITY else ''} "
+        "that waited for a reservation.",
+    )
+    for priority in range(1, LAST_PRIORITY + 1)
+}
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -5,6 +5,7 @@
 import attrs
 
 from rosedyke.rerunnable_jobs import job, messages, settings
+from rosedyke.scheduling import queue_order
 
 
 class TaskState(enum.Enum):
@@ -31,6 +32,8 @@
         Server of the last run.
     failed_on : set of str
         Servers on which it failed or stalled; others are preferred.
+    is_held_back : bool
+        It waited for capacity that was reserved for more urgent work.
     """
 
     name: str
@@ -40,6 +43,7 @@
     failures: int = 0
     server_id: str = ""
     failed_on: set[str] = attrs.Factory(set)
+    is_held_back: bool = False
 
 
 @attrs.define(eq=False)
@@ -135,6 +139,24 @@
         """The time at which it misses its objective."""
         return self.arrived_at + self.work.objective_s
 
+    def queued(self, fastest: float) -> queue_order.QueuedJob:
+        """Return what the order of the job depends on.
+
+        Parameters
+        ----------
+        fastest : float
+            Speed of the fastest server.  A job is late if even that server cannot meet its
+            objective.
+        """
+        longest_s = max((step.estimate_s for step in self.work.steps), default=0.0)
+        return queue_order.QueuedJob(
+            self,
+            self.work.queue,
+            self.work.priority,
+            self.due_at - longest_s / fastest,
+            self.has_started,
+        )
+
     def waiting_tasks(self) -> list[OwnedTask]:
         """Return the tasks that are not placed, longest first."""
         waiting = [task for task in self.tasks.values() if task.state is TaskState.WAITING]
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -63,6 +63,13 @@
                 metrics.EVACUATED_RUNS,
                 sum(owned.evacuated_runs() for owned in self.node.owned_pools.values()),
             )
+            metric.gauge(
+                metrics.RESERVED,
+                sum(
+                    owned.task_scheduler.reserved.reserved_millicores()
+                    for owned in self.node.owned_pools.values()
+                ),
+            )
             metric.gauge(metrics.HELD_JOBS, len(self.node.holder.jobs))
             self.node.handover.return_remote_pools()
             self.node.holder.end_jobs_of_lost_owners()
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -1,7 +1,15 @@
 """Places the waiting tasks of one owner on its servers."""
 
 from rosedyke.observe import metric
-from rosedyke.rerunnable_jobs import job_ordering, metrics, owned_job, placement, server_state
+from rosedyke.rerunnable_jobs import (
+    job,
+    metrics,
+    owned_job,
+    placement,
+    reserved_capacity,
+    server_state,
+)
+from rosedyke.scheduling import queue_order
 
 
 class Scheduler:
@@ -11,10 +19,17 @@
     ----------
     owner : PoolOwner
         The owner of the tasks.
+
+    Attributes
+    ----------
+    full : set of (str, Demand)
+        Services and demands that no server has capacity for, while tasks are placed.
     """
 
     def __init__(self, owner):
         self.owner = owner
+        self.full: set[tuple[str, job.Demand]] = set()
+        self.reserved = reserved_capacity.ReservedCapacity(owner)
 
     def place_all(self) -> None:
         """Start tasks that fit, request capacity for the others, and offer what is still free."""
@@ -22,10 +37,16 @@
             return
         now = self.owner.runtime.now()
         waiting = self._waiting_jobs(now)
+        allocated = {}
+        if waiting or self.owner.offers.requests:
+            allocated = {
+                state.server.id: state.allocated() for state in self.owner.available_servers(now)
+            }
+        self.reserved.update(waiting, allocated, now)
         if waiting and self.owner.is_evacuated():
             self.owner.releaser.release_all(waiting)
         elif waiting:
-            self._place_jobs(waiting, now)
+            self._place_jobs(waiting, allocated, now)
         # Any capacity still free is too small or too slow for the tasks that wait here.
         self.owner.offers.offer_free_capacity(now)
 
@@ -39,33 +60,32 @@
             and self.owner.may_place(owned, now)
         ]
 
-    def _place_jobs(self, waiting, now):
-        allocated = {
-            state.server.id: state.allocated() for state in self.owner.available_servers(now)
-        }
+    def _place_jobs(self, waiting, allocated, now):
+        self.full.clear()
         running_tasks = self.owner.running_tasks()
         unplaced = []
-        for owned in job_ordering.order_jobs(waiting, now, self.owner.fastest_speed()):
+        for owned in self.order_jobs(waiting, now):
             unplaced += self._place_job(owned, allocated, running_tasks, now)
         if unplaced:
             self.owner.releaser.request_capacity_for(unplaced, now)
 
+    def order_jobs(self, jobs: list[owned_job.OwnedJob], now: float) -> list[owned_job.OwnedJob]:
+        """Return waiting jobs in scheduling order."""
+        fastest = self.owner.fastest_speed()
+        ordered = queue_order.order_jobs([owned.queued(fastest) for owned in jobs], now)
+        return [queued.key for queued in ordered]
+
     def _place_job(self, owned, allocated, running_tasks, now):
         """Place the tasks of a job that fit and return the others."""
         unplaced = []
         for task in owned.waiting_tasks():
             if task.name in running_tasks:
                 continue
-            state = placement.choose_server(
-                task,
-                owned.work.service,
-                self.owner.server_states.values(),
-                self.owner.speeds,
-                allocated,
-            )
-            if state is None or self._should_wait(owned, task, state, allocated, now):
+            state = self._choose_server(owned, task, allocated, now)
+            if state is None:
                 unplaced.append((owned, task))
                 continue
+            self.reserved.record_placement(owned, task, state, allocated[state.server.id])
             if state.is_cold(now):
                 del allocated[state.server.id]  # one task at a time
             else:
@@ -75,6 +95,27 @@
             self._place(owned, task, state, now)
         return unplaced
 
+    def _choose_server(self, owned, task, allocated, now):
+        """Return the server to place a task on now, or None if it waits."""
+        # Capacity only decreases while tasks are placed.
+        request = (owned.work.service, task.step.demand)
+        if request in self.full or self.reserved.holds_back(owned, task, now):
+            return None
+        state = placement.choose_server(
+            task,
+            owned.work.service,
+            self.owner.server_states.values(),
+            self.owner.speeds,
+            allocated,
+        )
+        if state is None:
+            self.full.add(request)
+            return None
+        if self._should_wait(owned, task, state, allocated, now):
+            return None
+        used = allocated[state.server.id]
+        return state if self.reserved.allows(owned, task, state, used, now) else None
+
     def _should_wait(self, owned, task, state, allocated, now):
         return placement.should_wait(
             task,
--- a/rosedyke/rerunnable_jobs/scheduling_test.py
+++ b/rosedyke/rerunnable_jobs/scheduling_test.py
@@ -3,7 +3,6 @@
 from rosedyke.rerunnable_jobs import (
     admission,
     job,
-    job_ordering,
     messages,
     owned_job,
     placement,
@@ -37,32 +36,6 @@
     return tuple((core_count * 1000, 1.0) for core_count in cores)
 
 
-class JobOrdering(unittest.TestCase):
-    def test_short_jobs_start_before_long_ones_with_slack(self):
-        long_job = make_job("long", 0.0, 0.9, 1.5)
-        short_job = make_job("short", 0.1, 0.06, 0.16)
-        self.assertEqual(
-            job_ordering.order_jobs([long_job, short_job], 0.1, 1.0), [short_job, long_job]
-        )
-
-    def test_late_jobs_start_after_those_that_can_meet_their_objective(self):
-        late = make_job("late", 0.0, 0.06, 0.16)
-        fresh = make_job("fresh", 0.9, 0.2, 0.4)
-        self.assertEqual(job_ordering.order_jobs([late, fresh], 1.0, 1.0), [fresh, late])
-
-    def test_late_jobs_are_ordered_by_priority(self):
-        first = make_job("first", 0.0, 0.06, 0.16, priority=2)
-        second = make_job("second", 0.1, 0.06, 0.16, priority=0)
-        self.assertEqual(job_ordering.order_jobs([first, second], 5.0, 1.0), [second, first])
-
-    def test_job_that_the_fastest_server_can_finish_in_time_is_not_late(self):
-        # Guards against deferring a job that would be in time on a server twice as fast.
-        tight = make_job("tight", 0.0, 0.3, 0.4)
-        fresh = make_job("fresh", 0.2, 0.2, 0.5)
-        self.assertEqual(job_ordering.order_jobs([fresh, tight], 0.2, 2.0), [tight, fresh])
-        self.assertEqual(job_ordering.order_jobs([fresh, tight], 0.2, 1.0), [fresh, tight])
-
-
 class Placement(unittest.TestCase):
     def setUp(self):
         self.speeds = server_speed.ServerSpeeds({"slow": 0.6, "fast": 1.6})
@@ -381,6 +354,36 @@
         self.assertLessEqual(offered, 12_000)
 
 
+class Reservations(unittest.TestCase):
+    """Urgent jobs arrive while long ones could fill the servers."""
+
+    def run_mixed_load(self, is_on, kill_at=None):
+        """Return the region and its jobs of priority 0 and 2 after 4 s of overload."""
+        timing = settings.RerunSettings(schedules_by_kind=is_on)
+        region = rerun_region.Region({"a": 3}, timing=timing)
+        region.run(STARTUP_S)
+        submissions = {0: [], 2: []}
+        for number in range(100):
+            holder = region.non_owner("a")
+            for priority, count, duration_s in ((0, 3, 0.06), (2, 1, 0.9)):
+                submissions[priority].append(
+                    region.submit(holder, f"p{priority}n{number}", count, duration_s, 6.0, priority)
+                )
+            if number == kill_at:
+                region.kill(region.owner("a"))
+            region.run(0.04)
+        region.run(8.0)
+        return region, submissions
+
+    def test_successor_of_a_lost_owner_serves_the_load_without_concurrent_runs(self):
+        # Guards against a reservation that counts the resubmitted queue as arrivals, and against
+        # decisions that start a task before its old run is over.
+        region, submissions = self.run_mixed_load(True, kill_at=50)
+        self.assertEqual(region.backend.violations, [])
+        for submission in submissions[0] + submissions[2]:
+            self.assertIsNotNone(submission.outcome)
+
+
 class Burst(unittest.TestCase):
     def test_every_job_of_a_burst_succeeds_or_is_refused_in_time(self):
         # Guards against jobs that time out during overload instead of being refused unstarted.
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -1,7 +1,7 @@
 """Releases waiting tasks of a full or evacuated pool, so that their holders move them elsewhere."""
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import events, job_ordering, messages, metrics, spillover
+from rosedyke.rerunnable_jobs import events, messages, metrics, spillover
 
 # Shorter than the lifetime of a request, so that requests of a full pool do not expire.
 REQUEST_INTERVAL_S = 0.03
@@ -59,9 +59,7 @@
         running = self.owner.running_tasks()
         waiting = [
             (owned, task)
-            for owned in job_ordering.order_jobs(
-                list(self.owner.jobs.values()), now, self.owner.fastest_speed()
-            )
+            for owned in self.owner.task_scheduler.order_jobs(list(self.owner.jobs.values()), now)
             if self.owner.may_place(owned, now)
             for task in owned.waiting_tasks()
             if task.name not in running
--- /dev/null
+++ b/rosedyke/scheduling/queue_order_test.py
@@ -0,0 +1,35 @@
+import unittest
+
+from rosedyke.scheduling import queue_order
+
+
+def queued(key, arrived_at, estimate_s, objective_s, priority=0, fastest=1.0, **fields):
+    latest_start = arrived_at + objective_s - estimate_s / fastest
+    return queue_order.QueuedJob(key, "q", priority, latest_start, False, **fields)
+
+
+def ordered(jobs, now):
+    return [job.key for job in queue_order.order_jobs(jobs, now)]
+
+
+class QueueOrder(unittest.TestCase):
+    def test_short_jobs_start_before_long_ones_with_slack(self):
+        jobs = [queued("long", 0.0, 0.9, 1.5), queued("short", 0.1, 0.06, 0.16)]
+        self.assertEqual(ordered(jobs, 0.1), ["short", "long"])
+
+    def test_late_jobs_start_after_those_that_can_meet_their_objective(self):
+        jobs = [queued("late", 0.0, 0.06, 0.16), queued("fresh", 0.9, 0.2, 0.4)]
+        self.assertEqual(ordered(jobs, 1.0), ["fresh", "late"])
+
+    def test_late_jobs_are_ordered_by_priority(self):
+        jobs = [queued("first", 0.0, 0.06, 0.16, 2), queued("second", 0.1, 0.06, 0.16, 0)]
+        self.assertEqual(ordered(jobs, 5.0), ["second", "first"])
+
+    def test_job_that_the_fastest_server_can_finish_in_time_is_not_late(self):
+        # Guards against deferring a job that would be in time on a server twice as fast.
+        for fastest, expected in ((2.0, ["tight", "fresh"]), (1.0, ["fresh", "tight"])):
+            jobs = [
+                queued("fresh", 0.2, 0.2, 0.5, fastest=fastest),
+                queued("tight", 0.0, 0.3, 0.4, fastest=fastest),
+            ]
+            self.assertEqual(ordered(jobs, 0.2), expected)
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -68,13 +68,21 @@
         Number of instances by data centre.
     servers : int
         Number of servers in each data centre, with four cores each.
+    timing : RerunSettings or None
+        Settings of all instances, None for the default.
     """
 
-    def __init__(self, sizes: dict[str, int], servers: int = 3, seed: int = 1):
+    def __init__(
+        self,
+        sizes: dict[str, int],
+        servers: int = 3,
+        seed: int = 1,
+        timing: settings.RerunSettings | None = None,
+    ):
         self.runtime = virtual.VirtualRuntime(seed)
         self.network = virtual.VirtualNetwork(self.runtime)
         self.backend = leased_servers.SimulatedBackend(self.runtime)
-        self.timing = settings.RerunSettings()
+        self.timing = timing or settings.RerunSettings()
         self.members: dict[str, Member] = {}
         for data_centre in sizes:
             for number in range(servers):
@@ -157,13 +165,19 @@
             listed.changed()
 
     def submit(
-        self, name: str, job_id: str, count: int = 1, duration_s: float = 0.1, timeout_s: float = 5
+        self,
+        name: str,
+        job_id: str,
+        count: int = 1,
+        duration_s: float = 0.1,
+        timeout_s: float = 5,
+        priority: int = 0,
     ) -> "Submission":
         """Submit a job to an instance as a caller does."""
         self.backend.durations[job_id] = duration_s
         step = job.Step(count, job.Demand(1000, 64), duration_s)
         rerun_job = job.Job(
-            job_id, "tags", SERVICE, "{}", (step,), 0, 3, 1.6 * duration_s + 1.0, timeout_s
+            job_id, "tags", SERVICE, "{}", (step,), priority, 3, 1.6 * duration_s + 1.0, timeout_s
         )
         submission = Submission(self.runtime.signal())
         member = self.members[name]
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -18,6 +18,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RERUN = pathlib.Path("rosedyke/rerunnable_jobs")
+SCHEDULING = pathlib.Path("rosedyke/scheduling")
 IGNORED_PATHS = shutil.ignore_patterns(".git", ".venv", "journal", "__pycache__", "target")
 
 
@@ -47,8 +48,8 @@
     Mechanism(
         "waiting-for-a-faster-server",
         RERUN / "scheduler.py",
-        "if state is None or self._should_wait(owned, task, state, allocated, now):",
-        "if state is None:",
+        "if self._should_wait(owned, task, state, allocated, now):",
+        "if False:",
     ),
     Mechanism(
         "moving-tasks-between-pools", RERUN / "spillover.py", "MAX_MOVES = 4", "MAX_MOVES = 0"
@@ -67,20 +68,20 @@
     ),
     Mechanism(
         "latest-start",
-        RERUN / "job_ordering.py",
-        "return (is_late, rank, not owned.has_started, start)",
-        "return (owned.arrived_at,)",
+        SCHEDULING / "queue_order.py",
+        "return (is_late, rank, not queued.has_started, queued.latest_start)",
+        "return (queued.key.arrived_at,)",
     ),
     Mechanism(
         "late-jobs-last",
-        RERUN / "job_ordering.py",
-        "is_late = start < now",
+        SCHEDULING / "queue_order.py",
+        "is_late = queued.latest_start < now",
         "is_late = False",
     ),
     Mechanism(
         "priority-when-late",
-        RERUN / "job_ordering.py",
-        "rank = owned.work.priority if is_late else 0",
+        SCHEDULING / "queue_order.py",
+        "rank = queued.priority if is_late else 0",
         "rank = 0",
     ),
     Mechanism(
