Serve priority 0 first under pressure, started jobs before others

In-time jobs were ordered by latest start alone, so a 0.9 s run that had waited came before urgent tasks.

--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -72,7 +72,13 @@
     def order_jobs(self, jobs: list[owned_job.OwnedJob], now: float) -> list[owned_job.OwnedJob]:
         """Return waiting jobs in scheduling order."""
         fastest = self.owner.fastest_speed()
-        ordered = queue_order.order_jobs([owned.queued(fastest) for owned in jobs], now)
+        urgent_first, others = [], []
+        for owned in jobs:
+            is_first = self.reserved.is_urgent_first(owned.work.service)
+            (urgent_first if is_first else others).append(owned.queued(fastest))
+        # Jobs of different services do not compete, so their relative order has no effect.
+        ordered = queue_order.order_jobs(urgent_first, now, True)
+        ordered += queue_order.order_jobs(others, now)
         return [queued.key for queued in ordered]
 
     def _place_job(self, owned, allocated, running_tasks, now):
--- a/rosedyke/rerunnable_jobs/scheduling_test.py
+++ b/rosedyke/rerunnable_jobs/scheduling_test.py
@@ -1,3 +1,4 @@
+import statistics
 import unittest
 
 from rosedyke.rerunnable_jobs import (
@@ -375,6 +376,20 @@
         region.run(8.0)
         return region, submissions
 
+    def test_urgent_jobs_do_not_wait_for_long_runs(self):
+        # Guards against 60 ms tasks that wait until one of the 0.9 s runs ends.
+        mean_end = {}
+        for is_on in (False, True):
+            region, submissions = self.run_mixed_load(is_on)
+            self.assertEqual(region.backend.violations, [])
+            mean_end[is_on] = statistics.mean(urgent.ended_at for urgent in submissions[0])
+            # Long jobs do not starve.
+            ends = [submission.outcome.end for submission in submissions[2]]
+            self.assertLessEqual(set(ends), {job.EndState.SUCCEEDED, job.EndState.REFUSED})
+            self.assertGreater(ends.count(job.EndState.SUCCEEDED), 80)
+        self.assertEqual([urgent.outcome for urgent in submissions[0]], [DONE] * 100)
+        self.assertLess(mean_end[True], mean_end[False] - 1.0)
+
     def test_successor_of_a_lost_owner_serves_the_load_without_concurrent_runs(self):
         # Guards against a reservation that counts the resubmitted queue as arrivals, and against
         # decisions that start a task before its old run is over.
--- a/rosedyke/scheduling/queue_order.py
+++ b/rosedyke/scheduling/queue_order.py
@@ -1,4 +1,4 @@
-"""Orders waiting jobs by latest start time.
+"""Orders waiting jobs by latest start time, and by priority while the pool is under pressure.
 
 Load: short jobs wait behind long ones that have slack, and more jobs wait than can meet their
 objective.  In first-come, first-served order the short ones would miss theirs.
@@ -37,17 +37,26 @@
     millicores: int = 0
 
 
-def order_jobs(jobs: Iterable[QueuedJob], now: float) -> list[QueuedJob]:
+def order_jobs(
+    jobs: Iterable[QueuedJob], now: float, is_under_pressure: bool = False
+) -> list[QueuedJob]:
     """Return waiting jobs in scheduling order.
 
     Jobs that can still meet their objective come first, by latest start.  Late jobs follow by the
     priority of their queue, since their order only decides which of them get an answer at all.
     Started jobs come before equal ones, so that their work is not wasted.
+
+    Parameters
+    ----------
+    is_under_pressure : bool
+        Priority 0 comes first among the jobs that can still meet their objective.
     """
 
     def key(queued):
         is_late = queued.latest_start < now
         rank = queued.priority if is_late else 0
+        if is_under_pressure and not is_late:
+            rank = min(queued.priority, 1)
         return (is_late, rank, not queued.has_started, queued.latest_start)
 
     return sorted(jobs, key=key)
--- a/rosedyke/scheduling/queue_order_test.py
+++ b/rosedyke/scheduling/queue_order_test.py
@@ -8,8 +8,8 @@
     return queue_order.QueuedJob(key, "q", priority, latest_start, False, **fields)
 
 
-def ordered(jobs, now):
-    return [job.key for job in queue_order.order_jobs(jobs, now)]
+def ordered(jobs, now, is_under_pressure=False):
+    return [job.key for job in queue_order.order_jobs(jobs, now, is_under_pressure)]
 
 
 class QueueOrder(unittest.TestCase):
@@ -33,3 +33,22 @@
                 queued("tight", 0.0, 0.3, 0.4, fastest=fastest),
             ]
             self.assertEqual(ordered(jobs, 0.2), expected)
+
+
+class OrderUnderPressure(unittest.TestCase):
+    def test_priority_0_comes_first_only_under_pressure_and_only_if_in_time(self):
+        # Guards against urgent jobs behind long ones that have waited until their latest start.
+        jobs = [queued("long", 0.0, 0.9, 1.0, 2), queued("urgent", 0.0, 0.06, 0.2)]
+        self.assertEqual(ordered(jobs, 0.05), ["long", "urgent"])
+        self.assertEqual(ordered(jobs, 0.05, True), ["urgent", "long"])
+        late = queued("late", -1.0, 0.06, 0.2)
+        self.assertEqual(ordered([late, *jobs], 0.05, True), ["urgent", "long", "late"])
+
+    def test_started_jobs_come_first_within_their_group(self):
+        # Guards against many jobs that are all begun and none complete.
+        jobs = [
+            queue_order.QueuedJob("new", "q", 1, 1.0, False),
+            queue_order.QueuedJob("started", "q", 2, 2.0, True),
+            queue_order.QueuedJob("urgent", "q", 0, 3.0, False),
+        ]
+        self.assertEqual(ordered(jobs, 0.0, True), ["urgent", "started", "new"])
