--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -199,3 +199,16 @@
     "More tasks than usual are moved, submitted again or repeated, so these wait where they are, "
     "or their jobs are refused; logged at most once a second. Look for failing servers or owners.",
 )
+POOL_UNDER_PRESSURE = event.define(
+    8070,
+    "pool_under_pressure",
+    logging.INFO,
+    "Jobs of different priorities compete for a pool that is nearly full, so its owner reserves "
+    "capacity for urgent ones.",
+)
+POOL_PRESSURE_ENDED = event.define(
+    8071,
+    "pool_pressure_ended",
+    logging.INFO,
+    "A pool has not been under pressure for a second; nothing is reserved.",
+)
--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -33,6 +33,7 @@
         owned = owned_job.OwnedJob.from_message(message, now)
         self.owner.add_job(owned)
         self.owner.resubmissions.record_accepted()
+        self.owner.task_scheduler.reserved.record_arrival(owned, now)
         if message.may_have_run:
             self.adopt(owned)
             self.owner.finish_if_done(owned)
--- a/rosedyke/rerunnable_jobs/refusals.py
+++ b/rosedyke/rerunnable_jobs/refusals.py
@@ -6,7 +6,7 @@
 import heapq
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import events, job, job_ordering, metrics, owned_job, settings
+from rosedyke.rerunnable_jobs import events, job, metrics, owned_job, settings
 from rosedyke.scheduling import admission, prediction, retry_after
 
 # Without prediction.
@@ -95,7 +95,7 @@
             and owned.may_start(now, self.owner.timing)
             and self.owner.may_place(owned, now)
         ]
-        return job_ordering.order_jobs(waiting, now, self.owner.fastest_speed())
+        return self.owner.task_scheduler.order_jobs(waiting, now)
 
     def to_refuse(self, ordered, service, now):
         """Return the refusals among the waiting jobs of a service."""
@@ -109,7 +109,7 @@
             owned.key,
             owned.work.priority,
             owned.has_started,
-            job_ordering.latest_start(owned, fastest),
+            owned.queued(fastest).latest_start,
             useful_until(owned, self.owner.timing),
             tuple(
                 (task.step.demand.millicores, task.step.estimate_s * ratio)
