tools: report processor time, wait channels and stacks when a program of a region is late

Two starts of failures_process_test had not written a line after 30 s, and nothing told whether they lacked a processor, were blocked, or the machine was paused. A wait that times out now gives its polls and the longest time between two, the pressure on the processors, and for each program its running and runnable time, threads, files and log; a silent one is ended by SIGABRT, on which faulthandler writes its stacks.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -15,10 +15,13 @@
 from collections.abc import Callable
 
 import attrs
+import process_report
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 15.0
+# A stack takes milliseconds; a process without a processor writes none at all.
+STACK_TIMEOUT_S = 2.0
 
 
 @attrs.define
@@ -68,6 +71,20 @@
         """Return the last lines of its output."""
         return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
 
+    def describe(self) -> str:
+        """Return its exit code, or its state and use of the processor."""
+        exit_code = self.process.poll()
+        if exit_code is not None:
+            return f"exit code {exit_code}"
+        return process_report.describe_process(self.pid)
+
+    def abort_if_silent(self) -> None:
+        """End it by SIGABRT if it has written nothing; ``faulthandler`` then writes its stacks."""
+        if self.process.poll() is None and not self.log.stat().st_size:
+            self.process.send_signal(signal.SIGABRT)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                self.process.wait(STACK_TIMEOUT_S)
+
 
 class Group(contextlib.AbstractContextManager):
     """Context manager that terminates the processes started in it.
@@ -83,11 +100,11 @@
         self.members: list[ManagedProcess] = []
 
     def start(self, name: str, *arguments: str, **environment: str) -> ManagedProcess:
-        """Start ``python -W ignore -m <arguments>`` and return it."""
+        """Start ``python -X faulthandler -W ignore -m <arguments>`` and return it."""
         log = self.folder / f"{name}.log"
         with log.open("ab") as output:
             process = subprocess.Popen(
-                [sys.executable, "-W", "ignore", "-m", *arguments],
+                [sys.executable, "-X", "faulthandler", "-W", "ignore", "-m", *arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -98,6 +115,15 @@
         self.members.append(started)
         return started
 
+    def report(self) -> str:
+        """Return what tells why a member is late, for all members; ends those without output."""
+        descriptions = [member.describe() for member in self.members]
+        lines = [process_report.describe_machine()]
+        for member, description in zip(self.members, descriptions, strict=True):
+            member.abort_if_silent()
+            lines.append(f"{member.name}: {description}\n{member.tail()}")
+        return "\n".join(lines)
+
     def __exit__(self, *exception) -> None:
         """Terminate all running processes at once, and kill those that do not exit."""
         running = [member for member in self.members if member.process.poll() is None]
@@ -144,10 +170,18 @@
     Raises
     ------
     TimeoutError
-        The condition did not hold within ``timeout_s`` seconds; the message names ``what``.
+        The condition did not hold within ``timeout_s`` seconds; the message names ``what``, the
+        number of polls and the longest time between two.  A long one says that this process itself
+        was paused.
     """
-    deadline = time.monotonic() + timeout_s
+    started_s = polled_s = time.monotonic()
+    polls, longest_gap_s = 0, 0.0
     while not condition():
-        if time.monotonic() > deadline:
-            raise TimeoutError(f"timed out after {timeout_s} s waiting for: {what}")
+        now_s = time.monotonic()
+        polls, longest_gap_s, polled_s = polls + 1, max(longest_gap_s, now_s - polled_s), now_s
+        if now_s > started_s + timeout_s:
+            raise TimeoutError(
+                f"timed out after {timeout_s} s waiting for: {what}"
+                f" ({polls} polls, at most {longest_gap_s:.2f} s apart)"
+            )
         time.sleep(POLL_INTERVAL_S)
--- a/tools/region.py
+++ b/tools/region.py
@@ -144,7 +144,10 @@
                 return False
             return any_status or status == 200
 
-        processes.wait_until(is_answering, READY_TIMEOUT_S, what)
+        try:
+            processes.wait_until(is_answering, READY_TIMEOUT_S, what)
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}\n{self.group.report()}") from error
 
     def run_command(self, *arguments, check=True) -> subprocess.CompletedProcess:
         """Run ``rosedyke`` against the region's store and running instances."""
