standins/store: start without a reverse lookup of the own address

http.server looks up the name of the address it binds. For a loopback address that is not in /etc/hosts this asks the name server: 1 of 60 lookups took 5.0 s, and with queries that get no answer (strace, sendto replaced) the store listens after 10.0 s, before its first line.

--- a/rosedyke/standins/store.py
+++ b/rosedyke/standins/store.py
@@ -13,6 +13,7 @@
 import http.server
 import json
 import socket
+import socketserver
 import threading
 import time
 from typing import Any
@@ -177,6 +178,14 @@
     request_queue_size = 128
     store: Server
 
+    def server_bind(self) -> None:
+        """Bind without the reverse lookup of ``http.server``.
+
+        A name server that does not answer delays it by 5 to 10 s.
+        """
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address[:2]
+
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     """One connection of one client."""
