--- a/tools/process_report.py
+++ b/tools/process_report.py
@@ -10,7 +10,7 @@
 PROC = pathlib.Path("/proc")
 CLOCK_TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
 # Positions in /proc/<pid>/stat after the command name.
-STATE, SESSION, START_TICKS = 0, 3, 19
+STATE, SESSION, MAJOR_FAULTS, START_TICKS = 0, 3, 9, 19
 # Position of the stolen time in the first line of /proc/stat.
 STEAL = 8
 
@@ -61,7 +61,7 @@
 
 
 def describe_process(pid: int) -> str:
-    """Return one line about a process: age, processor times, processors, threads and files."""
+    """Return one line about a process: age, use of the processors, threads and files."""
     fields = stat_fields(pid)
     if not fields:
         return "does not exist"
@@ -70,7 +70,8 @@
     ran_s, waited_s = processor_times(pid)
     return (
         f"age_s={age_s:.2f} ran_s={ran_s:.2f} waited_for_processor_s={waited_s:.2f}"
-        f" processors={processors_text(pid)} session={fields[SESSION]}"
+        f" major_faults={fields[MAJOR_FAULTS]} processors={processors_text(pid)}"
+        f" session={fields[SESSION]}"
         f" threads={','.join(thread_states(pid))} files={','.join(open_files(pid))}"
     )
 
@@ -84,7 +85,7 @@
 
 
 def describe_machine() -> str:
-    """Return lines about the competition for the processors that this process may run on."""
+    """Return lines about the pressure on the machine and on the processors of this process."""
     own_processors = os.sched_getaffinity(0)
     sessions: dict[str, int] = {}
     for path in PROC.glob("[0-9]*"):
@@ -97,8 +98,11 @@
             sessions[fields[SESSION]] = sessions.get(fields[SESSION], 0) + 1
     runnable = " ".join(f"{session}:{count}" for session, count in sorted(sessions.items()))
     stolen_s = int(read(PROC / "stat").split()[STEAL]) * CLOCK_TICK_S
-    pressure = read(PROC / "pressure" / "cpu").partition("\n")[0]
+    pressures = "".join(
+        f"{resource} pressure: {read(PROC / 'pressure' / resource).partition(chr(10))[0]}\n"
+        for resource in ("cpu", "io", "memory")
+    )
     return (
-        f"load={read(PROC / 'loadavg')} pressure={pressure or 'unknown'} stolen_s={stolen_s:.2f}\n"
+        f"load={read(PROC / 'loadavg')} stolen_s={stolen_s:.2f}\n{pressures}"
         f"runnable processes on processors {processors_text(0)} by session: {runnable or 'none'}"
     )
