--- a/tools/process_report.py
+++ b/tools/process_report.py
@@ -10,7 +10,7 @@
 PROC = pathlib.Path("/proc")
 CLOCK_TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
 # Positions in /proc/<pid>/stat after the command name.
-STATE, SESSION, MAJOR_FAULTS, START_TICKS = 0, 3, 9, 19
+STATE, SESSION, MAJOR_FAULTS, NICE, START_TICKS, POLICY = 0, 3, 9, 16, 19, 38
 # Position of the stolen time in the first line of /proc/stat.
 STEAL = 8
 
@@ -71,7 +71,7 @@
     return (
         f"age_s={age_s:.2f} ran_s={ran_s:.2f} waited_for_processor_s={waited_s:.2f}"
         f" major_faults={fields[MAJOR_FAULTS]} processors={processors_text(pid)}"
-        f" session={fields[SESSION]}"
+        f" session={fields[SESSION]} nice={fields[NICE]} policy={fields[POLICY]}"
         f" threads={','.join(thread_states(pid))} files={','.join(open_files(pid))}"
     )
 
