--- a/tools/processes.py
+++ b/tools/processes.py
@@ -7,6 +7,7 @@
 import itertools
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -81,6 +82,9 @@
     def abort_if_silent(self) -> None:
         """End it by SIGABRT if it has written nothing; ``faulthandler`` then writes its stacks."""
         if self.process.poll() is None and not self.log.stat().st_size:
+            # SIGABRT would otherwise leave a core file in the working copy.
+            with contextlib.suppress(ProcessLookupError):
+                resource.prlimit(self.pid, resource.RLIMIT_CORE, (0, 0))
             self.process.send_signal(signal.SIGABRT)
             with contextlib.suppress(subprocess.TimeoutExpired):
                 self.process.wait(STACK_TIMEOUT_S)
