--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -171,8 +171,8 @@
         count: int = 1,
         duration_s: float = 0.1,
         timeout_s: float = 5,
-        objective_s: float | None = None,
         priority: int = 0,
+        objective_s: float | None = None,
     ) -> "Submission":
         """Submit a job to an instance as a caller does."""
         if objective_s is None:
