--- a/rosedyke/rerunnable_jobs/refusals_test.py
+++ b/rosedyke/rerunnable_jobs/refusals_test.py
@@ -76,7 +76,7 @@
             self.region.submit("a-1", f"long{number}", 12, 1.0, 90, objective_s=3.0 + number)
         self.region.run(0.05)
         for priority, delay_s in ((0, 4.0), (2, 6.4)):
-            submission = self.region.submit("a-1", f"p{priority}", 1, 0.1, 4.5, 8.0, priority)
+            submission = self.region.submit("a-1", f"p{priority}", 1, 0.1, 4.5, priority, 8.0)
             self.region.run(0.1)
             self.assertAlmostEqual(
                 submission.outcome.retry_after_s, delay_s, delta=delay_s / 4 + 0.01
