--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -39,6 +39,7 @@
     def __init__(self, owner):
         self.owner = owner
         self.last_report: messages.PoolReport | None = None
+        self.last_without_servers: messages.PoolReport | None = None
         self.reported_at = owner.owned_since
         self.sent_at: dict[str, float] = {}
         self.servers: dict[str, float] = {}
@@ -82,6 +83,7 @@
         now = self.owner.runtime.now()
         if self.last_report is None or now - self.reported_at > REPORT_CACHE_S:
             self.last_report, self.reported_at = self.report(), now
+            self.last_without_servers = self.last_report.without_servers()
             cutoff = now - REPORT_INTERVAL_S
             self.sent_at = {name: sent for name, sent in self.sent_at.items() if sent > cutoff}
         return self.last_report
@@ -92,7 +94,8 @@
         if now - self.sent_at.get(holder, float("-inf")) < REPORT_INTERVAL_S:
             return None
         self.sent_at[holder] = now
-        return self.recent_report().without_servers()
+        self.recent_report()
+        return self.last_without_servers
 
     def report_for_renewal(
         self, holder: str, known_version: tuple[int, int] | None
@@ -109,7 +112,7 @@
         report = self.recent_report()
         self.sent_at[holder] = self.owner.runtime.now()
         if known_version == (report.token, report.servers_version):
-            return report.without_servers()
+            return self.last_without_servers
         return report
 
     def _versioned_servers(self):
