--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -70,10 +70,10 @@
         now = self.node.runtime.now()
         if not self.node.timing.balances_pools or len(self.node.owned_pools) < 2:
             return
-        if now - self.checked_at < BALANCE_CHECK_INTERVAL_S or not self._takes_part(now):
+        if now - self.checked_at < BALANCE_CHECK_INTERVAL_S:
             return
         self.checked_at = now
-        move = self._choose_move(now)
+        move = self._choose_move(now) if self._takes_part(now) else None
         if move is not None:
             self.is_moving, self.moving[move.pool] = True, move.receiver
             receiver = self.node.fleet.instances()[move.receiver]
