Offer reserved capacity to urgent tasks of other pools only

An offer left out the whole reservation, so urgent tasks of a full pool could not use the capacity that another one kept free for such tasks. A capacity request now names the highest priority that waits, and an offer of a pool under pressure the last priority that may use it.

--- a/rosedyke/rerunnable_jobs/capacity_offers.py
+++ b/rosedyke/rerunnable_jobs/capacity_offers.py
@@ -69,7 +69,7 @@
         }
         free = self._free_servers(now)
         for pool, request in list(self.requests.items()):
-            reserved = _reserve(free, request)
+            reserved = self._reserve(free, request)
             if not reserved:
                 continue
             request.missing_millicores -= sum(millicores for _, millicores in reserved)
@@ -82,31 +82,40 @@
                 for state, millicores in reserved
             )
             offer = messages.CapacityOffer(
-                self.owner.name, pool, request.message.service, offered_servers
+                self.owner.name,
+                pool,
+                request.message.service,
+                offered_servers,
+                self.owner.task_scheduler.reserved.last_offered_priority(request.message),
             )
             self.owner.listener.offer_capacity(request.message.sender, offer)
 
     def _free_servers(self, now):
         """Return the servers that are not offered yet and their free millicores, fastest first."""
-        states = [
-            state
+        free = [
+            (state, state.free_millicores())
             for state in self.owner.available_servers(now)
             if state.server.id not in self.offered_until
         ]
-        states.sort(key=lambda state: -self.owner.speeds.speed_of(state.server.id))
-        take = self.owner.task_scheduler.reserved.take_for_offer
-        return [(state, take(state.server.service, state.free_millicores())) for state in states]
-
-
-def _reserve(free, request):
-    """Remove the servers that satisfy a request from the free ones and return them."""
-    demand, reserved = request.message, []
-    missing = request.missing_millicores
-    for state, millicores in list(free):
-        if missing <= 0:
-            break
-        if state.server.service == demand.service and millicores >= demand.smallest_millicores:
-            free.remove((state, millicores))
-            reserved.append((state, millicores))
-            missing -= millicores
-    return reserved
+        return sorted(free, key=lambda entry: -self.owner.speeds.speed_of(entry[0].server.id))
+
+    def _reserve(self, free, request):
+        """Remove the servers that satisfy a request from the free ones and return them."""
+        demand, reserved = request.message, []
+        missing = request.missing_millicores
+        for state, free_millicores in list(free):
+            if missing <= 0:
+                break
+            if state.server.service != demand.service:
+                continue
+            millicores = self.owner.task_scheduler.reserved.spare_capacity(
+                demand.service, free_millicores, demand.priority
+            )
+            if millicores >= demand.smallest_millicores:
+                free.remove((state, free_millicores))
+                self.owner.task_scheduler.reserved.record_offer(
+                    demand.service, millicores, free_millicores, demand.priority
+                )
+                reserved.append((state, millicores))
+                missing -= millicores
+        return reserved
--- a/rosedyke/rerunnable_jobs/reserved_capacity.py
+++ b/rosedyke/rerunnable_jobs/reserved_capacity.py
@@ -5,7 +5,15 @@
 import attrs
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import admission, events, job, metrics, owned_job, server_state
+from rosedyke.rerunnable_jobs import (
+    admission,
+    events,
+    job,
+    messages,
+    metrics,
+    owned_job,
+    server_state,
+)
 from rosedyke.scheduling import reservation
 
 # The utilisation varies from run to run; the end of the pressure is logged after this long without.
@@ -178,21 +186,34 @@
         """Return whether priority 0 comes first among the waiting jobs of a service."""
         return service in self.pressed and self.pressed[service].is_urgent_first
 
-    def take_for_offer(self, service: str, free_millicores: int) -> int:
-        """Return how much of a server's free capacity may be offered to another pool.
+    def spare_capacity(self, service: str, free_millicores: int, priority: int) -> int:
+        """Return how much of a server's free capacity may be offered to tasks of a priority.
 
-        The tasks to come are unknown, so an offer contains only what remains above every
-        reservation.
+        The lengths of the tasks are unknown, so every reservation for priorities above applies.
         """
         capacity = self.pressed.get(service)
         if capacity is None:
             return free_millicores
-        offered = min(usage.spare(free_millicores) for usage in capacity.usages)
-        capacity.usages = tuple(
-            usage.after(usage.reserved.priority + 1, offered, free_millicores)
+        spare = [
+            usage.spare(free_millicores)
             for usage in capacity.usages
-        )
-        return offered
+            if usage.reserved.priority < priority
+        ]
+        return min(spare, default=free_millicores)
+
+    def record_offer(
+        self, service: str, millicores: int, free_millicores: int, priority: int
+    ) -> None:
+        """Account for the capacity of a server that was offered to tasks of a priority."""
+        capacity = self.pressed.get(service)
+        if capacity is not None:
+            capacity.usages = tuple(
+                usage.after(priority, millicores, free_millicores) for usage in capacity.usages
+            )
+
+    def last_offered_priority(self, request: messages.CapacityRequest) -> int | None:
+        """Return the last priority whose tasks may use an offer, None if there is no limit."""
+        return request.priority if request.service in self.pressed else None
 
     def holds_back(self, owned: owned_job.OwnedJob, task: owned_job.OwnedTask, now: float) -> bool:
         """Return whether an equal or smaller task of the priority was just held back."""
--- a/rosedyke/rerunnable_jobs/scheduling_test.py
+++ b/rosedyke/rerunnable_jobs/scheduling_test.py
@@ -1,18 +1,22 @@
 import statistics
 import unittest
+from unittest import mock
 
 from rosedyke.rerunnable_jobs import (
     admission,
+    capacity_offers,
     job,
     messages,
     owned_job,
     placement,
     ports,
+    reserved_capacity,
     server_speed,
     server_state,
     settings,
     spillover,
 )
+from rosedyke.scheduling import reservation
 from rosedyke.standins import rerun_region
 
 HOLDER = messages.Instance("a-1", "10.0.0.1:7000", "a")
@@ -390,6 +394,30 @@
         self.assertEqual([urgent.outcome for urgent in submissions[0]], [DONE] * 100)
         self.assertLess(mean_end[True], mean_end[False] - 1.0)
 
+    def test_offer_leaves_the_reservation_to_urgent_tasks(self):
+        # Guards against long tasks of a full pool that take the capacity reserved in another one.
+        region = rerun_region.Region(
+            {"a": 1}, timing=settings.RerunSettings(schedules_by_kind=True)
+        )
+        region.run(STARTUP_S)
+        owner = region.members["a-1"].node.owned_pools["a/r1"]
+        level = reservation.Reservation(0, 1000, 5, 5)
+        usage = reservation.usage(level, [4000] * 3, {})
+        offers = []
+        owner.listener = mock.Mock(offer_capacity=lambda target, offer: offers.append(offer))
+        for priority, offered in ((2, 7000), (0, 12_000)):
+            owner.task_scheduler.reserved.pressed = {
+                rerun_region.SERVICE: reserved_capacity.ServiceCapacity((usage,))
+            }
+            owner.offers = capacity_offers.CapacityOffers(owner)
+            request = messages.CapacityRequest(
+                HOLDER, "b/r1", rerun_region.SERVICE, 1000, 99_000, priority
+            )
+            owner.offers.on_request(request)
+            owner.offers.offer_free_capacity(region.runtime.now())
+            self.assertEqual(sum(free for free, _ in offers[-1].rooms), offered)
+            self.assertEqual(offers[-1].last_priority, priority)
+
     def test_successor_of_a_lost_owner_serves_the_load_without_concurrent_runs(self):
         # Guards against a reservation that counts the resubmitted queue as arrivals, and against
         # decisions that start a task before its old run is over.
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -28,12 +28,14 @@
         if not movable_tasks:
             return
         self.requested_at = now
-        demand_by_service: dict[str, list[int]] = {}
+        by_service: dict[str, list[spillover.WaitingTask]] = {}
         for owned, task in movable_tasks:
-            demand_by_service.setdefault(owned.work.service, []).append(task.step.demand.millicores)
-        for service, millicores in demand_by_service.items():
+            by_service.setdefault(owned.work.service, []).append((owned, task))
+        for service, tasks in by_service.items():
+            millicores = [task.step.demand.millicores for _, task in tasks]
+            priority = min(owned.work.priority for owned, _ in tasks)
             self.owner.listener.request_capacity(
-                self.owner.name, service, min(millicores), sum(millicores)
+                self.owner.name, service, min(millicores), sum(millicores), priority
             )
 
     def _remaining_run_times(self, now):
@@ -68,6 +70,7 @@
             (owned, task)
             for owned, task in spillover.movable_tasks(waiting, self._remaining_run_times(now), now)
             if owned.work.service == offer.service
+            and (offer.last_priority is None or owned.work.priority <= offer.last_priority)
         ]
         released = spillover.assign_tasks(
             candidates, offer.rooms, self.owner.speeds.fastest_speed(), now
