Share a pool under pressure between queues of one priority

A queue that floods a pool got all of it, since in-time jobs are ordered by latest start alone. Pressure no longer needs several priorities, as the queues of one may compete.

--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -174,12 +174,12 @@
     8070,
     "pool_under_pressure",
     logging.INFO,
-    "Jobs of different priorities compete for a pool that is nearly full, so its owner reserves "
-    "capacity for urgent ones.",
+    "Jobs compete for a pool that is nearly full, so its owner reserves capacity for urgent ones "
+    "and shares it between queues of one priority.",
 )
 POOL_PRESSURE_ENDED = event.define(
     8071,
     "pool_pressure_ended",
     logging.INFO,
-    "A pool has not been under pressure for a second; nothing is reserved.",
+    "A pool has not been under pressure for a second; nothing is reserved or shared.",
 )
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -139,7 +139,7 @@
         """The time at which it misses its objective."""
         return self.arrived_at + self.work.objective_s
 
-    def queued(self, fastest: float) -> queue_order.QueuedJob:
+    def queued(self, fastest: float, millicores: int = 0) -> queue_order.QueuedJob:
         """Return what the order of the job depends on.
 
         Parameters
@@ -147,6 +147,8 @@
         fastest : float
             Speed of the fastest server.  A job is late if even that server cannot meet its
             objective.
+        millicores : int
+            Demand of its waiting tasks, needed for fair shares only.
         """
         longest_s = max((step.estimate_s for step in self.work.steps), default=0.0)
         return queue_order.QueuedJob(
@@ -155,6 +157,15 @@
             self.work.priority,
             self.due_at - longest_s / fastest,
             self.has_started,
+            millicores,
+        )
+
+    def waiting_millicores(self) -> int:
+        """Return the demand of the waiting tasks."""
+        return sum(
+            task.step.demand.millicores
+            for task in self.tasks.values()
+            if task.state is TaskState.WAITING
         )
 
     def waiting_tasks(self) -> list[OwnedTask]:
--- a/rosedyke/rerunnable_jobs/reserved_capacity.py
+++ b/rosedyke/rerunnable_jobs/reserved_capacity.py
@@ -1,5 +1,6 @@
 """Applies the reservations for urgent work to the servers of one owner."""
 
+import collections
 import math
 
 import attrs
@@ -31,6 +32,8 @@
     is_urgent_first : bool
         Priority 0 comes first in the queue.  If it uses more than its largest possible reservation,
         it does not, so that other priorities make progress.
+    used_by_queue : dict of str to int
+        Millicores that the running tasks of each queue use.
     refused : dict of (tuple of int, bool) to int
         The smallest demand in millicores that was held back, by the priorities of the reservations
         that apply and whether the task was urgent.  Capacity only decreases while tasks are placed,
@@ -39,6 +42,7 @@
 
     usages: tuple[reservation.Usage, ...] = ()
     is_urgent_first: bool = False
+    used_by_queue: dict[str, int] = attrs.Factory(dict)
     refused: dict[tuple[tuple[int, ...], bool], int] = attrs.Factory(dict)
 
     def applying(
@@ -161,31 +165,30 @@
             return None
         speed = sum(self.owner.speeds.speed_of(state.server.id) for state in states) / len(states)
         reserved = reservation.reservations(measured, capacities, speed, now)
-        if not reserved:
-            return None
         free = [capacity - each for capacity, each in zip(capacities, used, strict=True)]
-        by_priority: dict[int, int] = {}
+        by_priority: collections.Counter[int] = collections.Counter()
+        by_queue: collections.Counter[str] = collections.Counter()
         for state in states:
             for run in state.runs.values():
                 if run.owned is not None and run.demand is not None:
-                    priority = run.owned.work.priority
-                    by_priority[priority] = by_priority.get(priority, 0) + run.demand.millicores
+                    by_priority[run.owned.work.priority] += run.demand.millicores
+                    by_queue[run.owned.work.queue] += run.demand.millicores
         return ServiceCapacity(
             tuple(reservation.usage(level, free, by_priority) for level in reserved),
-            by_priority.get(0, 0) <= reservation.MAX_SHARE * sum(capacities),
+            by_priority[0] <= reservation.MAX_SHARE * sum(capacities),
+            by_queue,
         )
 
     def reserved_millicores(self) -> int:
         """Return the capacity that is reserved now, whether in use or free."""
         return sum(
-            max(usage.reserved.slots * usage.reserved.slot_millicores for usage in each.usages)
+            max(
+                (usage.reserved.slots * usage.reserved.slot_millicores for usage in each.usages),
+                default=0,
+            )
             for each in self.pressed.values()
         )
 
-    def is_urgent_first(self, service: str) -> bool:
-        """Return whether priority 0 comes first among the waiting jobs of a service."""
-        return service in self.pressed and self.pressed[service].is_urgent_first
-
     def spare_capacity(self, service: str, free_millicores: int, priority: int) -> int:
         """Return how much of a server's free capacity may be offered to tasks of a priority.
 
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -72,13 +72,21 @@
     def order_jobs(self, jobs: list[owned_job.OwnedJob], now: float) -> list[owned_job.OwnedJob]:
         """Return waiting jobs in scheduling order."""
         fastest = self.owner.fastest_speed()
-        urgent_first, others = [], []
-        for owned in jobs:
-            is_first = self.reserved.is_urgent_first(owned.work.service)
-            (urgent_first if is_first else others).append(owned.queued(fastest))
+        pressed = self.reserved.pressed
+        others = [owned.queued(fastest) for owned in jobs if owned.work.service not in pressed]
+        ordered = queue_order.order_jobs(others, now)
         # Jobs of different services do not compete, so their relative order has no effect.
-        ordered = queue_order.order_jobs(urgent_first, now, True)
-        ordered += queue_order.order_jobs(others, now)
+        for service, capacity in pressed.items():
+            ordered += queue_order.order_jobs(
+                [
+                    owned.queued(fastest, owned.waiting_millicores())
+                    for owned in jobs
+                    if owned.work.service == service
+                ],
+                now,
+                capacity.is_urgent_first,
+                capacity.used_by_queue,
+            )
         return [queued.key for queued in ordered]
 
     def _place_job(self, owned, allocated, running_tasks, now):
--- a/rosedyke/rerunnable_jobs/scheduling_test.py
+++ b/rosedyke/rerunnable_jobs/scheduling_test.py
@@ -394,6 +394,20 @@
         self.assertEqual([urgent.outcome for urgent in submissions[0]], [DONE] * 100)
         self.assertLess(mean_end[True], mean_end[False] - 1.0)
 
+    def test_queues_of_one_priority_share_a_full_pool(self):
+        # Guards against a queue that floods a pool while a second one gets only what is left.
+        timing = settings.RerunSettings(schedules_by_kind=True)
+        region = rerun_region.Region({"a": 1}, timing=timing)
+        region.run(STARTUP_S)
+        flood = [region.submit("a-1", f"f{n}", 3, 0.3, 6.0, queue="flood") for n in range(60)]
+        region.run(0.2)
+        few = [region.submit("a-1", f"o{n}", 3, 0.3, 6.0, queue="few") for n in range(6)]
+        region.run(1.1)
+        self.assertEqual([submission.outcome for submission in few], [DONE] * 6)
+        region.run(5.0)
+        self.assertNotIn(None, [submission.outcome for submission in flood])
+        self.assertEqual(region.backend.violations, [])
+
     def test_offer_leaves_the_reservation_to_urgent_tasks(self):
         # Guards against long tasks of a full pool that take the capacity reserved in another one.
         region = rerun_region.Region(
--- a/rosedyke/scheduling/queue_order.py
+++ b/rosedyke/scheduling/queue_order.py
@@ -1,10 +1,12 @@
 """Orders waiting jobs by latest start time, and by priority while the pool is under pressure.
 
 Load: short jobs wait behind long ones that have slack, and more jobs wait than can meet their
-objective.  In first-come, first-served order the short ones would miss theirs.
+objective.  In first-come, first-served order the short ones would miss theirs.  Several queues of
+one priority compete, and the one with the most jobs would get nearly all of the capacity.
 """
 
-from collections.abc import Hashable, Iterable
+import heapq
+from collections.abc import Hashable, Iterable, Mapping
 
 import attrs
 
@@ -38,7 +40,10 @@
 
 
 def order_jobs(
-    jobs: Iterable[QueuedJob], now: float, is_under_pressure: bool = False
+    jobs: Iterable[QueuedJob],
+    now: float,
+    is_under_pressure: bool = False,
+    used_by_queue: Mapping[str, int] | None = None,
 ) -> list[QueuedJob]:
     """Return waiting jobs in scheduling order.
 
@@ -50,13 +55,56 @@
     ----------
     is_under_pressure : bool
         Priority 0 comes first among the jobs that can still meet their objective.
+    used_by_queue : mapping of str to int or None
+        Millicores that the running tasks of each queue use.  Queues of one priority then share the
+        capacity: within a group, each place of the priority goes to the queue that uses least.
     """
 
-    def key(queued):
+    def group(queued):
         is_late = queued.latest_start < now
         rank = queued.priority if is_late else 0
         if is_under_pressure and not is_late:
             rank = min(queued.priority, 1)
-        return (is_late, rank, not queued.has_started, queued.latest_start)
+        return (is_late, rank, not queued.has_started)
+
+    def key(queued):
+        return (*group(queued), queued.latest_start)
+
+    ordered = sorted(jobs, key=key)
+    if used_by_queue is None:
+        return ordered
+    return _shared(ordered, group, used_by_queue)
 
-    return sorted(jobs, key=key)
+
+def _shared(ordered, group, used_by_queue):
+    """Return the jobs so that queues of one priority take turns within a group, by their usage.
+
+    The places of each priority stay the same, and so does the order within each queue.
+    """
+    queues: dict[tuple, dict[str, list[QueuedJob]]] = {}
+    for queued in reversed(ordered):
+        by_queue = queues.setdefault((group(queued), queued.priority), {})
+        by_queue.setdefault(queued.queue, []).append(queued)
+    # Capacity that the jobs placed earlier in the order will use counts as well.
+    used = dict(used_by_queue)
+    heaps = {}
+    result = []
+    for place in ordered:
+        turn = (group(place), place.priority)
+        by_queue = queues[turn]
+        if len(by_queue) == 1:
+            queued = by_queue[place.queue].pop()
+        else:
+            if turn not in heaps:
+                heaps[turn] = [(used.get(queue, 0), queue) for queue in sorted(by_queue)]
+                heapq.heapify(heaps[turn])
+            queue = heaps[turn][0][1]
+            queued = by_queue[queue].pop()
+            if by_queue[queue]:
+                usage = heaps[turn][0][0] + queued.millicores
+                heapq.heapreplace(heaps[turn], (usage, queue))
+            else:
+                heapq.heappop(heaps[turn])
+        used[queued.queue] = used.get(queued.queue, 0) + queued.millicores
+        result.append(queued)
+    return result
--- a/rosedyke/scheduling/queue_order_test.py
+++ b/rosedyke/scheduling/queue_order_test.py
@@ -52,3 +52,27 @@
             queue_order.QueuedJob("urgent", "q", 0, 3.0, False),
         ]
         self.assertEqual(ordered(jobs, 0.0, True), ["urgent", "started", "new"])
+
+
+class FairShares(unittest.TestCase):
+    def order(self, used, jobs):
+        return [job.key for job in queue_order.order_jobs(jobs, 0.0, True, used)]
+
+    def test_queues_of_one_priority_take_turns_by_their_usage(self):
+        # Guards against a queue that floods the pool and leaves nothing to another one.
+        flood = [queue_order.QueuedJob(f"f{n}", "flood", 1, 1 + n, False, 10) for n in range(4)]
+        other = [queue_order.QueuedJob(f"o{n}", "other", 1, 9 + n, False, 10) for n in range(2)]
+        jobs = flood + other
+        self.assertEqual(self.order({"flood": 15}, jobs), ["o0", "o1", "f0", "f1", "f2", "f3"])
+        self.assertEqual(self.order({"other": 15}, jobs)[:4], ["f0", "f1", "o0", "f2"])
+
+    def test_shares_change_nothing_between_priorities_and_groups(self):
+        jobs = [
+            queue_order.QueuedJob("late", "a", 1, -1.0, False, 10),
+            queue_order.QueuedJob("urgent", "b", 0, 5.0, False, 10),
+            queue_order.QueuedJob("long", "c", 2, 1.0, False, 10),
+            queue_order.QueuedJob("started", "d", 1, 2.0, True, 10),
+            queue_order.QueuedJob("new", "e", 1, 0.5, False, 10),
+        ]
+        expected = ["urgent", "started", "new", "long", "late"]
+        self.assertEqual(self.order({"b": 99, "d": 99, "e": 99}, jobs), expected)
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -172,12 +172,13 @@
         duration_s: float = 0.1,
         timeout_s: float = 5,
         priority: int = 0,
+        queue: str = "tags",
     ) -> "Submission":
         """Submit a job to an instance as a caller does."""
         self.backend.durations[job_id] = duration_s
         step = job.Step(count, job.Demand(1000, 64), duration_s)
         rerun_job = job.Job(
-            job_id, "tags", SERVICE, "{}", (step,), priority, 3, 1.6 * duration_s + 1.0, timeout_s
+            job_id, queue, SERVICE, "{}", (step,), priority, 3, 1.6 * duration_s + 1.0, timeout_s
         )
         submission = Submission(self.runtime.signal())
         member = self.members[name]
