Hold wide jobs for more room in a pool under pressure

Tasks of a wide job were placed one by one, so some occupied capacity long before the others of the job could start.

--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -5,7 +5,7 @@
 import attrs
 
 from rosedyke.rerunnable_jobs import job, messages, settings
-from rosedyke.scheduling import queue_order
+from rosedyke.scheduling import placement_group, queue_order
 
 
 class TaskState(enum.Enum):
@@ -74,6 +74,8 @@
     submitted_at : float
         When the holder sent this submission, on the local clock.  It renews with no earlier owner
         since.
+    hold : Hold or None
+        Whether it waits, or has waited, for capacity for more of its tasks.
     """
 
     work: job.Job
@@ -87,6 +89,7 @@
     has_started: bool = False
     moves: int = 0
     submitted_at: float = 0.0
+    hold: placement_group.Hold | None = None
 
     @classmethod
     def from_message(cls, message: messages.Submit, now: float) -> "OwnedJob":
