--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -5,7 +5,7 @@
 import attrs
 
 from rosedyke.rerunnable_jobs import job, messages, settings
-from rosedyke.scheduling import queue_order
+from rosedyke.scheduling import placement_group, queue_order
 
 
 class TaskState(enum.Enum):
@@ -83,6 +83,8 @@
         since.
     has_started_elsewhere : bool
         Another owner may have sent a start command for one of its tasks.
+    hold : Hold or None
+        Whether it waits, or has waited, for capacity for more of its tasks.
     """
 
     work: job.Job
@@ -97,6 +99,7 @@
     moves: int = 0
     submitted_at: float = 0.0
     has_started_elsewhere: bool = False
+    hold: placement_group.Hold | None = None
 
     @classmethod
     def from_message(cls, message: messages.Submit, now: float) -> "OwnedJob":
@@ -157,7 +160,7 @@
         """The time at which it misses its objective."""
         return self.arrived_at + self.work.objective_s
 
-    def queued(self, fastest: float) -> queue_order.QueuedJob:
+    def queued(self, fastest: float, millicores: int = 0) -> queue_order.QueuedJob:
         """Return what the order of the job depends on.
 
         Parameters
@@ -165,6 +168,8 @@
         fastest : float
             Speed of the fastest server.  A job is late if even that server cannot meet its
             objective.
+        millicores : int
+            Demand of its waiting tasks, needed for fair shares only.
         """
         longest_s = max((step.estimate_s for step in self.work.steps), default=0.0)
         return queue_order.QueuedJob(
@@ -173,6 +178,15 @@
             self.work.priority,
             self.due_at - longest_s / fastest,
             self.has_started,
+            millicores,
+        )
+
+    def waiting_millicores(self) -> int:
+        """Return the demand of the waiting tasks."""
+        return sum(
+            task.step.demand.millicores
+            for task in self.tasks.values()
+            if task.state is TaskState.WAITING
         )
 
     def waiting_tasks(self) -> list[OwnedTask]:
--- a/rosedyke/rerunnable_jobs/reserved_capacity.py
+++ b/rosedyke/rerunnable_jobs/reserved_capacity.py
@@ -1,11 +1,20 @@
 """Applies the reservations for urgent work to the servers of one owner."""
 
+import collections
 import math
 
 import attrs
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import events, job, metrics, owned_job, refusals, server_state
+from rosedyke.rerunnable_jobs import (
+    events,
+    job,
+    messages,
+    metrics,
+    owned_job,
+    refusals,
+    server_state,
+)
 from rosedyke.scheduling import reservation
 
 # The utilisation varies from run to run; the end of the pressure is logged after this long without.
@@ -23,6 +32,8 @@
     is_urgent_first : bool
         Priority 0 comes first in the queue.  If it uses more than its largest possible reservation,
         it does not, so that other priorities make progress.
+    used_by_queue : dict of str to int
+        Millicores that the running tasks of each queue use.
     refused : dict of (tuple of int, bool) to int
         The smallest demand in millicores that was held back, by the priorities of the reservations
         that apply and whether the task was urgent.  Capacity only decreases while tasks are placed,
@@ -31,6 +42,7 @@
 
     usages: tuple[reservation.Usage, ...] = ()
     is_urgent_first: bool = False
+    used_by_queue: dict[str, int] = attrs.Factory(dict)
     refused: dict[tuple[tuple[int, ...], bool], int] = attrs.Factory(dict)
 
     def applying(
@@ -153,46 +165,66 @@
             return None
         speed = sum(self.owner.speeds.speed_of(state.server.id) for state in states) / len(states)
         reserved = reservation.reservations(measured, capacities, speed, now)
-        if not reserved:
-            return None
         free = [capacity - each for capacity, each in zip(capacities, used, strict=True)]
-        by_priority: dict[int, int] = {}
+        by_priority: collections.Counter[int] = collections.Counter()
+        by_queue: collections.Counter[str] = collections.Counter()
         for state in states:
             for run in state.runs.values():
                 if run.owned is not None and run.demand is not None:
-                    priority = run.owned.work.priority
-                    by_priority[priority] = by_priority.get(priority, 0) + run.demand.millicores
+                    by_priority[run.owned.work.priority] += run.demand.millicores
+                    by_queue[run.owned.work.queue] += run.demand.millicores
         return ServiceCapacity(
             tuple(reservation.usage(level, free, by_priority) for level in reserved),
-            by_priority.get(0, 0) <= reservation.MAX_SHARE * sum(capacities),
+            by_priority[0] <= reservation.MAX_SHARE * sum(capacities),
+            by_queue,
         )
 
     def reserved_millicores(self) -> int:
         """Return the capacity that is reserved now, whether in use or free."""
         return sum(
-            max(usage.reserved.slots * usage.reserved.slot_millicores for usage in each.usages)
+            max(
+                (usage.reserved.slots * usage.reserved.slot_millicores for usage in each.usages),
+                default=0,
+            )
             for each in self.pressed.values()
         )
 
-    def is_urgent_first(self, service: str) -> bool:
-        """Return whether priority 0 comes first among the waiting jobs of a service."""
-        return service in self.pressed and self.pressed[service].is_urgent_first
+    def spare_capacity(self, service: str, free_millicores: int, priority: int) -> int:
+        """Return how much of a server's free capacity may be offered to tasks of a priority.
 
-    def take_for_offer(self, service: str, free_millicores: int) -> int:
-        """Return how much of a server's free capacity may be offered to another pool.
-
-        The tasks to come are unknown, so an offer contains only what remains above every
-        reservation.
+        The lengths of the tasks are unknown, so every reservation for priorities above applies.
         """
         capacity = self.pressed.get(service)
         if capacity is None:
             return free_millicores
-        offered = min(usage.spare(free_millicores) for usage in capacity.usages)
-        capacity.usages = tuple(
-            usage.after(usage.reserved.priority + 1, offered, free_millicores)
+        spare = [
+            usage.spare(free_millicores)
             for usage in capacity.usages
-        )
-        return offered
+            if usage.reserved.priority < priority
+        ]
+        return min(spare, default=free_millicores)
+
+    def record_offer(
+        self, service: str, millicores: int, free_millicores: int, priority: int
+    ) -> None:
+        """Account for the capacity of a server that was offered to tasks of a priority."""
+        capacity = self.pressed.get(service)
+        if capacity is not None:
+            capacity.usages = tuple(
+                usage.after(priority, millicores, free_millicores) for usage in capacity.usages
+            )
+
+    def last_offered_priority(self, request: messages.CapacityRequest) -> int | None:
+        """Return the last priority whose tasks may use an offer, None if there is no limit."""
+        return request.priority if request.service in self.pressed else None
+
+    def count_allowed(self, owned: owned_job.OwnedJob, task: owned_job.OwnedTask) -> float:
+        """Return how many tasks equal to one the reservations allow now."""
+        capacity = self.pressed.get(owned.work.service)
+        if capacity is None:
+            return math.inf
+        usages = capacity.applying(owned, task)
+        return min((usage.spare_slots() for usage in usages), default=math.inf)
 
     def holds_back(self, owned: owned_job.OwnedJob, task: owned_job.OwnedTask, now: float) -> bool:
         """Return whether an equal or smaller task of the priority was just held back."""
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -173,6 +173,7 @@
         timeout_s: float = 5,
         priority: int = 0,
         objective_s: float | None = None,
+        queue: str = "tags",
     ) -> "Submission":
         """Submit a job to an instance as a caller does."""
         if objective_s is None:
@@ -180,7 +181,7 @@
         self.backend.durations[job_id] = duration_s
         step = job.Step(count, job.Demand(1000, 64), duration_s)
         rerun_job = job.Job(
-            job_id, "tags", SERVICE, "{}", (step,), priority, 3, objective_s, timeout_s
+            job_id, queue, SERVICE, "{}", (step,), priority, 3, objective_s, timeout_s
         )
         submission = Submission(self.runtime.signal(), submitted_at=self.runtime.now())
         member = self.members[name]
