Overload: account of the bytes handed to the instance's link

Cause: on links of 2 Mbit/s nothing knew that more was sent than the link carries; messages queued in socket buffers. Change: LinkUsage is a leaky bucket for each direction, OwnDelay holds both. The HTTP client, the transport and the callers' servers record what they hand to sockets and read from them.

--- a/rosedyke/callers/connection.py
+++ b/rosedyke/callers/connection.py
@@ -15,6 +15,7 @@
 from rosedyke.callers import events, metrics, problem, settings
 from rosedyke.job import answer, code
 from rosedyke.observe import event, metric
+from rosedyke.overload import own_delay
 
 # Limits on the input that is discarded after a refusal.
 LINGER_TIMEOUT_S = 1.0
@@ -53,20 +54,25 @@
     the socket's timeout restarts with each byte sent.
     """
 
-    def __init__(self, file, connection, timeout_s: float):
+    def __init__(self, file, connection, timeout_s: float, delay: own_delay.OwnDelay | None):
         self.file = file
         self.connection = connection
         self.timeout_s = timeout_s
+        self.delay = delay
 
     def __getattr__(self, name):
         return getattr(self.file, name)
 
     def writelines(self, chunks):
         """Write several chunks."""
+        if self.delay is not None:
+            self.delay.record_sent(sum(map(len, chunks)))
         self._write_with_timeout(self.file.writelines, chunks)
 
     def write(self, chunk):
         """Write one chunk."""
+        if self.delay is not None:
+            self.delay.record_sent(len(chunk))
         self._write_with_timeout(self.file.write, chunk)
 
     def flush(self):
@@ -94,6 +100,7 @@
     limits: settings.CallersSettings
     is_draining: bool
     connections: "set[Connection]"
+    delay: own_delay.OwnDelay | None
 
 
 class Connection(wsgi.HttpProtocol):
@@ -118,7 +125,7 @@
         super().setup()
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
         self.wfile = _TimeoutWriter(
-            self.wfile, self.connection, self.request_limits.write_timeout_s
+            self.wfile, self.connection, self.request_limits.write_timeout_s, self.owner.delay
         )
 
     def handle_one_request(self):
@@ -191,13 +198,21 @@
             self.raw_requestline = self.rfile.readline()
             self.is_readable = self.parse_request()
         finally:
+            header_bytes = self.request_limits.max_header_bytes - self.rfile.remaining_bytes
             self.rfile = original_file
+            self._record_received(header_bytes)
+
+    def _record_received(self, size):
+        if self.owner.delay is not None:
+            self.owner.delay.record_received(size)
 
     def _serve(self):
         framing_error = self._find_framing_error()
         if framing_error:
             self.refuse(code.Code.MALFORMED, framing_error)
             return
+        # Bodies in chunks have no length here; the few that callers send are not recorded.
+        self._record_received(int(self.headers.get("content-length") or 0))
         self.environ = self.get_environ()
         self.environ["rosedyke.refused"] = self._close_if_unread
         self.environ["rosedyke.connection"] = self.connection
--- a/rosedyke/callers/server.py
+++ b/rosedyke/callers/server.py
@@ -15,6 +15,7 @@
 from rosedyke.callers import connection, events, metrics, settings
 from rosedyke.job import answer, code
 from rosedyke.observe import event, metric
+from rosedyke.overload import own_delay
 
 LISTEN_BACKLOG = 1024
 RETRY_AFTER_S = 1.0
@@ -41,10 +42,19 @@
         The WSGI application.
     limits : CallersSettings
         Limits on connections and requests.
+    delay : OwnDelay or None
+        Account of the instance's link; None if it is unlimited.
     """
 
-    def __init__(self, address: str, application, limits: settings.CallersSettings):
+    def __init__(
+        self,
+        address: str,
+        application,
+        limits: settings.CallersSettings,
+        delay: own_delay.OwnDelay | None = None,
+    ):
         self.limits = limits
+        self.delay = delay
         self.connections: set[connection.Connection] = set()
         self.is_draining = False
         self.serving_pool = eventlet.GreenPool(limits.max_connections)
--- a/rosedyke/gateways/http_client.py
+++ b/rosedyke/gateways/http_client.py
@@ -9,6 +9,7 @@
 
 from rosedyke import fault
 from rosedyke.gateways import http_connection
+from rosedyke.overload import own_delay
 from rosedyke.runtime import Runtime
 
 # Connections used more recently are reused unchecked, which saves a system call for long polls.
@@ -60,11 +61,23 @@
 
 
 class HttpClient:
-    """Sends requests to any number of addresses, one at a time on each connection."""
+    """Sends requests to any number of addresses, one at a time on each connection.
 
-    def __init__(self, client_settings: HttpClientSettings, runtime: Runtime):
+    Parameters
+    ----------
+    delay : OwnDelay or None
+        Account of the instance's link; None if it is unlimited.
+    """
+
+    def __init__(
+        self,
+        client_settings: HttpClientSettings,
+        runtime: Runtime,
+        delay: own_delay.OwnDelay | None = None,
+    ):
         self.settings = client_settings
         self.runtime = runtime
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.idle_connections: dict[str, list[http_connection.Connection]] = {}
 
     def request(
@@ -130,7 +143,7 @@
 
     def _connect(self, address):
         return http_connection.connect(
-            address, self.settings.dead_peer_timeout_s, self.runtime.now()
+            address, self.settings.dead_peer_timeout_s, self.runtime.now(), self.delay
         )
 
     def _release_connection(self, address, connection):
--- a/rosedyke/gateways/http_connection.py
+++ b/rosedyke/gateways/http_connection.py
@@ -13,6 +13,8 @@
 import eventlet.hubs
 import httptools
 
+from rosedyke.overload import own_delay
+
 KEEPALIVE_PROBE_COUNT = 3
 FIRST_FINAL_STATUS = 200
 RECEIVE_BUFFER_BYTES = 64 * 1024
@@ -41,11 +43,14 @@
         ``ip:port`` of the server.
     last_used_at : float
         When it last received a response, or was opened.
+    delay : OwnDelay or None
+        Account of the instance's link, to which the bytes are added.
     """
 
     sock: eventlet.green.socket.socket | None
     address: str
     last_used_at: float
+    delay: own_delay.OwnDelay | None = None
 
     def is_dropped(self) -> bool:
         """Return whether the server has closed the connection or sent unsolicited data."""
@@ -62,6 +67,8 @@
 
     def send(self, data: bytes) -> None:
         """Send all of the data."""
+        if self.delay is not None:
+            self.delay.record_sent(len(data))
         self.sock.sendall(data)
 
     def receive(self) -> bytes:
@@ -72,9 +79,12 @@
             # call.
             eventlet.hubs.trampoline(raw_socket.fileno(), read=True)
             try:
-                return raw_socket.recv(RECEIVE_BUFFER_BYTES)
+                data = raw_socket.recv(RECEIVE_BUFFER_BYTES)
             except BlockingIOError:
                 continue
+            if self.delay is not None:
+                self.delay.record_received(len(data))
+            return data
 
     def close(self) -> None:
         """Close the connection; later calls have no effect."""
@@ -177,13 +187,18 @@
             self.has_headers = False
 
 
-def connect(address: str, dead_peer_timeout_s: float, now: float) -> Connection:
+def connect(
+    address: str,
+    dead_peer_timeout_s: float,
+    now: float,
+    delay: own_delay.OwnDelay | None = None,
+) -> Connection:
     """Open a connection; raises one of ``TRANSPORT_ERRORS``."""
     host, port = address.rsplit(":", 1)
     sock = eventlet.green.socket.create_connection((host, int(port)))
     for option in socket_options(dead_peer_timeout_s):
         sock.setsockopt(*option)
-    return Connection(sock, address, now)
+    return Connection(sock, address, now, delay)
 
 
 def send_request(
--- /dev/null
+++ b/rosedyke/overload/link.py
@@ -0,0 +1,40 @@
+"""Account of the bytes that an instance has handed to its network link.
+
+Load: more bytes are handed to sockets than the link carries.  They queue in the socket buffers,
+and every later message waits behind them.
+"""
+
+# Headers of TCP, IP and the link layer for each message.
+MESSAGE_OVERHEAD_BYTES = 60
+
+
+class LinkUsage:
+    """A leaky bucket that empties at the rate of one direction of the link.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Rate of the link, 0 if it is unlimited.
+
+    Attributes
+    ----------
+    idle_at : float
+        When the link has carried everything that was handed to it.
+    """
+
+    def __init__(self, bytes_per_s: float = 0.0):
+        self.bytes_per_s = bytes_per_s
+        self.idle_at = 0.0
+
+    def record(self, size: int, now: float) -> None:
+        """Add a message of ``size`` bytes."""
+        if self.bytes_per_s:
+            self.idle_at = max(self.idle_at, now) + self.transmission_s(size)
+
+    def backlog_s(self, now: float) -> float:
+        """Return the time that the recorded messages still take to leave."""
+        return max(0.0, self.idle_at - now)
+
+    def transmission_s(self, size: int) -> float:
+        """Return the time that one message of ``size`` bytes takes on the link."""
+        return (size + MESSAGE_OVERHEAD_BYTES) / self.bytes_per_s if self.bytes_per_s else 0.0
--- /dev/null
+++ b/rosedyke/overload/own_delay.py
@@ -0,0 +1,46 @@
+"""Delay that an instance itself adds to its messages.
+
+Load: the instance's link or processor is the bottleneck, so its peers and servers look slow.
+"""
+
+from rosedyke import runtime as runtime_module
+from rosedyke.overload import link
+
+
+class OwnDelay:
+    """The delay of one instance; every component that sends or receives shares the object.
+
+    Parameters
+    ----------
+    link_bytes_per_s : float
+        Rate of the instance's link in each direction, 0 if it is unlimited.
+
+    Attributes
+    ----------
+    outgoing, incoming : LinkUsage
+        The two directions of the link.
+    """
+
+    def __init__(self, runtime: runtime_module.Runtime, link_bytes_per_s: float = 0.0):
+        self.runtime = runtime
+        self.outgoing = link.LinkUsage(link_bytes_per_s)
+        self.incoming = link.LinkUsage(link_bytes_per_s)
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether the link has a limited rate."""
+        return self.outgoing.bytes_per_s > 0
+
+    def record_sent(self, size: int) -> None:
+        """Record a message that is handed to a socket."""
+        if self.outgoing.bytes_per_s:
+            self.outgoing.record(size, self.runtime.now())
+
+    def record_received(self, size: int) -> None:
+        """Record a message that was read from a socket."""
+        if self.incoming.bytes_per_s:
+            self.incoming.record(size, self.runtime.now())
+
+    def delay_s(self, now: float) -> float:
+        """Return the largest of the delays."""
+        return max(self.outgoing.backlog_s(now), self.incoming.backlog_s(now))
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -16,6 +16,7 @@
 from rosedyke import fault
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
+from rosedyke.overload import own_delay
 from rosedyke.wire import (
     codec,
     curve_keys,
@@ -99,11 +100,19 @@
         Address, key and limits.
     runtime : runtime.Runtime
         Tasks and time.
+    delay : OwnDelay or None
+        Account of the instance's link; None if it is unlimited.
     """
 
-    def __init__(self, options: settings.TransportSettings, runtime: runtime_module.Runtime):
+    def __init__(
+        self,
+        options: settings.TransportSettings,
+        runtime: runtime_module.Runtime,
+        delay: own_delay.OwnDelay | None = None,
+    ):
         self.options = options
         self.runtime = runtime
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.version = options.protocol_version or codec.PROTOCOL_VERSION
         self.own = peer.Peer(
             options.name, new_incarnation_after(0), options.data_centre, options.address
@@ -290,10 +299,12 @@
     def _count_sent(self, frame):
         self.traffic.messages_sent += 1
         self.traffic.bytes_sent += len(frame)
+        self.delay.record_sent(len(frame))
 
     def _count_received(self, frame):
         self.traffic.messages_received += 1
         self.traffic.bytes_received += len(frame)
+        self.delay.record_received(len(frame))
 
     def _read(self):
         while True:
--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -6,6 +6,7 @@
 
 from rosedyke.daemon import eventlet_runtime
 from rosedyke.observe import metric
+from rosedyke.overload import own_delay
 from rosedyke.wire import codec, curve_keys, envelope, metrics, peer, settings, transport
 
 LONG_S = 30.0  # reached only when a test fails
@@ -96,6 +97,17 @@
                 b.handle(Question, echo)
                 self.assertEqual(a.request(b.own, Question("hi"), LONG_S), Question("a: hi"))
 
+    def test_link_account_contains_the_frames_of_both_directions(self):
+        # Guards against messages between instances that fill the link unnoticed.
+        a, b = start(self, "a"), start(self, "b")
+        a.delay = own_delay.OwnDelay(a.runtime, 1.0)
+        b.handle(Question, echo)
+        a.request(b.own, Question("x" * 500), LONG_S)
+        now = a.runtime.now()
+        self.assertGreater(
+            min(a.delay.outgoing.backlog_s(now), a.delay.incoming.backlog_s(now)), 500
+        )
+
     def test_many_requests_at_once_each_get_their_own_reply(self):
         a, b = start(self, "a"), start(self, "b")
 
