Overload: starts and submissions wait for capacity on the link

Cause: an owner whose link was offered more than it carries sent all start commands at once. Commands and renewals behind them timed out, and the repetitions kept the link full. Change: an owner places no further job while the backlog of its link, with the starts placed but not yet sent, exceeds 20 ms, and goes on when it is below. A holder queues its submissions in the same way, in the order of arrival. Control messages are sent regardless. Resubmissions to a successor and moves to offered capacity are not held, since runs and offers wait for them only briefly. The virtual network and the simulated servers get links with a rate.

--- a/rosedyke/overload/link.py
+++ b/rosedyke/overload/link.py
@@ -20,17 +20,28 @@
     ----------
     idle_at : float
         When the link has carried everything that was handed to it.
+    reserved_s : float
+        Time on the link of messages that will be handed to it in a moment.
     """
 
     def __init__(self, bytes_per_s: float = 0.0):
         self.bytes_per_s = bytes_per_s
         self.idle_at = 0.0
+        self.reserved_s = 0.0
 
     def record(self, size: int, now: float) -> None:
         """Add a message of ``size`` bytes."""
         if self.bytes_per_s:
             self.idle_at = max(self.idle_at, now) + self.transmission_s(size)
 
+    def reserve(self, size: int) -> None:
+        """Count a message of ``size`` bytes that another task will hand over."""
+        self.reserved_s += self.transmission_s(size)
+
+    def release(self, size: int) -> None:
+        """End a reservation, because the message is handed over or dropped now."""
+        self.reserved_s = max(0.0, self.reserved_s - self.transmission_s(size))
+
     def backlog_s(self, now: float) -> float:
         """Return the time that the recorded messages still take to leave."""
         return max(0.0, self.idle_at - now)
--- a/rosedyke/overload/own_delay.py
+++ b/rosedyke/overload/own_delay.py
@@ -6,6 +6,12 @@
 from rosedyke import runtime as runtime_module
 from rosedyke.overload import link
 
+# Work waits while the link's backlog is longer, so that control messages, which never wait, are
+# delayed by at most this and the start commands of one job.
+START_BACKLOG_S = 0.02
+# Shortest wait; shorter ones cost more processor time than they gain.
+MIN_HOLD_S = 0.001
+
 
 class OwnDelay:
     """The delay of one instance; every component that sends or receives shares the object.
@@ -41,6 +47,13 @@
         if self.incoming.bytes_per_s:
             self.incoming.record(size, self.runtime.now())
 
+    def hold_s(self, now: float) -> float:
+        """Return how long new work has to wait for the link, 0 if it may be sent now."""
+        committed_s = self.outgoing.backlog_s(now) + self.outgoing.reserved_s
+        if committed_s <= START_BACKLOG_S:
+            return 0.0
+        return max(MIN_HOLD_S, committed_s - START_BACKLOG_S)
+
     def delay_s(self, now: float) -> float:
         """Return the largest of the delays."""
         return max(self.outgoing.backlog_s(now), self.incoming.backlog_s(now))
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -1,11 +1,13 @@
 """Holds the jobs of an instance's callers: submits them to pools and returns their outcomes."""
 
+import collections
 import itertools
 from collections.abc import Callable
 from typing import Any
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     events,
     fleet_view,
@@ -38,6 +40,8 @@
         The known pool owners.
     indexed_pools : PoolIndex
         The backend servers by pool.
+    delay : OwnDelay
+        The instance's own delay.
     """
 
     def __init__(
@@ -48,7 +52,11 @@
         view: fleet_view.FleetView,
         indexed_pools: pool_index.PoolIndex,
         submit: Callable[[messages.Instance, messages.Submit], None],
+        delay: own_delay.OwnDelay,
     ):
+        self.delay = delay
+        # Submissions that wait for capacity on the link, in the order of their arrival.
+        self.awaiting_link: collections.deque = collections.deque()
         self.timing = timing
         self.runtime = runtime
         self.peers = peers
@@ -186,10 +194,29 @@
 
     def _assign_pools(self, pending, task_names, moves=0):
         """Start submitting tasks of a job to pools."""
-        if not pending.is_withdrawn:
-            self.runtime.spawn(
-                self._submit_when_owned, pending, task_names, moves, pending.withdrawals
-            )
+        if pending.is_withdrawn:
+            return
+        submission = (pending, task_names, moves, pending.withdrawals)
+        if not self.delay.is_limited:
+            self.runtime.spawn(self._submit_when_owned, *submission)
+            return
+        self.awaiting_link.append(submission)
+        if len(self.awaiting_link) == 1:
+            self.runtime.spawn(self._submit_waiting)
+
+    def _submit_waiting(self):
+        """Submit the waiting jobs one by one, as the link gets capacity for them."""
+        while self.awaiting_link:
+            if self.awaiting_link[0][0].ended.is_set():
+                self.awaiting_link.popleft()
+                continue
+            hold_s = self.delay.hold_s(self.runtime.now())
+            if hold_s:
+                self.runtime.sleep(hold_s)
+                continue
+            self.runtime.spawn(self._submit_when_owned, *self.awaiting_link[0])
+            self.runtime.sleep(0)  # until the submission is recorded in the link's account
+            self.awaiting_link.popleft()
 
     def resubmit_missing(self, pending: pending_job.PendingJob) -> None:
         """Submit the tasks that are in no part after a withdrawal."""
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -4,6 +4,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     document_sync,
     documents,
@@ -44,6 +45,8 @@
         Returns seconds since 1970; used only for fencing tokens.
     seeds : tuple of str
         Addresses of instances to contact while no other is known.
+    delay : OwnDelay or None
+        The instance's own delay; None if its link is unlimited.
     """
 
     def __init__(
@@ -58,7 +61,9 @@
         shared_documents: documents.Documents,
         wall_clock_s: Callable[[], float],
         seeds: tuple[str, ...] = (),
+        delay: own_delay.OwnDelay | None = None,
     ):
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.this_instance = this_instance
         self.timing = timing
         self.runtime = runtime
@@ -75,7 +80,9 @@
         self.speeds = server_speed.ServerSpeeds()
         self.fleet = fleet_view.FleetView(this_instance, timing, runtime, directory)
         self.pools = pool_index.PoolIndex(registry)
-        self.holder = holder.Holder(timing, runtime, peers, self.fleet, self.pools, self._submit)
+        self.holder = holder.Holder(
+            timing, runtime, peers, self.fleet, self.pools, self._submit, self.delay
+        )
         self.takeovers = takeover.Takeover(
             timing, runtime, peers, self.fleet, self.pools, gateway, self.claim_pool
         )
@@ -172,6 +179,7 @@
             self,
             self.speeds,
             predecessor_servers or self._predecessor_servers(pool),
+            self.delay,
         )
         self.owned_pools[pool] = owned_pool
         metric.count(metrics.POOLS_TAKEN)
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -9,6 +9,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     admission,
     capacity_offers,
@@ -72,6 +73,8 @@
         Returns the servers that the platform lists for the pool.
     predecessor_servers : frozenset of str or None
         The servers that the previous owner used, None if unknown.
+    delay : OwnDelay or None
+        The instance's own delay; None if its link is unlimited.
 
     Attributes
     ----------
@@ -91,7 +94,9 @@
         listener: Listener,
         speeds: server_speed.ServerSpeeds,
         predecessor_servers: frozenset[str] | None = None,
+        delay: own_delay.OwnDelay | None = None,
     ):
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.predecessor_servers = predecessor_servers
         self.timing = timing
         self.runtime = runtime
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -1,7 +1,15 @@
 """Places the waiting tasks of one owner on its servers."""
 
 from rosedyke.observe import metric
-from rosedyke.rerunnable_jobs import job_ordering, metrics, owned_job, placement, server_state
+from rosedyke.overload import own_delay
+from rosedyke.rerunnable_jobs import (
+    job_ordering,
+    metrics,
+    owned_job,
+    placement,
+    server_commands,
+    server_state,
+)
 
 
 class Scheduler:
@@ -11,10 +19,16 @@
     ----------
     owner : PoolOwner
         The owner of the tasks.
+
+    Attributes
+    ----------
+    is_held : bool
+        Tasks wait for the instance's link, and a wake-up is scheduled.
     """
 
     def __init__(self, owner):
         self.owner = owner
+        self.is_held = False
 
     def place_all(self) -> None:
         """Start tasks that fit, request capacity for the others, and offer what is still free."""
@@ -26,6 +40,8 @@
             self.owner.releaser.release_all(waiting)
         elif waiting:
             self._place_jobs(waiting, now)
+        if self.is_held:
+            return
         # Any capacity still free is too small or too slow for the tasks that wait here.
         self.owner.offers.offer_free_capacity(now)
 
@@ -46,10 +62,28 @@
         running_tasks = self.owner.running_tasks()
         unplaced = []
         for owned in job_ordering.order_jobs(waiting, now, self.owner.fastest_speed()):
+            if self._holds_for_link(now):
+                return
             unplaced += self._place_job(owned, allocated, running_tasks, now)
         if unplaced:
             self.owner.releaser.request_capacity_for(unplaced, now)
 
+    def _holds_for_link(self, now):
+        """Return whether the link is too busy for another job, and resume when it is not."""
+        hold_s = self.owner.delay.hold_s(now)
+        if hold_s and not self.is_held:
+            self.is_held = True
+            self.owner.runtime.spawn(self._resume_after, hold_s)
+        return hold_s > 0
+
+    def _resume_after(self, hold_s):
+        # The jitter lets the owners of several pools on one instance take turns.  The link stays
+        # busy meanwhile.
+        jitter_s = self.owner.runtime.random() * own_delay.START_BACKLOG_S / 2
+        self.owner.runtime.sleep(hold_s + jitter_s)
+        self.is_held = False
+        self.owner.wake_scheduler()
+
     def _place_job(self, owned, allocated, running_tasks, now):
         """Place the tasks of a job that fit and return the others."""
         unplaced = []
@@ -105,4 +139,5 @@
             owned=owned,
         )
         state.runs[run.key] = run
+        self.owner.delay.outgoing.reserve(server_commands.start_bytes(owned))
         self.owner.runtime.spawn(self.owner.commands.start, owned, state, run)
--- a/rosedyke/standins/leased_servers.py
+++ b/rosedyke/standins/leased_servers.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from rosedyke.rerunnable_jobs import job, ports
+from rosedyke.overload import own_delay
+from rosedyke.rerunnable_jobs import job, ports, server_commands
 from rosedyke.standins import virtual
 
 NETWORK_DELAY_S = 0.0005
@@ -19,6 +20,8 @@
 CONNECT_TIMEOUT_S = 0.15
 MAX_IDLE_S = 2.5
 MAX_IDLE_CONNECTIONS = 6
+# Size of a command without a payload, and of its reply.
+COMMAND_BYTES = 250
 # When TCP sends lost bytes again, counted from the first time.  The sender need not be waiting.
 RETRANSMISSIONS_S = (0.2, 0.6, 1.4, 3.0)
 
@@ -244,21 +247,35 @@
 class SimulatedGateway:
     """Implements ``ports.ServerGateway`` for one instance.
 
+    Parameters
+    ----------
+    delay : OwnDelay or None
+        The instance's link, None if it is unlimited.
+
     Attributes
     ----------
     idle_connections : dict of str to list of float
         When each idle connection was last used, by server id.
     """
 
-    def __init__(self, world: SimulatedBackend, instance: str):
+    def __init__(
+        self, world: SimulatedBackend, instance: str, delay: own_delay.OwnDelay | None = None
+    ):
         self.world = world
         self.runtime = world.runtime
+        self.delay = delay or own_delay.OwnDelay(world.runtime)
         self.instance = instance
         self.idle_connections: dict[str, list[float]] = {}
 
     def start(self, server: ports.Server, command: ports.StartCommand, timeout_s: float) -> None:
         """Start a run."""
-        self._send("start", server, timeout_s, lambda target: target.start(command, self.instance))
+        self._send(
+            "start",
+            server,
+            timeout_s,
+            lambda target: target.start(command, self.instance),
+            server_commands.START_HEADER_BYTES + len(command.payload),
+        )
 
     def stop(self, server, task: str, run: int, token: int, timeout_s: float) -> None:
         """Stop a run."""
@@ -283,7 +300,7 @@
         """Close the idle connections to a server."""
         self.idle_connections.pop(server_id, None)
 
-    def _send(self, kind, server, timeout_s, action):
+    def _send(self, kind, server, timeout_s, action, size=COMMAND_BYTES):
         """Send a command over TCP and wait for its reply.
 
         Without an idle connection a command to an unreachable server is not sent.  On an idle one
@@ -294,6 +311,7 @@
         delay_s = self.world.fault_injector(kind, self.instance, server.id)
         self._acquire_connection(server.id, timeout_s)
         exchange = Exchange(self.runtime.signal())
+        self.delay.record_sent(size)
         if delay_s is not None:
             self.runtime.spawn(self._execute_late, target, delay_s, action)
         else:
@@ -323,6 +341,7 @@
     def _deliver(self, target, action, exchange):
         """Execute a command, and deliver its reply."""
         born_ms = target.born_ms
+        self._wait_for_link(self.delay.outgoing)
         if not self._transfer(target, born_ms):
             return
         try:
@@ -330,8 +349,14 @@
         except ports.CommandRefused as refusal:
             exchange.refusal = refusal
         if self._transfer(target, born_ms):
+            self.delay.record_received(COMMAND_BYTES)
+            self._wait_for_link(self.delay.incoming)
             exchange.ended.set()
 
+    def _wait_for_link(self, direction):
+        if backlog_s := direction.backlog_s(self.runtime.now()):
+            self.runtime.sleep(backlog_s)
+
     def _transfer(self, target, born_ms):
         """Wait until bytes have arrived; return False if the connection is lost before."""
         self.runtime.sleep(NETWORK_DELAY_S)
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import documents, job, messages, node, ports, settings
 from rosedyke.standins import leased_servers, virtual
 from rosedyke.wire import peer
@@ -68,13 +69,21 @@
         Number of instances by data centre.
     servers : int
         Number of servers in each data centre, with four cores each.
+    link_bytes_per_s : float
+        Rate of each instance's link, 0 if it is unlimited.
     """
 
-    def __init__(self, sizes: dict[str, int], servers: int = 3, seed: int = 1):
+    def __init__(
+        self,
+        sizes: dict[str, int],
+        servers: int = 3,
+        seed: int = 1,
+        link_bytes_per_s: float = 0.0,
+    ):
         self.runtime = virtual.VirtualRuntime(seed)
         self.network = virtual.VirtualNetwork(self.runtime)
         self.backend = leased_servers.SimulatedBackend(self.runtime)
-        self.timing = settings.RerunSettings()
+        self.timing = settings.RerunSettings(link_bytes_per_s=link_bytes_per_s)
         self.members: dict[str, Member] = {}
         for data_centre in sizes:
             for number in range(servers):
@@ -102,6 +111,9 @@
         own = messages.Instance(name, address, data_centre)
         peers = virtual.VirtualPeers(self.network, peer.Peer(name, 1, data_centre, address))
         listed = FakePlatform(self)
+        delay = own_delay.OwnDelay(self.runtime, self.timing.link_bytes_per_s)
+        if delay.is_limited:
+            self.network.links[name] = delay
         rerun_node = node.Node(
             own,
             self.timing,
@@ -109,9 +121,10 @@
             peers,
             listed,
             listed,
-            leased_servers.SimulatedGateway(self.backend, name),
+            leased_servers.SimulatedGateway(self.backend, name, delay),
             documents.Documents(self.runtime),
             lambda: WALL_CLOCK_START_S + self.runtime.now() + clock_s,
+            delay=delay,
         )
         self.members[name] = Member(own, peers, listed, rerun_node, clock_s)
         rerun_node.start()
@@ -157,13 +170,19 @@
             listed.changed()
 
     def submit(
-        self, name: str, job_id: str, count: int = 1, duration_s: float = 0.1, timeout_s: float = 5
+        self,
+        name: str,
+        job_id: str,
+        count: int = 1,
+        duration_s: float = 0.1,
+        timeout_s: float = 5,
+        payload: str = "{}",
     ) -> "Submission":
         """Submit a job to an instance as a caller does."""
         self.backend.durations[job_id] = duration_s
         step = job.Step(count, job.Demand(1000, 64), duration_s)
         rerun_job = job.Job(
-            job_id, "tags", SERVICE, "{}", (step,), 0, 3, 1.6 * duration_s + 1.0, timeout_s
+            job_id, "tags", SERVICE, payload, (step,), 0, 3, 1.6 * duration_s + 1.0, timeout_s
         )
         submission = Submission(self.runtime.signal())
         member = self.members[name]
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -14,10 +14,13 @@
 import attrs
 import greenlet
 
+from rosedyke.overload import own_delay
 from rosedyke.wire import codec, peer
 
 # Far more than any instant of a real run needs.
 MAX_STEPS_PER_INSTANT = 100_000
+# Size of the envelope around each message between instances.
+ENVELOPE_BYTES = 150
 
 
 class LivelockFound(Exception):
@@ -258,6 +261,9 @@
         Pairs of source and target names; their messages are dropped, in that direction only.
     log : list
         ``(time, source name, target name, message)`` of every message sent.
+    links : dict of str to OwnDelay
+        Links with a limited rate, by name of the instance.  They are the instance's own account as
+        well, which is therefore exact.
     """
 
     runtime: VirtualRuntime
@@ -265,6 +271,7 @@
     cut: set[tuple[str, str]] = attrs.Factory(set)
     log: list[tuple[float, str, str, Any]] = attrs.Factory(list)
     nodes: dict[str, "VirtualPeers"] = attrs.Factory(dict)
+    links: dict[str, own_delay.OwnDelay] = attrs.Factory(dict)
 
     def find(self, target: peer.Peer) -> "VirtualPeers | None":
         """Return the node that receives messages to ``target``, or None."""
@@ -291,9 +298,17 @@
         latency_s = self.delay_s(source, target, message)
         if latency_s is None or (source.name, target.name) in self.cut:
             return
+        size = len(codec.encode(message)) + ENVELOPE_BYTES if self.links else 0
+        sender_link, receiver_link = self.links.get(source.name), self.links.get(target.name)
+        if sender_link is not None and source.name != target.name:
+            sender_link.record_sent(size)
+            latency_s += sender_link.outgoing.backlog_s(self.runtime.now())
 
         def act_after_delay():
             self.runtime.sleep(latency_s)
+            if receiver_link is not None and source.name != target.name:
+                receiver_link.record_received(size)
+                self.runtime.sleep(receiver_link.incoming.backlog_s(self.runtime.now()))
             if (source.name, target.name) not in self.cut:
                 action()
 
