Overload: measure the delay of the event loop

Cause: an instance that gets less processor time than it needs took its own delay for that of its peers. Change: LoopDelay samples a timer of 50 ms and keeps a weighted mean and the maximum of the last second; a timer that is overdue counts at once.

--- /dev/null
+++ b/rosedyke/overload/loop_delay_test.py
@@ -0,0 +1,48 @@
+import unittest
+
+from rosedyke.overload import own_delay
+from rosedyke.standins import virtual
+
+
+class SlowRuntime(virtual.VirtualRuntime):
+    """Runs each timer late."""
+
+    late_s = 0.0
+
+    def sleep(self, seconds):
+        super().sleep(seconds + self.late_s)
+
+
+class Measurement(unittest.TestCase):
+    def setUp(self):
+        self.runtime = SlowRuntime()
+        self.delay = own_delay.OwnDelay(self.runtime, 10_000.0)
+        self.runtime.spawn(self.delay.loop.run)
+
+    def run_for(self, seconds, late_s):
+        self.runtime.late_s = late_s
+        self.runtime.run(self.runtime.now() + seconds)
+
+    def measured(self):
+        now = self.runtime.now()
+        return self.delay.loop.delay_s(now), self.delay.loop.maximum_s(now)
+
+    def test_mean_follows_a_change_and_the_maximum_lasts_for_a_second(self):
+        # Guards against a limit that reacts to single late timers, or not within a second.
+        self.run_for(1.0, 0.0)
+        self.assertEqual(self.measured(), (0.0, 0.0))
+        self.run_for(0.07, 0.1)
+        self.run_for(0.1, 0.0)
+        mean_s, maximum_s = self.measured()
+        self.assertLess(mean_s, 0.03)
+        self.assertAlmostEqual(maximum_s, 0.1)
+        self.run_for(1.2, 0.0)
+        self.assertLess(max(self.measured()), 0.001)
+        self.run_for(2.0, 0.1)
+        self.assertAlmostEqual(self.measured()[0], 0.1, delta=0.01)
+
+    def test_timer_that_has_not_fired_yet_counts(self):
+        # Guards against decisions right after a pause that are made by the delay before it.
+        self.run_for(1.0, 0.0)
+        self.runtime.time += 0.4
+        self.assertAlmostEqual(self.delay.delay_s(self.runtime.now()), 0.4, delta=0.051)
--- a/rosedyke/overload/own_delay.py
+++ b/rosedyke/overload/own_delay.py
@@ -4,7 +4,7 @@
 """
 
 from rosedyke import runtime as runtime_module
-from rosedyke.overload import link
+from rosedyke.overload import link, loop_delay
 
 # Work waits while the link's backlog is longer, so that control messages, which never wait, are
 # delayed by at most this and the start commands of one job.
@@ -25,12 +25,15 @@
     ----------
     outgoing, incoming : LinkUsage
         The two directions of the link.
+    loop : LoopDelay
+        Delay of the event loop; measured only while its task runs.
     """
 
     def __init__(self, runtime: runtime_module.Runtime, link_bytes_per_s: float = 0.0):
         self.runtime = runtime
         self.outgoing = link.LinkUsage(link_bytes_per_s)
         self.incoming = link.LinkUsage(link_bytes_per_s)
+        self.loop = loop_delay.LoopDelay(runtime)
 
     @property
     def is_limited(self) -> bool:
@@ -56,4 +59,6 @@
 
     def delay_s(self, now: float) -> float:
         """Return the largest of the delays."""
-        return max(self.outgoing.backlog_s(now), self.incoming.backlog_s(now))
+        return max(
+            self.outgoing.backlog_s(now), self.incoming.backlog_s(now), self.loop.delay_s(now)
+        )
