Overload: timeouts allow for the instance's own delay

Cause: an instance with a backlog on its link, or a late event loop, took its own delay for failures of servers, owners and instances. Change: the timeout of a command is extended by the link's backlog, at most 50 ms, which settings.check includes for limited links. Servers, owners and instances count as unresponsive later by the backlogs and the largest loop delay of the last second, at most 0.3 s. A renewal's own timeout grows by at most 0.15 s, since the next renewal waits for it and must arrive before the holder counts as lost. The times that prevent concurrent runs (leases, holder_lost_s, owner_lost_s, resubmit_s) are unchanged, and so is everything where the link is unlimited. Result: tests with a virtual clock: a failed owner is suspected 0.2 s later for a delay of 0.2 s and 0.3 s later for any longer one; the jobs of a lost holder end as early as before.

--- a/rosedyke/overload/own_delay.py
+++ b/rosedyke/overload/own_delay.py
@@ -11,6 +11,11 @@
 START_BACKLOG_S = 0.02
 # Shortest wait; shorter ones cost more processor time than they gain.
 MIN_HOLD_S = 0.001
+# Most that the timeout of a command is extended by.  The times by which an owner must have stopped
+# a lost holder's job contain it.
+MAX_ADDED_DELAY_S = 0.05
+# Most that a peer's or server's timeout is extended by, so that a failure is noticed at all.
+MAX_ALLOWANCE_S = 0.3
 
 
 class OwnDelay:
@@ -57,6 +62,20 @@
             return 0.0
         return max(MIN_HOLD_S, committed_s - START_BACKLOG_S)
 
+    def added_command_s(self, now: float) -> float:
+        """Return by how much the timeout of a command that is sent now is extended."""
+        return min(MAX_ADDED_DELAY_S, self.outgoing.backlog_s(now))
+
+    def allowance_s(self, now: float) -> float:
+        """Return by how much longer peers and servers may seem unresponsive from here.
+
+        0 if the link is unlimited.
+        """
+        if not self.is_limited:
+            return 0.0
+        link_s = self.outgoing.backlog_s(now) + self.incoming.backlog_s(now)
+        return min(MAX_ALLOWANCE_S, link_s + self.loop.maximum_s(now))
+
     def delay_s(self, now: float) -> float:
         """Return the largest of the delays."""
         return max(
--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -6,6 +6,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import events, messages, ports, settings
 
 # An instance is alive if a message from it came within this time; seven missed renewals.
@@ -74,6 +75,8 @@
     ----------
     this_instance : Instance
         This instance.
+    delay : OwnDelay or None
+        The instance's own delay; None if its link is unlimited.
     """
 
     def __init__(
@@ -82,7 +85,9 @@
         timing: settings.RerunSettings,
         runtime: runtime_module.Runtime,
         directory: ports.InstanceDirectory,
+        delay: own_delay.OwnDelay | None = None,
     ):
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.this_instance = this_instance
         # Factor on the renewal intervals in a large fleet.
         self.interval_factor = 1.0
@@ -135,7 +140,7 @@
         now = self.runtime.now()
         if now - self.liveness_checked_at >= LIVENESS_CACHE_S:
             self.liveness_checked_at = now
-            bound_s = LIVENESS_TIMEOUT_S * self.interval_factor
+            bound_s = self._liveness_timeout_s(now)
             names = frozenset(
                 name
                 for name, last_contact_at in self.last_contact.items()
@@ -160,11 +165,11 @@
 
     def is_alive(self, name: str) -> bool:
         """Return whether a message from an instance came within the liveness timeout."""
-        last_contact_at = self.last_contact.get(name)
-        return (
-            last_contact_at is not None
-            and self.runtime.now() - last_contact_at < LIVENESS_TIMEOUT_S * self.interval_factor
-        )
+        last_contact_at, now = self.last_contact.get(name), self.runtime.now()
+        return last_contact_at is not None and now - last_contact_at < self._liveness_timeout_s(now)
+
+    def _liveness_timeout_s(self, now):
+        return LIVENESS_TIMEOUT_S * self.interval_factor + self.delay.allowance_s(now)
 
     def contact_age_s(self, name: str) -> float:
         """Return the seconds since the last message from an instance, infinity if none came."""
--- a/rosedyke/rerunnable_jobs/link_load_test.py
+++ b/rosedyke/rerunnable_jobs/link_load_test.py
@@ -5,6 +5,7 @@
 import logging
 import unittest
 
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import events, job, messages
 from rosedyke.standins import rerun_region
 
@@ -143,3 +144,79 @@
         gaps = [later - earlier for earlier, later in itertools.pairwise(renewals)]
         # A reply may take longer than one interval, but not two.
         self.assertLess(max(gaps), 2.5 * region.timing.renew_s)
+
+
+def set_loop_delay(region, delay_s):
+    """Let the loops of all instances seem late; their messages are not delayed."""
+    for member in region.members.values():
+        member.node.delay.loop.maximum_s = lambda now: delay_s
+
+
+class DelayedInstance(unittest.TestCase):
+    """An instance that is late itself observes others."""
+
+    def time_until(self, observed, delay_s, fail):
+        """Return the time from a failure to an event, for an own delay of the instances."""
+        region = limited_region()
+        set_loop_delay(region, delay_s)
+        region.submit(region.non_owner("a"), "j0", duration_s=3.0)
+        region.run(0.1)
+        failed_at = region.runtime.now()
+        fail(region)
+        counter = EventCounter(self)
+        while not counter.counts[observed.number] and region.runtime.now() < failed_at + 3.0:
+            region.run(0.01)
+        elapsed_s = region.runtime.now() - failed_at
+        region.run(2.0)
+        self.assertTrue(region.owner("a"))
+        self.assertEqual(region.backend.violations, [])
+        return elapsed_s
+
+    def test_failed_owner_is_suspected_later_by_the_own_delay(self):
+        # Guards against takeovers of owners whose replies only wait for this instance.
+        times = [
+            self.time_until(
+                events.OWNER_SUSPECTED, delay_s, lambda region: region.kill(region.owner("a"))
+            )
+            for delay_s in (0.0, 0.2, 9.0)
+        ]
+        self.assertAlmostEqual(times[1] - times[0], 0.2, delta=0.06)
+        self.assertAlmostEqual(times[2] - times[0], own_delay.MAX_ALLOWANCE_S, delta=0.06)
+
+    def test_silent_server_gets_tasks_for_longer_by_the_own_delay(self):
+        # Guards against servers that get no tasks because their replies wait for this instance.
+        region = limited_region()
+        owned_pool = region.members[region.owner("a")].node.owned_pools["a/r1"]
+        now = region.runtime.now()
+        for delay_s, silent_s, expected in ((0.0, 0.6, 7), (0.2, 0.6, 8), (9.0, 0.9, 7)):
+            set_loop_delay(region, delay_s)
+            owned_pool.server_states["s-a-0"].last_contact_at = now - silent_s
+            self.assertEqual(len(owned_pool.available_servers(now)), expected)
+
+    def test_jobs_of_a_lost_holder_end_as_early_as_without_delay(self):
+        # Guards against runs that continue after their caller has resubmitted the job.
+        def kill_holder(region):
+            region.kill(region.non_owner("a"))
+
+        for delay_s in (0.0, 9.0):
+            elapsed_s = self.time_until(events.HOLDER_LOST, delay_s, kill_holder)
+            self.assertLess(elapsed_s, rerun_region.settings.RerunSettings().holder_lost_s + 0.1)
+
+    def test_timeout_of_a_command_contains_the_backlog_of_the_link(self):
+        # Guards against starts that count as unanswered while they wait in the own link.
+        region = limited_region()
+        owned_pool = region.members[region.owner("a")].node.owned_pools["a/r1"]
+        order_s = owned_pool.timing.order_s
+        timeouts = []
+        gateway_stop = owned_pool.gateway.stop
+        owned_pool.gateway.stop = lambda *arguments: (
+            timeouts.append(arguments[-1]),
+            gateway_stop(*arguments),
+        )
+        submit(region, region.owner("a"), 0)
+        region.run(0.06)
+        owned_pool.delay.record_sent(round(0.03 * LINK_BYTES_PER_S))
+        owned_pool.requests.cancel("j0", region.owner("a"))
+        region.run(0.001)
+        self.assertGreater(min(timeouts), order_s + 0.025)
+        self.assertLessEqual(max(timeouts), order_s + own_delay.MAX_ADDED_DELAY_S)
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -78,7 +78,7 @@
         self.instance_bits = fencing_token.instance_number(this_instance.address)
         self.owned_pools: dict[str, pool_owner.PoolOwner] = {}
         self.speeds = server_speed.ServerSpeeds()
-        self.fleet = fleet_view.FleetView(this_instance, timing, runtime, directory)
+        self.fleet = fleet_view.FleetView(this_instance, timing, runtime, directory, self.delay)
         self.pools = pool_index.PoolIndex(registry)
         self.holder = holder.Holder(
             timing, runtime, peers, self.fleet, self.pools, self._submit, self.delay
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -351,11 +351,15 @@
 
     def available_servers(self, now: float) -> list[server_state.ServerState]:
         """Return the servers that accept tasks."""
-        contact_s = self.timing.contact_s
+        contact_s = self.contact_s(now)
         return [
             state for state in self.server_states.values() if state.accepts_tasks(now, contact_s)
         ]
 
+    def contact_s(self, now: float) -> float:
+        """Return how long a server may be unresponsive before it gets no new tasks."""
+        return self.timing.contact_s + self.delay.allowance_s(now)
+
     def is_evacuated(self) -> bool:
         """Return whether the data centre of the pool is being evacuated."""
         listed = self.list_servers()
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -6,6 +6,9 @@
 
 # Timeout of one renewal.
 RENEWAL_TIMEOUT_S = 0.3
+# Most that it is extended by for the instance's own delay.  The next renewal is sent only after it,
+# and must arrive before the owner takes the holder for lost (0.7 s).
+MAX_ADDED_TIMEOUT_S = 0.15
 # Maximum interval of renewals of candidates in other data centres with an owner.  Does not grow
 # with the fleet, so that the loss of a data centre is noticed as soon in a large one.
 MAX_REMOTE_INTERVAL_S = 0.5
@@ -167,9 +170,10 @@
             self.known_claims.get(instance.name, 0),
             self.node.documents.versions(),
         )
+        added_s = min(MAX_ADDED_TIMEOUT_S, self.node.delay.allowance_s(sent_at))
         try:
             reply = self.node.peers.request(
-                peer.at_address(instance.address), message, RENEWAL_TIMEOUT_S
+                peer.at_address(instance.address), message, RENEWAL_TIMEOUT_S + added_s
             )
         except peer.PeerOutdated as error:
             # The wall clock was behind at the start, so the peer regards this incarnation as an
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -52,7 +52,7 @@
             run.task, run.number, owned.work.payload, run.lease_end_ms, self.owner.token
         )
         try:
-            self.owner.gateway.start(state.server, command, self.owner.timing.order_s)
+            self.owner.gateway.start(state.server, command, self._timeout_s())
         except ports.ConnectionFailed:
             self._suspend(state)
             self.owner.discard_run(state, run)
@@ -117,7 +117,7 @@
                     run.task,
                     run.number,
                     self.owner.token,
-                    self.owner.timing.order_s,
+                    self._timeout_s(),
                 )
             except ports.CommandRefused as error:
                 if error.reason is ports.RefusalReason.FENCED:
@@ -151,7 +151,7 @@
                 state.acknowledged,
                 lease_end,
                 0.0,
-                self.owner.timing.order_s,
+                self._timeout_s(),
             )
         except ports.ServerError:
             return  # the next poll logs the server's error
@@ -195,7 +195,7 @@
                     state.acknowledged,
                     lease_end,
                     wait_s,
-                    wait_s + self.owner.timing.order_s * 2,
+                    wait_s + self.owner.timing.order_s + self._timeout_s(),
                 )
             except ports.CommandRefused as error:
                 self._on_refused_poll(state, token_used, error)
@@ -214,7 +214,7 @@
 
     def _on_no_response(self, state, error):
         now = self.owner.runtime.now()
-        if state.is_synced and now - state.last_contact_at > self.owner.timing.contact_s:
+        if state.is_synced and now - state.last_contact_at > self.owner.contact_s(now):
             event.log(events.SERVER_UNRESPONSIVE, server=state.server.id, error=error)
             state.is_synced = False
         self.check_lease(state, now)
@@ -245,6 +245,11 @@
             self.owner.requeue_task(run)
         self.owner.wake_scheduler()
 
+    def _timeout_s(self):
+        """Return the timeout of a command that is sent now."""
+        now = self.owner.runtime.now()
+        return self.owner.timing.order_s + self.owner.delay.added_command_s(now)
+
     def _suspend(self, state):
         state.suspended_until = self.owner.runtime.now() + SERVER_BACKOFF_S
 
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rosedyke import fault
+from rosedyke.overload import own_delay
 
 # Maximum drift of a server's monotonic clock; leases last longer on a slow clock.
 CLOCK_DRIFT = 0.02
@@ -116,6 +117,11 @@
     schedules_by_kind: bool = False
     predicts_completion: bool = False
 
+    @property
+    def max_order_s(self) -> float:
+        """The longest timeout of a command, which includes the backlog of a limited link."""
+        return self.order_s + (own_delay.MAX_ADDED_DELAY_S if self.link_bytes_per_s else 0.0)
+
     @property
     def lease_end_s(self) -> float:
         """The longest time that a run continues after the last renewal was sent, by local clock."""
@@ -143,17 +149,17 @@
     if timing.lease_end_s >= timing.resubmit_s:
         violations.append("a lease must end before the caller sends its job again")
     # If only messages from owner to holder are lost, the caller learns of the failure at once.
-    if timing.holder_lost_s + timing.order_s + timing.stop_retry_s >= timing.resubmit_s:
+    if timing.holder_lost_s + timing.max_order_s + timing.stop_retry_s >= timing.resubmit_s:
         violations.append("an owner must stop a lost holder's job before the caller sends it again")
     # The holder may fail right after the submission, which may arrive up to ``stale_s`` later.
-    if timing.stale_s + timing.holder_lost_s + timing.order_s >= timing.resubmit_s:
+    if timing.stale_s + timing.holder_lost_s + timing.max_order_s >= timing.resubmit_s:
         violations.append("a job that arrives late must be over before the caller sends it again")
     # A lease on a run is bounded by the last renewal of its holder and applies to the whole server.
     if timing.lease_s + timing.renew_s >= timing.holder_lease_s:
         violations.append(
             "renewals on time must suffice for a whole lease within the time to resubmit"
         )
-    if timing.holder_lost_s + timing.order_s + timing.stop_retry_s >= timing.holder_lease_s:
+    if timing.holder_lost_s + timing.max_order_s + timing.stop_retry_s >= timing.holder_lease_s:
         violations.append("an owner must stop a lost holder's job before the server's lease ends")
     if timing.pause_s >= timing.holder_lost_s:
         violations.append("a paused owner must step down before its jobs count as lost")
--- a/rosedyke/rerunnable_jobs/settings_test.py
+++ b/rosedyke/rerunnable_jobs/settings_test.py
@@ -34,3 +34,16 @@
         self.check_fails("before the server's lease ends", holder_lost_s=1.05)
         self.check_fails("before the server's lease ends", order_s=0.45)
         self.check_fails("before the server's lease ends", stop_retry_s=0.45)
+
+
+class LimitedLink(unittest.TestCase):
+    """Commands of an instance with a limited link may take longer by its own backlog."""
+
+    def test_times_contain_the_added_delay(self):
+        # Guards against runs of a lost holder that are stopped after the resubmission, since the
+        # stop command had a longer timeout than the check assumed.
+        limited = attrs.evolve(DEFAULT, link_bytes_per_s=250_000.0)
+        settings.check(limited)
+        settings.check(attrs.evolve(DEFAULT, stale_s=0.46))
+        with self.assertRaisesRegex(settings.InvalidTimings, "arrives late"):
+            settings.check(attrs.evolve(limited, stale_s=0.46))
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -116,6 +116,7 @@
             self.ownerless_since.pop(pool, None)
             elapsed_s = self.fleet.owner_contact_age_s(pool)
             required_s = self.timing.owner_suspected_s + self.fleet.added_owner_timeout_s()
+            required_s += self.fleet.delay.allowance_s(now)
         # Computing the rank is expensive, so the minimum delay is checked first.
         required_s += self._location_delay_s(pool)
         if elapsed_s < required_s or now < self.retry_at.get(pool, 0.0) or pool in self.in_progress:
@@ -217,9 +218,8 @@
         return [reply.age_s for reply in replies]
 
     def _request_all(self, instances, message):
-        return fan_out.request_all(
-            self.runtime, self.peers, instances, message, self.timing.query_s
-        )
+        timeout_s = self.timing.query_s + self.fleet.delay.allowance_s(self.runtime.now())
+        return fan_out.request_all(self.runtime, self.peers, instances, message, timeout_s)
 
     def _is_data_centre_lost(self, pool):
         """Return whether the data centre of a remote pool has no reachable instance left.
@@ -254,9 +254,10 @@
 
     def _reaches_server(self, pool):
         for server in self.pools.servers(pool):
+            added_s = self.fleet.delay.added_command_s(self.runtime.now())
             try:
                 # Token 0 is below every owner's, so the call has no side effects.
-                self.gateway.renew_lease(server, 0, 0, None, 0.0, self.timing.order_s)
+                self.gateway.renew_lease(server, 0, 0, None, 0.0, self.timing.order_s + added_s)
             except ports.CommandRefused:
                 return True
             except ports.ServerError:
--- a/rosedyke/wire/peer_connection.py
+++ b/rosedyke/wire/peer_connection.py
@@ -79,11 +79,11 @@
         if self.unanswered_since is None:
             self.unanswered_since = self.runtime.now()
 
-    def is_unresponsive(self) -> bool:
-        """Return whether requests have been unanswered for longer than the timeout."""
+    def is_unresponsive(self, added_s: float) -> bool:
+        """Return whether requests have been unanswered for longer than the extended timeout."""
         if self.unanswered_since is None:
             return False
-        return self.runtime.now() - self.unanswered_since >= self.unresponsive_after_s
+        return self.runtime.now() - self.unanswered_since >= self.unresponsive_after_s + added_s
 
     def is_idle(self, idle_s: float) -> bool:
         """Return whether the connection was not used for ``idle_s`` seconds."""
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -273,7 +273,9 @@
     def _replace_if_unresponsive(self, connection):
         # A half-open connection delivers nothing although new connections work.  Only missing
         # replies reveal it, so the next message uses a new connection.
-        if connection.is_unresponsive() and self.connections.get(connection.address) is connection:
+        added_s = self.delay.allowance_s(self.runtime.now())
+        is_current = self.connections.get(connection.address) is connection
+        if is_current and connection.is_unresponsive(added_s):
             metric.count(metrics.LINKS_REPLACED)
             self.rate_limited_log.log(events.LINK_REPLACED, address=connection.address)
             self._close_connection(connection.address)
