Overload: pools are chosen by the wait for their owner's link

Cause: holders chose pools by free capacity alone, so an owner with a full link got as many jobs as one with an idle link, and all payloads of a wide job went over one link. Change: a pool's report carries the rate of its owner's link and the time that new starts wait for it: the backlog with the starts that the owners on the instance hold back, or the backlog of what arrives if that is longer. routing adds it and the time of the job's own payloads to the expected wait, and gives tasks of a wide job to up to two more pools whose owners can send the starts earlier. Result: tests of routing and of an owner under three times its load.

--- a/rosedyke/overload/own_delay.py
+++ b/rosedyke/overload/own_delay.py
@@ -32,6 +32,8 @@
         The two directions of the link.
     loop : LoopDelay
         Delay of the event loop; measured only while its task runs.
+    waiting_bytes : dict of str to int
+        Size of the start commands of each owned pool that wait for the link.
     """
 
     def __init__(self, runtime: runtime_module.Runtime, link_bytes_per_s: float = 0.0):
@@ -39,6 +41,7 @@
         self.outgoing = link.LinkUsage(link_bytes_per_s)
         self.incoming = link.LinkUsage(link_bytes_per_s)
         self.loop = loop_delay.LoopDelay(runtime)
+        self.waiting_bytes: dict[str, int] = {}
 
     @property
     def is_limited(self) -> bool:
@@ -62,6 +65,11 @@
             return 0.0
         return max(MIN_HOLD_S, committed_s - START_BACKLOG_S)
 
+    def work_wait_s(self, now: float) -> float:
+        """Return the time that new work waits for the link, behind the work that waits already."""
+        waiting_s = self.outgoing.transmission_s(sum(self.waiting_bytes.values()))
+        return max(self.outgoing.backlog_s(now) + waiting_s, self.incoming.backlog_s(now))
+
     def added_command_s(self, now: float) -> float:
         """Return by how much the timeout of a command that is sent now is extended."""
         return min(MAX_ADDED_DELAY_S, self.outgoing.backlog_s(now))
--- a/rosedyke/rerunnable_jobs/link_load_test.py
+++ b/rosedyke/rerunnable_jobs/link_load_test.py
@@ -104,6 +104,10 @@
             completed_share(region, submissions), 0.8 * completed_share(best_region, best)
         )
         self.assertEqual(region.backend.violations, [])
+        # Guards against holders that cannot see tasks waiting for the owner's link.
+        report = region.members[owner].node.owned_pools["a/r1"].reports.report()
+        self.assertGreater(report.link_backlog_s, 0.2)
+        self.assertEqual(report.link_bytes_per_s, LINK_BYTES_PER_S)
 
     def test_successor_of_an_owner_that_is_lost_continues_the_jobs(self):
         # Guards against tasks that waited for the link of the lost owner and are never placed.
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -46,6 +46,10 @@
     servers : dict of str to float
         Servers that may have runs, with their estimated speeds.  A successor whose list lacks one
         of them does not see all runs yet.
+    link_backlog_s : float
+        Time that new start commands wait for the owner's link.
+    link_bytes_per_s : float
+        Rate of the owner's link, 0 if it is unlimited.
     """
 
     pool: str
@@ -55,6 +59,8 @@
     capacity_millicores: int
     waiting: dict[str, int]
     servers: dict[str, float]
+    link_backlog_s: float = 0.0
+    link_bytes_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -28,7 +28,8 @@
 
     def report(self) -> messages.PoolReport:
         """Return a new report, by which holders choose pools."""
-        servers = self.owner.available_servers(self.owner.runtime.now())
+        now, delay = self.owner.runtime.now(), self.owner.delay
+        servers = self.owner.available_servers(now)
         speed_millicores = sum(
             state.server.capacity.millicores * self.owner.speeds.speed_of(state.server.id)
             for state in servers
@@ -52,6 +53,8 @@
             sum(state.server.capacity.millicores for state in servers),
             dict(waiting),
             self._speeds(),
+            round(delay.work_wait_s(now), 4),
+            delay.outgoing.bytes_per_s,
         )
 
     def recent_report(self) -> messages.PoolReport:
--- a/rosedyke/rerunnable_jobs/routing.py
+++ b/rosedyke/rerunnable_jobs/routing.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from rosedyke.rerunnable_jobs import job, messages
+from rosedyke.overload import link
+from rosedyke.rerunnable_jobs import job, messages, server_commands
 
 # Added to the expected wait in pools of other data centres, for the round trip and the risk of a
 # network partition.
@@ -56,7 +57,11 @@
     if not views:
         return ""
     largest = _largest_millicores(work)
-    waits = {view.pool: _wait_s(view, work, count - slots[view.pool], largest) for view in views}
+    waits = {
+        view.pool: _wait_s(view, work, count - slots[view.pool], largest)
+        + _link_wait_s(view, work, count)
+        for view in views
+    }
     least_s = min(waits.values())
     best = [pool for pool, wait_s in waits.items() if wait_s <= least_s + WAIT_TOLERANCE_S]
     return _weighted_choice({pool: max(1, slots[pool]) for pool in best}, random_value)
@@ -68,8 +73,9 @@
     """Return how many of a job's waiting tasks each pool gets; empty if there is no pool.
 
     Tasks that do not fit into the chosen pool go to others, local ones first, or wait in the chosen
-    pool.  At most half of the other pools' free capacity is used, because other holders see it as
-    well.
+    pool.  Where the owner's link is limited, tasks also go to others whose owners can start them
+    earlier.  At most half of the other pools' free capacity is used, because other holders see it
+    as well.
 
     Parameters
     ----------
@@ -82,6 +88,9 @@
     first = _choose_pool(work, count, views, slots, random_value)
     if not first:
         return {}
+    by_pool = {view.pool: view for view in views}
+    if by_pool[first].report.link_bytes_per_s:
+        return _split_by_link(work, count, first, by_pool, slots)
     if slots[first] >= count:
         return {first: count}
     shares = {first: max(0, slots[first])}
@@ -95,10 +104,38 @@
     return {pool: taken for pool, taken in shares.items() if taken}
 
 
+def _split_by_link(work, count, first, by_pool, slots):
+    """Return each pool's share such that the last start command leaves as early as possible.
+
+    Another pool must be earlier by the time of one start command, since a part costs messages.
+    """
+    rooms = {first: max(0, slots[first])}
+    for pool in _other_pools(first, by_pool.values(), slots):
+        rooms[pool] = max(0, slots[pool]) // 2
+    shares = dict.fromkeys(rooms, 0)
+
+    def sent_after_s(pool):
+        view = by_pool[pool]
+        extra_tasks = 1 if pool == first else 2
+        penalty_s = 0.0 if view.is_local else REMOTE_PENALTY_S
+        return penalty_s + _link_wait_s(view, work, shares[pool] + extra_tasks)
+
+    for _ in range(count):
+        with_room = [pool for pool in rooms if shares[pool] < rooms[pool]]
+        shares[min(with_room, key=sent_after_s, default=first)] += 1
+    return {pool: taken for pool, taken in shares.items() if taken}
+
+
 def _other_pools(first, views, slots):
     """Return the other pools that may get a part of a job, best first."""
     others = [view for view in views if view.pool != first]
-    others.sort(key=lambda view: (not view.is_local, -slots[view.pool]))
+    others.sort(
+        key=lambda view: (
+            not view.is_local,
+            round(view.report.link_backlog_s / REMOTE_PENALTY_S),
+            -slots[view.pool],
+        )
+    )
     return [view.pool for view in others[: MAX_PARTS - 1]]
 
 
@@ -132,6 +169,16 @@
     return wait_s
 
 
+def _link_wait_s(view, work, count):
+    """Return when the last of a job's start commands has left the link of a pool's owner."""
+    report = view.report
+    if not report.link_bytes_per_s:
+        return report.link_backlog_s
+    submitted = view.submitted_millicores // max(1, _largest_millicores(work))
+    start_bytes = server_commands.start_bytes(work) + link.MESSAGE_OVERHEAD_BYTES
+    return report.link_backlog_s + (count + submitted) * start_bytes / report.link_bytes_per_s
+
+
 def _weighted_choice(weights, random_value):
     """Return a key with a probability in proportion to its weight."""
     remaining = random_value * sum(weights.values())
--- a/rosedyke/rerunnable_jobs/routing_test.py
+++ b/rosedyke/rerunnable_jobs/routing_test.py
@@ -1,6 +1,8 @@
 import collections
 import unittest
 
+import attrs
+
 from rosedyke.rerunnable_jobs import job, messages, routing
 
 
@@ -86,3 +88,40 @@
     def test_number_of_parts_is_bounded(self):
         views = [view(f"a/{number}", 14) for number in range(12)]
         self.assertLessEqual(len(self.split(12, *views)), routing.MAX_PARTS)
+
+
+class LimitedLinks(unittest.TestCase):
+    def limited(self, pool, backlog_s=0.0, bytes_per_s=50_000.0, **options):
+        unlimited = view(pool, *[28] * 8, **options)
+        report = attrs.evolve(
+            unlimited.report, link_backlog_s=backlog_s, link_bytes_per_s=bytes_per_s
+        )
+        return attrs.evolve(unlimited, report=report)
+
+    def split(self, views, count=8):
+        requested = attrs.evolve(work(count), payload="x" * 690)  # 20 ms for each start command
+        return routing.split(requested, count, views, 0.0)
+
+    def test_owner_with_a_full_link_gets_no_jobs(self):
+        # Guards against jobs that wait for the link of one owner while that of another is idle.
+        views = [self.limited("a/1", backlog_s=0.5), self.limited("a/2")]
+        self.assertEqual(shares(views), {"a/2": 1.0})
+
+    def test_wide_job_is_split_so_that_its_commands_leave_early(self):
+        # Guards against a wide job whose payloads take most of its objective on one link.
+        views = [self.limited("a/1"), self.limited("a/2"), self.limited("b/1", is_local=False)]
+        self.assertEqual(self.split(views), {"a/1": 4, "a/2": 3, "b/1": 1})
+        self.assertEqual(self.split(views, count=2), {"a/1": 2})
+
+    def test_own_submissions_fill_the_link_before_the_next_report(self):
+        views = [self.limited("a/1", submitted=56), self.limited("a/2")]
+        self.assertEqual(shares(views), {"a/2": 1.0})
+
+    def test_full_pools_keep_the_rest_at_the_first_choice(self):
+        # Guards against tasks that are lost because no pool has free capacity.
+        full = attrs.evolve(self.limited("a/1"), submitted_millicores=8 * 28_000)
+        self.assertEqual(sum(self.split([full]).values()), 8)
+
+    def test_fast_link_does_not_split_a_job(self):
+        views = [self.limited(pool, bytes_per_s=0.0) for pool in ("a/1", "a/2")]
+        self.assertEqual(self.split(views), {"a/1": 8})
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -61,20 +61,27 @@
         }
         running_tasks = self.owner.running_tasks()
         unplaced = []
-        for owned in job_ordering.order_jobs(waiting, now, self.owner.fastest_speed()):
-            if self._holds_for_link(now):
+        ordered = job_ordering.order_jobs(waiting, now, self.owner.fastest_speed())
+        for index, owned in enumerate(ordered):
+            if self._holds_for_link(ordered[index:], now):
                 return
             unplaced += self._place_job(owned, allocated, running_tasks, now)
         if unplaced:
             self.owner.releaser.request_capacity_for(unplaced, now)
 
-    def _holds_for_link(self, now):
-        """Return whether the link is too busy for another job, and resume when it is not."""
-        hold_s = self.owner.delay.hold_s(now)
-        if hold_s and not self.is_held:
+    def _holds_for_link(self, jobs, now):
+        """Return whether the link is too busy for more jobs, and resume when it is not."""
+        delay = self.owner.delay
+        hold_s = delay.hold_s(now)
+        if not hold_s:
+            return False
+        delay.waiting_bytes[self.owner.name] = sum(
+            len(owned.waiting_tasks()) * server_commands.start_bytes(owned.work) for owned in jobs
+        )
+        if not self.is_held:
             self.is_held = True
             self.owner.runtime.spawn(self._resume_after, hold_s)
-        return hold_s > 0
+        return True
 
     def _resume_after(self, hold_s):
         # The jitter lets the owners of several pools on one instance take turns.  The link stays
@@ -82,6 +89,7 @@
         jitter_s = self.owner.runtime.random() * own_delay.START_BACKLOG_S / 2
         self.owner.runtime.sleep(hold_s + jitter_s)
         self.is_held = False
+        self.owner.delay.waiting_bytes.pop(self.owner.name, None)
         self.owner.wake_scheduler()
 
     def _place_job(self, owned, allocated, running_tasks, now):
@@ -139,5 +147,5 @@
             owned=owned,
         )
         state.runs[run.key] = run
-        self.owner.delay.outgoing.reserve(server_commands.start_bytes(owned))
+        self.owner.delay.outgoing.reserve(server_commands.start_bytes(owned.work))
         self.owner.runtime.spawn(self.owner.commands.start, owned, state, run)
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -5,7 +5,7 @@
 """
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import events, fencing_token, metrics, owned_job, ports, server_state
+from rosedyke.rerunnable_jobs import events, fencing_token, job, metrics, ports, server_state
 
 # How long a server gets no tasks after a failed command.
 SERVER_BACKOFF_S = 0.2
@@ -21,9 +21,9 @@
 START_HEADER_BYTES = 250
 
 
-def start_bytes(owned: owned_job.OwnedJob) -> int:
+def start_bytes(work: job.Job) -> int:
     """Return the approximate size of the start command of a job's task."""
-    return START_HEADER_BYTES + len(owned.work.payload)
+    return START_HEADER_BYTES + len(work.payload)
 
 
 class ServerCommands:
@@ -41,7 +41,7 @@
 
     def start(self, owned, state, run):
         """Start a run on a server and process the result."""
-        self.owner.delay.outgoing.release(start_bytes(owned))
+        self.owner.delay.outgoing.release(start_bytes(owned.work))
         if not self.owner.can_send():
             return
         if not state.expects_start(run):
