--- a/rosedyke/rerunnable_jobs/routing.py
+++ b/rosedyke/rerunnable_jobs/routing.py
@@ -113,16 +113,21 @@
     for pool in _other_pools(first, by_pool.values(), slots):
         rooms[pool] = max(0, slots[pool]) // 2
     shares = dict.fromkeys(rooms, 0)
-
-    def sent_after_s(pool):
+    start_s, sent_after_s = {}, {}
+    for pool, room in rooms.items():
         view = by_pool[pool]
-        extra_tasks = 1 if pool == first else 2
-        penalty_s = 0.0 if view.is_local else REMOTE_PENALTY_S
-        return penalty_s + _link_wait_s(view, work, shares[pool] + extra_tasks)
-
+        start_s[pool] = _link_wait_s(view, work, 1) - _link_wait_s(view, work, 0)
+        if room:
+            added_s = 0.0 if pool == first else start_s[pool]
+            added_s += 0.0 if view.is_local else REMOTE_PENALTY_S
+            sent_after_s[pool] = added_s + _link_wait_s(view, work, 1)
     for _ in range(count):
-        with_room = [pool for pool in rooms if shares[pool] < rooms[pool]]
-        shares[min(with_room, key=sent_after_s, default=first)] += 1
+        pool = min(sent_after_s, key=sent_after_s.__getitem__, default=first)
+        shares[pool] += 1
+        if pool in sent_after_s:
+            sent_after_s[pool] += start_s[pool]
+            if shares[pool] == rooms[pool]:
+                del sent_after_s[pool]
     return {pool: taken for pool, taken in shares.items() if taken}
 
 
