--- a/rosedyke/rerunnable_jobs/link_load_test.py
+++ b/rosedyke/rerunnable_jobs/link_load_test.py
@@ -224,3 +224,62 @@
         region.run(0.001)
         self.assertGreater(min(timeouts), order_s + 0.025)
         self.assertLessEqual(max(timeouts), order_s + own_delay.MAX_ADDED_DELAY_S)
+
+
+class UnansweredStart(unittest.TestCase):
+    """The reply to a start command is lost, and the owner is late itself."""
+
+    def run_job(self, start_delay_s, lost_listings):
+        """Run a job whose first start is executed late and without a reply.
+
+        The server's next listings are lost as well.
+        """
+        region = limited_region()
+        set_loop_delay(region, 0.1)
+        self.stops, self.started_at, first_servers = [], [], []
+        holds = [9.0] * lost_listings
+
+        def inject(kind, name, server):
+            now = region.runtime.now()
+            if kind == "stop":
+                self.stops.append(now - submitted_at)
+            if kind == "start":
+                self.started_at.append(now - submitted_at)
+                if not first_servers:
+                    first_servers.append(server)
+                    return start_delay_s
+            return holds.pop() if kind == "hold" and server in first_servers and holds else None
+
+        region.backend.fault_injector = inject
+        submitted_at = region.runtime.now()
+        submission = region.submit(region.owner("a"), "j0", duration_s=0.8)
+        region.run(4.0)
+        self.assertEqual(region.backend.violations, [])
+        self.assertEqual(submission.outcome.end, job.EndState.SUCCEEDED)
+        return region
+
+    def test_run_in_the_list_continues(self):
+        # Guards against runs that are thrown away although only the owner was late, also if
+        # several of its reads fail as well.
+        for lost_listings in (0, 2):
+            region = self.run_job(0.15, lost_listings)
+            self.assertEqual((len(region.backend.starts), self.stops), (1, []))
+
+    def test_run_that_is_not_in_the_list_is_stopped_after_the_own_delay(self):
+        # Guards against a task that waits for a lost start, or that runs twice.
+        self.run_job(2.0, 0)
+        timing = rerun_region.settings.RerunSettings()
+        self.assertGreater(self.stops[0], timing.order_s + 0.1)
+        # The next long poll may be needed to show that the stopped run is gone.
+        self.assertLess(self.started_at[1], self.stops[0] + 2 * timing.look_s)
+
+    def test_task_runs_elsewhere_when_the_lease_of_a_server_that_is_never_read_is_over(self):
+        # Guards against an owner that waits for the list of a failed server for ever.
+        region = self.run_job(9.0, 99)
+        timing = rerun_region.settings.RerunSettings()
+        self.assertGreater(self.started_at[1], timing.lease_s)
+        # The lease is renewed until the server counts as unresponsive after its last poll.
+        unresponsive_after_s = timing.contact_s + 0.1 + timing.look_s
+        self.assertLess(self.started_at[1], unresponsive_after_s + timing.lease_end_s)
+        self.assertGreaterEqual(min(self.stops), self.started_at[1] - 0.2)
+        self.assertEqual(len(region.backend.starts), 1)
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -91,10 +91,32 @@
             return
         metric.count(metrics.STARTS_UNANSWERED)
         event.log(events.COMMAND_UNANSWERED, task=run.task, run=run.number, server=state.server.id)
-        self._refresh(state)
-        if state.runs.get(run.key) is run and run.confirmed_at is None:
+        if self.owner.delay.is_limited:
+            self._read_after_own_delay(state, run)
+        else:
+            self._refresh(state)
+        if self._is_unresolved(state, run):
             self.stop(state, run)
 
+    @staticmethod
+    def _is_unresolved(state, run):
+        return state.runs.get(run.key) is run and run.confirmed_at is None
+
+    def _read_after_own_delay(self, state, run):
+        """Read a listing that shows whether a run has started, unless its lease ends before.
+
+        The start or its reply may only wait for this instance, and a stop would end the run.
+        """
+        self.owner.runtime.sleep(self.owner.delay.allowance_s(self.owner.runtime.now()))
+        while (
+            self._is_unresolved(state, run)
+            and run.state is server_state.RunState.STARTING
+            and not run.is_over
+            and self.owner.can_send()
+            and not self._refresh(state)
+        ):
+            self.owner.runtime.sleep(self.owner.timing.stop_retry_s)
+
     def stop(self, state, run):
         """Stop a run; until that is confirmed, it keeps its capacity and its task waits."""
         if run.state is server_state.RunState.STOPPING:
@@ -140,9 +162,9 @@
             self._refresh(state, state.lease_end_ms(now, self.owner.timing))
 
     def _refresh(self, state, lease_end=None):
-        """Read a server's listing at once instead of waiting for the long poll."""
+        """Read a server's listing instead of waiting for the long poll; return whether it came."""
         if not self.owner.can_send():
-            return
+            return False
         requested_at = self.owner.runtime.now()
         try:
             listing = self.owner.gateway.renew_lease(
@@ -154,8 +176,9 @@
                 self._timeout_s(),
             )
         except ports.ServerError:
-            return  # the next poll logs the server's error
+            return False  # the next poll logs the server's error
         self.owner.apply_listing(state, listing, requested_at)
+        return True
 
     def read_overdue(self, now):
         """Read the listings of servers with overdue runs.
