--- a/rosedyke/gateways/http_client.py
+++ b/rosedyke/gateways/http_client.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from rosedyke import fault
-from rosedyke.gateways import http_connection
+from rosedyke.gateways import http_connection, reconnect_backoff
 from rosedyke.overload import own_delay
 from rosedyke.runtime import Runtime
 
@@ -63,6 +63,9 @@
 class HttpClient:
     """Sends requests to any number of addresses, one at a time on each connection.
 
+    Where the instance's link is limited, new connections to an address back off after failures.
+    Elsewhere a fast reconnection after a network partition matters more.
+
     Parameters
     ----------
     delay : OwnDelay or None
@@ -79,6 +82,7 @@
         self.runtime = runtime
         self.delay = delay or own_delay.OwnDelay(runtime)
         self.idle_connections: dict[str, list[http_connection.Connection]] = {}
+        self.backoff = reconnect_backoff.ReconnectBackoff(runtime)
 
     def request(
         self,
@@ -99,7 +103,10 @@
             Bytes were sent, and no complete response arrived in time.
         """
         deadline = self.runtime.now() + timeout_s
-        connection = self._acquire_connection(address, timeout_s)
+        connection = self._idle_connection(address)
+        is_new = connection is None
+        if is_new:
+            connection = self._open_connection(address, timeout_s)
         request_headers = {"Content-Type": "application/json", **(headers or {})}
         remaining_s = max(0.001, deadline - self.runtime.now())
         try:
@@ -108,24 +115,40 @@
                     connection, method, path, body, request_headers, self.settings.max_body_bytes
                 )
         except http_connection.Expired:
-            connection.close()
+            self._close_failed(connection, is_new)
             raise NoResponse(f"{address}{path}: no answer within {timeout_s:.3f} s") from None
         except http_connection.TRANSPORT_ERRORS as error:
-            connection.close()
+            self._close_failed(connection, is_new)
             raise NoResponse(f"{address}{path}: {http_connection.describe(error)}") from error
         except BaseException:
             connection.close()
             raise
+        self.backoff.reset(address)
         connection.last_used_at = self.runtime.now()
         self._release_connection(address, connection)
         return response
 
     def close(self, address: str) -> None:
         """Close the idle connections to an address."""
+        self.backoff.reset(address)
         for connection in self.idle_connections.pop(address, []):
             connection.close()
 
-    def _acquire_connection(self, address, timeout_s):
+    def _close_failed(self, connection, is_new):
+        """Close a connection on which an exchange has failed.
+
+        The failure of one that was open before may be its own, so a new one is opened at once.
+        """
+        connection.close()
+        if is_new:
+            self._record_failure(connection.address)
+
+    def _record_failure(self, address):
+        if self.delay.is_limited:
+            self.backoff.record_failure(address)
+
+    def _idle_connection(self, address):
+        """Return an open connection that can be reused, or None."""
         idle_connections = self.idle_connections.get(address, [])
         while idle_connections:
             connection = idle_connections.pop()
@@ -134,11 +157,17 @@
             if idle_s <= UNCHECKED_REUSE_S or (is_recent and not connection.is_dropped()):
                 return connection
             connection.close()
+        return None
+
+    def _open_connection(self, address, timeout_s):
+        if self.backoff.must_wait(address):
+            raise NotConnected(f"{address}: backing off after failed exchanges")
         try:
             effective_timeout_s = min(timeout_s, self.settings.connect_timeout_s)
             with eventlet.Timeout(effective_timeout_s, http_connection.Expired):
                 return self._connect(address)
         except (http_connection.Expired, *http_connection.TRANSPORT_ERRORS) as error:
+            self._record_failure(address)
             raise NotConnected(f"{address}: {http_connection.describe(error)}") from None
 
     def _connect(self, address):
--- a/rosedyke/gateways/http_client_test.py
+++ b/rosedyke/gateways/http_client_test.py
@@ -49,3 +49,97 @@
             self.assertGreater(min(sent, received), minimum)
             # The two sides may split the same bytes into different messages.
             self.assertAlmostEqual(sent, received, delta=3 * link.MESSAGE_OVERHEAD_BYTES)
+
+
+class FakeRuntime(eventlet_runtime.GreenRuntime):
+    """Has a clock that tests advance, and the longest jitter."""
+
+    time = 100.0
+
+    def now(self):
+        return self.time
+
+    def random(self):
+        return 1.0
+
+
+class Reconnection(unittest.TestCase):
+    def setUp(self):
+        self.accepted = 0
+        self.is_silent = True
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        accepting = eventlet.spawn(self.accept)
+        self.addCleanup(accepting.kill)
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            self.accepted += 1
+            eventlet.spawn_n(self.answer, connection)
+
+    def answer(self, connection):
+        while connection.recv(65536):
+            if not self.is_silent:
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    def create_client(self, link_bytes_per_s):
+        self.runtime = FakeRuntime()
+        delay = own_delay.OwnDelay(self.runtime, link_bytes_per_s)
+        return http_client.HttpClient(http_client.HttpClientSettings(), self.runtime, delay)
+
+    def send(self, client):
+        """Send a request; return the error's type, None for a response."""
+        try:
+            client.request(self.address, "GET", "/", None, 0.02)
+        except http_client.HttpClientError as error:
+            return type(error)
+        return None
+
+    def test_new_connections_to_a_silent_address_back_off(self):
+        # Guards against a slow link that is filled by connections which replace each other.
+        client = self.create_client(250_000.0)
+        waits_s = []
+        self.assertEqual(self.send(client), http_client.NoResponse)
+        for _ in range(7):
+            failed_at = self.runtime.time
+            while self.send(client) is http_client.NotConnected:
+                self.runtime.time += 0.01
+            waits_s.append(round(self.runtime.time - failed_at, 2))
+        self.assertEqual(waits_s, [0.02, 0.04, 0.08, 0.16, 0.32, 0.5, 0.5])
+        self.assertEqual(self.accepted, 8)
+
+    def test_first_new_connection_after_a_silent_open_one_is_opened_at_once(self):
+        # Guards against a healthy server that waits because a middlebox dropped one connection.
+        client = self.create_client(250_000.0)
+        self.is_silent = False
+        self.assertIsNone(self.send(client))
+        self.is_silent = True
+        self.assertEqual(self.send(client), http_client.NoResponse)
+        self.is_silent = False
+        self.assertIsNone(self.send(client))
+        self.assertEqual(self.accepted, 2)
+
+    def test_success_resets_the_backoff(self):
+        client = self.create_client(250_000.0)
+        for is_silent in (True, True, False, True):
+            self.is_silent = is_silent
+            self.send(client)
+            self.runtime.time += 0.1
+        self.is_silent = True
+        self.send(client)
+        self.assertEqual(client.backoff.failures, {self.address: 1})
+
+    def test_unlimited_link_reconnects_at_once(self):
+        # Guards against a slower recovery after a network partition.
+        client = self.create_client(0.0)
+        for _ in range(5):
+            self.assertEqual(self.send(client), http_client.NoResponse)
+        self.assertEqual(self.accepted, 5)
+
+    def test_refused_connection_backs_off(self):
+        client = self.create_client(250_000.0)
+        self.address = "127.0.0.1:1"
+        for _ in range(3):
+            self.assertEqual(self.send(client), http_client.NotConnected)
+        self.assertEqual(client.backoff.failures, {self.address: 1})
