Overload: metrics and events of the link and the event loop

Change: gauges of the link's backlog and the loop's delay, counters of starts and submissions that waited for the link, and events 8050 and 8051 when the link becomes, and ceases to be, the limit. The link counts as the limit until nothing has waited for it for a second, so each event is logged at most once a second.

--- a/rosedyke/overload/link_test.py
+++ b/rosedyke/overload/link_test.py
@@ -1,6 +1,7 @@
 import unittest
 
-from rosedyke.overload import link, own_delay
+from rosedyke.observe import metric
+from rosedyke.overload import link, metrics, own_delay
 from rosedyke.standins import virtual
 
 
@@ -31,3 +32,25 @@
         delay.record_sent(440)
         self.assertAlmostEqual(delay.outgoing.backlog_s(runtime.now()), 0.05)
         self.assertAlmostEqual(delay.delay_s(runtime.now()), 0.2)
+
+
+class LinkLimit(unittest.TestCase):
+    def test_each_change_is_logged_at_most_once_a_second(self):
+        # Guards against a log that is filled by a link at the edge of its capacity.
+        runtime = virtual.VirtualRuntime()
+        delay = own_delay.OwnDelay(runtime, 10_000.0)
+        runtime.spawn(delay.run)
+
+        def hold_every(seconds, count):
+            for _ in range(count):
+                delay.record_hold(runtime.now())
+                runtime.run(runtime.now() + seconds)
+
+        with self.assertLogs("rosedyke", "INFO") as logs:
+            delay.record_sent(5000)
+            hold_every(0.01, 300)
+            self.assertEqual(metric.gauges[metrics.LINK_BACKLOG.name], 0)
+            runtime.run(runtime.now() + 2.1)
+            hold_every(0.01, 5)
+        logged = [record.event_name for record in logs.records]
+        self.assertEqual(logged, ["link_is_limit", "link_limit_ended", "link_is_limit"])
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -7,6 +7,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
+from rosedyke.overload import metrics as overload_metrics
 from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     events,
@@ -206,14 +207,21 @@
 
     def _submit_waiting(self):
         """Submit the waiting jobs one by one, as the link gets capacity for them."""
+        was_held = False
         while self.awaiting_link:
             if self.awaiting_link[0][0].ended.is_set():
                 self.awaiting_link.popleft()
                 continue
-            hold_s = self.delay.hold_s(self.runtime.now())
+            now = self.runtime.now()
+            hold_s = self.delay.hold_s(now)
             if hold_s:
+                was_held = True
+                self.delay.record_hold(now)
                 self.runtime.sleep(hold_s)
                 continue
+            if was_held:
+                was_held = False
+                metric.count(overload_metrics.SUBMISSIONS_HELD)
             self.runtime.spawn(self._submit_when_owned, *self.awaiting_link[0])
             self.runtime.sleep(0)  # until the submission is recorded in the link's account
             self.awaiting_link.popleft()
--- a/rosedyke/rerunnable_jobs/link_load_test.py
+++ b/rosedyke/rerunnable_jobs/link_load_test.py
@@ -5,6 +5,9 @@
 import logging
 import unittest
 
+from rosedyke.observe import metric
+from rosedyke.overload import events as overload_events
+from rosedyke.overload import metrics as overload_metrics
 from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import events, job, messages
 from rosedyke.standins import rerun_region
@@ -104,6 +107,8 @@
             completed_share(region, submissions), 0.8 * completed_share(best_region, best)
         )
         self.assertEqual(region.backend.violations, [])
+        self.assertGreaterEqual(counter.counts[overload_events.LINK_IS_LIMIT.number], 1)
+        self.assertGreater(metric.counts[overload_metrics.STARTS_HELD.name], TASKS_PER_JOB)
         # Guards against holders that cannot see tasks waiting for the owner's link.
         report = region.members[owner].node.owned_pools["a/r1"].reports.report()
         self.assertGreater(report.link_backlog_s, 0.2)
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -70,6 +70,8 @@
     submitted_at : float
         When the holder sent this submission, on the local clock.  It renews with no earlier owner
         since.
+    was_held : bool
+        Its tasks have waited for the owner's link.
     """
 
     work: job.Job
@@ -83,6 +85,7 @@
     has_started: bool = False
     moves: int = 0
     submitted_at: float = 0.0
+    was_held: bool = False
 
     @classmethod
     def from_message(cls, message: messages.Submit, now: float) -> "OwnedJob":
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -1,6 +1,7 @@
 """Places the waiting tasks of one owner on its servers."""
 
 from rosedyke.observe import metric
+from rosedyke.overload import metrics as overload_metrics
 from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     job_ordering,
@@ -63,25 +64,28 @@
         unplaced = []
         ordered = job_ordering.order_jobs(waiting, now, self.owner.fastest_speed())
         for index, owned in enumerate(ordered):
-            if self._holds_for_link(ordered[index:], now):
+            if hold_s := self.owner.delay.hold_s(now):
+                self._hold(ordered[index:], hold_s, now)
                 return
             unplaced += self._place_job(owned, allocated, running_tasks, now)
         if unplaced:
             self.owner.releaser.request_capacity_for(unplaced, now)
 
-    def _holds_for_link(self, jobs, now):
-        """Return whether the link is too busy for more jobs, and resume when it is not."""
+    def _hold(self, jobs, hold_s, now):
+        """Let jobs wait because the link is too busy, and resume when it is not."""
         delay = self.owner.delay
-        hold_s = delay.hold_s(now)
-        if not hold_s:
-            return False
-        delay.waiting_bytes[self.owner.name] = sum(
-            len(owned.waiting_tasks()) * server_commands.start_bytes(owned.work) for owned in jobs
-        )
+        delay.record_hold(now)
+        waiting_bytes = 0
+        for owned in jobs:
+            count = len(owned.waiting_tasks())
+            waiting_bytes += count * server_commands.start_bytes(owned.work)
+            if not owned.was_held:
+                owned.was_held = True
+                metric.count(overload_metrics.STARTS_HELD, count)
+        delay.waiting_bytes[self.owner.name] = waiting_bytes
         if not self.is_held:
             self.is_held = True
             self.owner.runtime.spawn(self._resume_after, hold_s)
-        return True
 
     def _resume_after(self, hold_s):
         # The jitter lets the owners of several pools on one instance take turns.  The link stays
