--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -1,11 +1,14 @@
 """Holds the jobs of an instance's callers: submits them to pools and returns their outcomes."""
 
+import collections
 import itertools
 from collections.abc import Callable
 from typing import Any
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
+from rosedyke.overload import metrics as overload_metrics
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     events,
     fleet_view,
@@ -47,6 +50,8 @@
         Sends a submission to an owner; returns false if it was certainly not sent.
     retry_budget : Resubmissions
         The budget of this instance.
+    delay : OwnDelay
+        The instance's own delay.
     """
 
     def __init__(
@@ -58,7 +63,11 @@
         indexed_pools: pool_index.PoolIndex,
         submit: Callable[[messages.Instance, messages.Submit], bool],
         retry_budget: resubmissions.Resubmissions,
+        delay: own_delay.OwnDelay,
     ):
+        self.delay = delay
+        # Submissions that wait for capacity on the link, and since when, in the order of arrival.
+        self.awaiting_link: collections.deque = collections.deque()
         self.timing = timing
         self.runtime = runtime
         self.peers = peers
@@ -246,10 +255,46 @@
 
     def _assign_pools(self, pending, task_names, moves=0):
         """Start submitting tasks of a job to pools."""
-        if not pending.is_withdrawn:
-            self.runtime.spawn(
-                self._submit_when_owned, pending, task_names, moves, pending.withdrawals
-            )
+        if pending.is_withdrawn:
+            return
+        submission = (pending, task_names, moves, pending.withdrawals)
+        if not self.delay.is_limited:
+            self.runtime.spawn(self._submit_when_owned, *submission)
+            return
+        self.awaiting_link.append((self.runtime.now(), submission))
+        if len(self.awaiting_link) == 1:
+            self.runtime.spawn(self._submit_waiting)
+
+    def _submit_waiting(self):
+        """Submit the waiting jobs one by one, as the link gets capacity for them."""
+        was_held = False
+        while self.awaiting_link:
+            _, submission = self.awaiting_link[0]
+            if submission[0].ended.is_set():
+                self.awaiting_link.popleft()
+                continue
+            now = self.runtime.now()
+            hold_s = self.delay.hold_s(now)
+            if hold_s:
+                was_held = True
+                self.delay.record_hold(now)
+                self.runtime.sleep(hold_s)
+                continue
+            if was_held:
+                was_held = False
+                metric.count(overload_metrics.SUBMISSIONS_HELD)
+            self.runtime.spawn(self._submit_when_owned, *submission)
+            self.runtime.sleep(0)  # until the submission is recorded in the link's account
+            self.awaiting_link.popleft()
+
+    def added_delay_s(self, now: float) -> float:
+        """Return the delay that this instance adds to the jobs that it holds.
+
+        The outgoing backlog counts by the submissions that wait for it: on an owner's link most of
+        it is start commands, which wait for as long whoever holds their jobs.
+        """
+        waiting_s = now - self.awaiting_link[0][0] if self.awaiting_link else 0.0
+        return max(waiting_s, self.delay.incoming.backlog_s(now), self.delay.loop.mean_s)
 
     def resubmit_missing(self, pending: pending_job.PendingJob) -> None:
         """Submit the tasks that are in no part after a withdrawal."""
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -60,6 +60,10 @@
         they are left out of a message that must be small.
     servers_version : int
         Version of ``servers``, which increases within one token.
+    link_backlog_s : float
+        Time that new start commands wait for the owner's link.
+    link_bytes_per_s : float
+        Rate of the owner's link, 0 if it is unlimited.
     """
 
     pool: str
@@ -70,6 +74,8 @@
     waiting: dict[str, int]
     servers: dict[str, float] | None
     servers_version: int = 0
+    link_backlog_s: float = 0.0
+    link_bytes_per_s: float = 0.0
 
     @property
     def rooms(self) -> tuple[tuple[int, float], ...]:
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -4,6 +4,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     document_sync,
     documents,
@@ -46,6 +47,8 @@
         Returns seconds since 1970; used only for fencing tokens.
     seeds : tuple of str
         Addresses of instances to contact while no other is known.
+    delay : OwnDelay or None
+        The instance's own delay; None if its link is unlimited.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         shared_documents: documents.Documents,
         wall_clock_s: Callable[[], float],
         seeds: tuple[str, ...] = (),
+        delay: own_delay.OwnDelay | None = None,
     ):
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.this_instance = this_instance
         self.timing = timing
         self.runtime = runtime
@@ -76,11 +81,18 @@
         self.owned_pools: dict[str, pool_owner.PoolOwner] = {}
         self.speeds = server_speed.ServerSpeeds()
         self.run_times = run_times.RunTimes()
-        self.fleet = fleet_view.FleetView(this_instance, timing, runtime, directory)
+        self.fleet = fleet_view.FleetView(this_instance, timing, runtime, directory, self.delay)
         self.pools = pool_index.PoolIndex(registry)
         self.resubmissions = resubmissions.Resubmissions(timing, runtime)
         self.holder = holder.Holder(
-            timing, runtime, peers, self.fleet, self.pools, self._submit, self.resubmissions
+            timing,
+            runtime,
+            peers,
+            self.fleet,
+            self.pools,
+            self._submit,
+            self.resubmissions,
+            self.delay,
         )
         self.takeovers = takeover.Takeover(
             timing, runtime, peers, self.fleet, self.pools, gateway, self.claim_pool
@@ -180,6 +192,7 @@
             highest_token > 0,
             self.run_times,
             self.resubmissions,
+            self.delay,
         )
         self.owned_pools[pool] = owned_pool
         metric.count(metrics.POOLS_TAKEN)
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -85,6 +85,8 @@
         Another owner may have sent a start command for one of its tasks.
     hold : Hold or None
         Whether it waits, or has waited, for capacity for more of its tasks.
+    was_held : bool
+        Its tasks have waited for the owner's link.
     """
 
     work: job.Job
@@ -100,6 +102,7 @@
     submitted_at: float = 0.0
     has_started_elsewhere: bool = False
     hold: placement_group.Hold | None = None
+    was_held: bool = False
 
     @classmethod
     def from_message(cls, message: messages.Submit, now: float) -> "OwnedJob":
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -9,6 +9,7 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     capacity_offers,
     completions,
@@ -80,6 +81,8 @@
         Shared by the pools of an instance; None for new ones.
     retry_budget : Resubmissions or None
         Shared by the roles of an instance; None for a new one.
+    delay : OwnDelay or None
+        The instance's own delay; None if its link is unlimited.
 
     Attributes
     ----------
@@ -102,7 +105,9 @@
         has_predecessor: bool = True,
         learned_run_times: run_times.RunTimes | None = None,
         retry_budget: resubmissions.Resubmissions | None = None,
+        delay: own_delay.OwnDelay | None = None,
     ):
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.resubmissions = retry_budget or resubmissions.Resubmissions(timing, runtime)
         self.run_times = run_times.RunTimes() if learned_run_times is None else learned_run_times
         self.predecessor_servers = predecessor_servers
@@ -350,11 +355,15 @@
 
     def available_servers(self, now: float) -> list[server_state.ServerState]:
         """Return the servers that accept tasks."""
-        contact_s = self.timing.contact_s
+        contact_s = self.contact_s(now)
         return [
             state for state in self.server_states.values() if state.accepts_tasks(now, contact_s)
         ]
 
+    def contact_s(self, now: float) -> float:
+        """Return how long a server may be unresponsive before it gets no new tasks."""
+        return self.timing.contact_s + self.delay.allowance_s(now)
+
     def is_evacuated(self) -> bool:
         """Return whether the data centre of the pool is being evacuated."""
         listed = self.list_servers()
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -1,12 +1,15 @@
 """Places the waiting tasks of one owner on its servers."""
 
 from rosedyke.observe import metric
+from rosedyke.overload import metrics as overload_metrics
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     job,
     metrics,
     owned_job,
     placement,
     reserved_capacity,
+    server_commands,
     server_state,
 )
 from rosedyke.scheduling import placement_group, queue_order
@@ -26,6 +29,8 @@
         Services and demands that no server has capacity for, while tasks are placed.
     ended_runs : int
         Number of runs in the pool that have ended.
+    is_held : bool
+        Tasks wait for the instance's link, and a wake-up is scheduled.
     """
 
     def __init__(self, owner):
@@ -33,6 +38,7 @@
         self.full: set[tuple[str, job.Demand]] = set()
         self.ended_runs = 0
         self.reserved = reserved_capacity.ReservedCapacity(owner)
+        self.is_held = False
 
     def place_all(self) -> None:
         """Start tasks that fit, request capacity for the others, and offer what is still free."""
@@ -50,6 +56,8 @@
             self.owner.releaser.release_all(waiting)
         elif waiting:
             self._place_jobs(waiting, allocated, now)
+        if self.is_held:
+            return
         # Any capacity still free is too small or too slow for the tasks that wait here.
         self.owner.offers.offer_free_capacity(now)
 
@@ -67,7 +75,11 @@
         self.full.clear()
         running_tasks = self.owner.running_tasks()
         unplaced = []
-        for owned in self.order_jobs(waiting, now):
+        ordered = self.order_jobs(waiting, now)
+        for index, owned in enumerate(ordered):
+            if hold_s := self.owner.delay.hold_s(now):
+                self._hold(ordered[index:], hold_s, now)
+                return
             unplaced += self._place_job(owned, allocated, running_tasks, now)
         if unplaced:
             self.owner.releaser.request_capacity_for(unplaced, now)
@@ -92,6 +104,31 @@
             )
         return [queued.key for queued in ordered]
 
+    def _hold(self, jobs, hold_s, now):
+        """Let jobs wait because the link is too busy, and resume when it is not."""
+        delay = self.owner.delay
+        delay.record_hold(now)
+        waiting_bytes = 0
+        for owned in jobs:
+            count = len(owned.waiting_tasks())
+            waiting_bytes += count * server_commands.start_bytes(owned.work)
+            if not owned.was_held:
+                owned.was_held = True
+                metric.count(overload_metrics.STARTS_HELD, count)
+        delay.waiting_bytes[self.owner.name] = waiting_bytes
+        if not self.is_held:
+            self.is_held = True
+            self.owner.runtime.spawn(self._resume_after, hold_s)
+
+    def _resume_after(self, hold_s):
+        # The jitter lets the owners of several pools on one instance take turns.  The link stays
+        # busy meanwhile.
+        jitter_s = self.owner.runtime.random() * own_delay.START_BACKLOG_S / 2
+        self.owner.runtime.sleep(hold_s + jitter_s)
+        self.is_held = False
+        self.owner.delay.waiting_bytes.pop(self.owner.name, None)
+        self.owner.wake_scheduler()
+
     def _place_job(self, owned, allocated, running_tasks, now):
         """Place the tasks of a job that fit and return the others."""
         unplaced = []
@@ -195,4 +232,5 @@
             owned=owned,
         )
         state.runs[run.key] = run
+        self.owner.delay.outgoing.reserve(server_commands.start_bytes(owned.work))
         self.owner.runtime.spawn(self.owner.commands.start, owned, state, run)
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -5,7 +5,7 @@
 """
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import events, fencing_token, metrics, ports, server_state
+from rosedyke.rerunnable_jobs import events, fencing_token, job, metrics, ports, server_state
 
 # How long a server gets no tasks after a failed command.
 SERVER_BACKOFF_S = 0.2
@@ -20,6 +20,13 @@
 # Refusals of a start that do not prove that no run of the task has started: the server has seen a
 # run of it, or gave no known reason.
 UNCERTAIN_REFUSALS = (ports.RefusalReason.OLD_RUN, ports.RefusalReason.INVALID)
+# Size of a start command without the payload.
+START_HEADER_BYTES = 250
+
+
+def start_bytes(work: job.Job) -> int:
+    """Return the approximate size of the start command of a job's task."""
+    return START_HEADER_BYTES + len(work.payload)
 
 
 class ServerCommands:
@@ -37,6 +44,7 @@
 
     def start(self, owned, state, run):
         """Start a run on a server and process the result."""
+        self.owner.delay.outgoing.release(start_bytes(owned.work))
         if not self.owner.can_send():
             return
         if not state.expects_start(run):
@@ -47,7 +55,7 @@
             run.task, run.number, owned.work.payload, run.lease_end_ms, self.owner.token
         )
         try:
-            self.owner.gateway.start(state.server, command, self.owner.timing.order_s)
+            self.owner.gateway.start(state.server, command, self._timeout_s())
         except ports.ConnectionFailed:
             self._suspend(state)
             self.owner.discard_run(state, run)
@@ -86,10 +94,32 @@
             return
         metric.count(metrics.STARTS_UNANSWERED)
         event.log(events.COMMAND_UNANSWERED, task=run.task, run=run.number, server=state.server.id)
-        self._refresh(state)
-        if state.runs.get(run.key) is run and run.confirmed_at is None:
+        if self.owner.delay.is_limited:
+            self._read_after_own_delay(state, run)
+        else:
+            self._refresh(state)
+        if self._is_unresolved(state, run):
             self.stop(state, run)
 
+    @staticmethod
+    def _is_unresolved(state, run):
+        return state.runs.get(run.key) is run and run.confirmed_at is None
+
+    def _read_after_own_delay(self, state, run):
+        """Read a listing that shows whether a run has started, unless its lease ends before.
+
+        The start or its reply may only wait for this instance, and a stop would end the run.
+        """
+        self.owner.runtime.sleep(self.owner.delay.allowance_s(self.owner.runtime.now()))
+        while (
+            self._is_unresolved(state, run)
+            and run.state is server_state.RunState.STARTING
+            and not run.is_over
+            and self.owner.can_send()
+            and not self._refresh(state)
+        ):
+            self.owner.runtime.sleep(self.owner.timing.stop_retry_s)
+
     def stop(self, state, run):
         """Stop a run; until that is confirmed, it keeps its capacity and its task waits."""
         if run.state is server_state.RunState.STOPPING:
@@ -112,7 +142,7 @@
                     run.task,
                     run.number,
                     self.owner.token,
-                    self.owner.timing.order_s,
+                    self._timeout_s(),
                 )
             except ports.CommandRefused as error:
                 if error.reason is ports.RefusalReason.FENCED:
@@ -135,9 +165,9 @@
             self._refresh(state, state.lease_end_ms(now, self.owner.timing))
 
     def _refresh(self, state, lease_end=None):
-        """Read a server's listing at once instead of waiting for the long poll."""
+        """Read a server's listing instead of waiting for the long poll; return whether it came."""
         if not self.owner.can_send():
-            return
+            return False
         requested_at = self.owner.runtime.now()
         try:
             listing = self.owner.gateway.renew_lease(
@@ -146,11 +176,12 @@
                 state.acknowledged,
                 lease_end,
                 0.0,
-                self.owner.timing.order_s,
+                self._timeout_s(),
             )
         except ports.ServerError:
-            return  # the next poll logs the server's error
+            return False  # the next poll logs the server's error
         self.owner.apply_listing(state, listing, requested_at)
+        return True
 
     def read_overdue(self, now):
         """Read the listings of servers with overdue runs.
@@ -190,7 +221,7 @@
                     state.acknowledged,
                     lease_end,
                     wait_s,
-                    wait_s + self.owner.timing.order_s * 2,
+                    wait_s + self.owner.timing.order_s + self._timeout_s(),
                 )
             except ports.CommandRefused as error:
                 self._on_refused_poll(state, token_used, error)
@@ -209,7 +240,7 @@
 
     def _on_no_response(self, state, error):
         now = self.owner.runtime.now()
-        if state.is_synced and now - state.last_contact_at > self.owner.timing.contact_s:
+        if state.is_synced and now - state.last_contact_at > self.owner.contact_s(now):
             event.log(events.SERVER_UNRESPONSIVE, server=state.server.id, error=error)
             state.is_synced = False
         self.check_lease(state, now)
@@ -240,6 +271,11 @@
             self.owner.requeue_task(run)
         self.owner.wake_scheduler()
 
+    def _timeout_s(self):
+        """Return the timeout of a command that is sent now."""
+        now = self.owner.runtime.now()
+        return self.owner.timing.order_s + self.owner.delay.added_command_s(now)
+
     def _suspend(self, state):
         state.suspended_until = self.owner.runtime.now() + SERVER_BACKOFF_S
 
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import documents, job, messages, node, ports, settings
 from rosedyke.standins import leased_servers, virtual
 from rosedyke.wire import peer
@@ -70,6 +71,8 @@
         Number of servers in each data centre, with four cores each.
     timing : RerunSettings or None
         Settings of all instances; None for the defaults.
+    link_bytes_per_s : float
+        Rate of each instance's link, 0 if it is unlimited.
     """
 
     def __init__(
@@ -78,11 +81,14 @@
         servers: int = 3,
         seed: int = 1,
         timing: settings.RerunSettings | None = None,
+        link_bytes_per_s: float = 0.0,
     ):
         self.runtime = virtual.VirtualRuntime(seed)
         self.network = virtual.VirtualNetwork(self.runtime)
         self.backend = leased_servers.SimulatedBackend(self.runtime)
-        self.timing = timing or settings.RerunSettings()
+        self.timing = attrs.evolve(
+            timing or settings.RerunSettings(), link_bytes_per_s=link_bytes_per_s
+        )
         self.members: dict[str, Member] = {}
         for data_centre in sizes:
             for number in range(servers):
@@ -110,6 +116,9 @@
         own = messages.Instance(name, address, data_centre)
         peers = virtual.VirtualPeers(self.network, peer.Peer(name, 1, data_centre, address))
         listed = FakePlatform(self)
+        delay = own_delay.OwnDelay(self.runtime, self.timing.link_bytes_per_s)
+        if delay.is_limited:
+            self.network.links[name] = delay
         rerun_node = node.Node(
             own,
             self.timing,
@@ -117,9 +126,10 @@
             peers,
             listed,
             listed,
-            leased_servers.SimulatedGateway(self.backend, name),
+            leased_servers.SimulatedGateway(self.backend, name, delay),
             documents.Documents(self.runtime),
             lambda: WALL_CLOCK_START_S + self.runtime.now() + clock_s,
+            delay=delay,
         )
         self.members[name] = Member(own, peers, listed, rerun_node, clock_s)
         rerun_node.start()
@@ -174,6 +184,7 @@
         priority: int = 0,
         objective_s: float | None = None,
         queue: str = "tags",
+        payload: str = "{}",
     ) -> "Submission":
         """Submit a job to an instance as a caller does."""
         if objective_s is None:
@@ -181,7 +192,7 @@
         self.backend.durations[job_id] = duration_s
         step = job.Step(count, job.Demand(1000, 64), duration_s)
         rerun_job = job.Job(
-            job_id, queue, SERVICE, "{}", (step,), priority, 3, objective_s, timeout_s
+            job_id, queue, SERVICE, payload, (step,), priority, 3, objective_s, timeout_s
         )
         submission = Submission(self.runtime.signal(), submitted_at=self.runtime.now())
         member = self.members[name]
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -16,6 +16,7 @@
 from rosedyke import fault
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
+from rosedyke.overload import own_delay
 from rosedyke.wire import (
     codec,
     curve_keys,
@@ -99,11 +100,19 @@
         Address, key and limits.
     runtime : runtime.Runtime
         Tasks and time.
+    delay : OwnDelay or None
+        Account of the instance's link; None if it is unlimited.
     """
 
-    def __init__(self, options: settings.TransportSettings, runtime: runtime_module.Runtime):
+    def __init__(
+        self,
+        options: settings.TransportSettings,
+        runtime: runtime_module.Runtime,
+        delay: own_delay.OwnDelay | None = None,
+    ):
         self.options = options
         self.runtime = runtime
+        self.delay = delay or own_delay.OwnDelay(runtime)
         self.version = options.protocol_version or codec.PROTOCOL_VERSION
         self.own = peer.Peer(
             options.name, new_incarnation_after(0), options.data_centre, options.address
@@ -264,7 +273,9 @@
     def _replace_if_unresponsive(self, connection):
         # A half-open connection delivers nothing although new connections work.  Only missing
         # replies reveal it, so the next message uses a new connection.
-        if connection.is_unresponsive() and self.connections.get(connection.address) is connection:
+        added_s = self.delay.allowance_s(self.runtime.now())
+        is_current = self.connections.get(connection.address) is connection
+        if is_current and connection.is_unresponsive(added_s):
             metric.count(metrics.LINKS_REPLACED)
             self.rate_limited_log.log(events.LINK_REPLACED, address=connection.address)
             self._close_connection(connection.address)
@@ -290,10 +301,12 @@
     def _count_sent(self, frame):
         self.traffic.messages_sent += 1
         self.traffic.bytes_sent += len(frame)
+        self.delay.record_sent(len(frame))
 
     def _count_received(self, frame):
         self.traffic.messages_received += 1
         self.traffic.bytes_received += len(frame)
+        self.delay.record_received(len(frame))
 
     def _read(self):
         while True:
