--- a/rosedyke/rerunnable_jobs/link_load_test.py
+++ b/rosedyke/rerunnable_jobs/link_load_test.py
@@ -106,6 +106,7 @@
         self.assertGreater(
             completed_share(region, submissions), 0.8 * completed_share(best_region, best)
         )
+        self.assertGreater(goodput(submissions), 0.75 * goodput(best))
         self.assertEqual(region.backend.violations, [])
         self.assertGreaterEqual(counter.counts[overload_events.LINK_IS_LIMIT.number], 1)
         self.assertGreater(metric.counts[overload_metrics.STARTS_HELD.name], TASKS_PER_JOB)
@@ -113,6 +114,11 @@
         report = region.members[owner].node.owned_pools["a/r1"].reports.report()
         self.assertGreater(report.link_backlog_s, 0.2)
         self.assertEqual(report.link_bytes_per_s, LINK_BYTES_PER_S)
+        # Guards against an overload that lasts after its cause is over.
+        region.run(2.0)
+        later = submit(region, region.non_owner("a"), "later")
+        region.run(0.25)
+        self.assertEqual(goodput([later]), 1)
 
     def test_successor_of_an_owner_that_is_lost_continues_the_jobs(self):
         # Guards against tasks that waited for the link of the lost owner and are never placed.
