Test that learned speeds survive a takeover under pressure

A successor that placed tasks as if all servers were equally fast, or that reserved capacity for the resubmitted queue, would make an overload worse.

--- a/rosedyke/rerunnable_jobs/scheduling_test.py
+++ b/rosedyke/rerunnable_jobs/scheduling_test.py
@@ -458,6 +458,37 @@
             self.assertIsNotNone(submission.outcome)
 
 
+class LearnedSpeeds(unittest.TestCase):
+    def test_successor_starts_with_the_speeds_and_without_measured_arrivals(self):
+        # Guards against a takeover during an overload that places tasks as if all servers were
+        # equally fast, or that reserves capacity for the resubmitted queue.
+        for is_handover in (False, True):
+            timing = settings.RerunSettings(schedules_by_kind=True)
+            region = rerun_region.Region({"a": 2}, timing=timing)
+            region.run(STARTUP_S)
+            owner = region.owner("a")
+            node = region.members[owner].node
+            for _ in range(30):
+                node.speeds.record_run("s-a-0", 0.1, 0.2)
+            for number in range(20):
+                region.submit(region.non_owner("a"), f"j{number}", 3, 0.4, priority=number % 2)
+            region.run(0.4)
+            self.assertTrue(node.owned_pools["a/r1"].task_scheduler.reserved.pressed)
+            learned = node.speeds.speed_of("s-a-0")
+            self.assertLess(learned, 0.8)
+            if is_handover:
+                region.runtime.spawn(node.handover.hand_pools_over, True)
+            else:
+                region.kill(owner)
+            while region.owner("a") in ("", owner):
+                region.run(0.01)
+            successor = region.members[region.owner("a")].node
+            self.assertAlmostEqual(successor.speeds.speed_of("s-a-0"), learned, delta=0.05)
+            region.run(1.5)
+            reserved = successor.owned_pools["a/r1"].task_scheduler.reserved
+            self.assertEqual((reserved.arrivals, region.backend.violations), ({}, []))
+
+
 class Burst(unittest.TestCase):
     def test_every_job_of_a_burst_succeeds_or_is_refused_in_time(self):
         # Guards against jobs that time out during overload instead of being refused unstarted.
