Let one task of later priorities run whatever is reserved

A task that needs more than half of a small pool, such as all of a single server, would have been held back for as long as urgent jobs arrive. It may now start when no task of a later priority runs.

--- a/rosedyke/scheduling/reservation.py
+++ b/rosedyke/scheduling/reservation.py
@@ -180,11 +180,14 @@
         Whole slots that are free.
     used_millicores : int
         Capacity that the priorities of the reservation use.
+    later_millicores : int
+        Capacity that the following priorities use.
     """
 
     reserved: Reservation
     free_slots: int
     used_millicores: int
+    later_millicores: int = 0
 
     def allows(self, millicores: int, free_millicores: int, is_urgent: bool) -> bool:
         """Return whether a task of a later priority leaves enough for the reservation.
@@ -198,6 +201,10 @@
         is_urgent : bool
             The task would soon be useless, so only the mean is reserved.
         """
+        if not self.later_millicores:
+            # One task of the following priorities may always run.  Otherwise one that needs more
+            # than half of a small pool would never start.
+            return True
         size = self.reserved.slot_millicores
         lost_slots = free_millicores // size - (free_millicores - millicores) // size
         needed = self.reserved.mean_slots if is_urgent else self.reserved.slots
@@ -217,8 +224,13 @@
         """Return the usage after a task was placed on a server."""
         size = self.reserved.slot_millicores
         lost_slots = free_millicores // size - (free_millicores - millicores) // size
-        used = millicores if priority <= self.reserved.priority else 0
-        return Usage(self.reserved, self.free_slots - lost_slots, self.used_millicores + used)
+        is_reserved_for = priority <= self.reserved.priority
+        return Usage(
+            self.reserved,
+            self.free_slots - lost_slots,
+            self.used_millicores + (millicores if is_reserved_for else 0),
+            self.later_millicores + (0 if is_reserved_for else millicores),
+        )
 
 
 def usage(reserved: Reservation, free: Iterable[int], used_by_priority: Mapping[int, int]) -> Usage:
@@ -231,12 +243,14 @@
     used_by_priority : mapping of int to int
         Millicores in use by the running tasks of each priority.
     """
+    used = sum(
+        millicores
+        for priority, millicores in used_by_priority.items()
+        if priority <= reserved.priority
+    )
     return Usage(
         reserved,
         sum(millicores // reserved.slot_millicores for millicores in free),
-        sum(
-            millicores
-            for priority, millicores in used_by_priority.items()
-            if priority <= reserved.priority
-        ),
+        used,
+        sum(used_by_priority.values()) - used,
     )
--- a/rosedyke/scheduling/reservation_test.py
+++ b/rosedyke/scheduling/reservation_test.py
@@ -90,3 +90,11 @@
         self.assertEqual(self.usage.after(2, 14_000, 28_000).spare(28_000), 14_000)
         usage = reservation.usage(self.usage.reserved, [28_000], {})
         self.assertEqual(usage.spare(28_000), 0)
+
+    def test_one_long_task_may_run_whatever_is_reserved(self):
+        # Guards against a task that needs more than half of a small pool and never starts.
+        reserved = reservation.Reservation(0, 14_000, 1, 1)
+        usage = reservation.usage(reserved, [28_000], {})
+        self.assertTrue(usage.allows(28_000, 28_000, False))
+        usage = reservation.usage(reserved, [28_000], {2: 14_000})
+        self.assertFalse(usage.allows(28_000, 28_000, True))
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -69,7 +69,7 @@
     Mechanism(
         "latest-start",
         SCHEDULING / "queue_order.py",
-        "return (is_late, rank, not queued.has_started, queued.latest_start)",
+        "return (*group(queued), queued.latest_start)",
         "return (queued.key.arrived_at,)",
     ),
     Mechanism(
