Revert holds of wide jobs in a pool under pressure

Cause: a review showed that later jobs and offers to other pools take the capacity that a held job waits for (5.45 s instead of 1.5 s in its case), and that a hold outlives the pressure.

--- a/rosedyke/rerunnable_jobs/completions.py
+++ b/rosedyke/rerunnable_jobs/completions.py
@@ -27,7 +27,6 @@
         if run is None:
             self._on_unknown_run_end(owned, task, end, now)
             return
-        self.owner.task_scheduler.ended_runs += 1
         if end.result is ports.RunResult.DONE:
             state.failures = 0
             if run.confirmed_at is not None:
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -5,7 +5,7 @@
 import attrs
 
 from rosedyke.rerunnable_jobs import job, messages, settings
-from rosedyke.scheduling import placement_group, queue_order
+from rosedyke.scheduling import queue_order
 
 
 class TaskState(enum.Enum):
@@ -83,8 +83,6 @@
         since.
     has_started_elsewhere : bool
         Another owner may have sent a start command for one of its tasks.
-    hold : Hold or None
-        Whether it waits, or has waited, for capacity for more of its tasks.
     was_held : bool
         Its tasks have waited for the owner's link.
     """
@@ -101,7 +99,6 @@
     moves: int = 0
     submitted_at: float = 0.0
     has_started_elsewhere: bool = False
-    hold: placement_group.Hold | None = None
     was_held: bool = False
 
     @classmethod
--- a/rosedyke/rerunnable_jobs/placement.py
+++ b/rosedyke/rerunnable_jobs/placement.py
@@ -45,21 +45,6 @@
     return best
 
 
-def count_fitting(
-    demand: job.Demand,
-    service: str,
-    servers: Iterable[server_state.ServerState],
-    allocated: dict[str, job.Demand],
-) -> int:
-    """Return how many tasks of a demand fit on the servers of a service now, by millicores."""
-    return sum(
-        (state.server.capacity.millicores - allocated[state.server.id].millicores)
-        // max(1, demand.millicores)
-        for state in servers
-        if state.server.service == service and state.server.id in allocated
-    )
-
-
 def should_wait(
     task: owned_job.OwnedTask,
     candidate: server_state.ServerState,
--- a/rosedyke/rerunnable_jobs/reserved_capacity.py
+++ b/rosedyke/rerunnable_jobs/reserved_capacity.py
@@ -218,14 +218,6 @@
         """Return the last priority whose tasks may use an offer, None if there is no limit."""
         return request.priority if request.service in self.pressed else None
 
-    def count_allowed(self, owned: owned_job.OwnedJob, task: owned_job.OwnedTask) -> float:
-        """Return how many tasks equal to one the reservations allow now."""
-        capacity = self.pressed.get(owned.work.service)
-        if capacity is None:
-            return math.inf
-        usages = capacity.applying(owned, task)
-        return min((usage.spare_slots() for usage in usages), default=math.inf)
-
     def holds_back(self, owned: owned_job.OwnedJob, task: owned_job.OwnedTask, now: float) -> bool:
         """Return whether an equal or smaller task of the priority was just held back."""
         capacity = self.pressed.get(owned.work.service)
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -12,7 +12,7 @@
     server_commands,
     server_state,
 )
-from rosedyke.scheduling import placement_group, queue_order
+from rosedyke.scheduling import queue_order
 
 
 class Scheduler:
@@ -27,8 +27,6 @@
     ----------
     full : set of (str, Demand)
         Services and demands that no server has capacity for, while tasks are placed.
-    ended_runs : int
-        Number of runs in the pool that have ended.
     is_held : bool
         Tasks wait for the instance's link, and a wake-up is scheduled.
     """
@@ -36,7 +34,6 @@
     def __init__(self, owner):
         self.owner = owner
         self.full: set[tuple[str, job.Demand]] = set()
-        self.ended_runs = 0
         self.reserved = reserved_capacity.ReservedCapacity(owner)
         self.is_held = False
 
@@ -132,10 +129,7 @@
     def _place_job(self, owned, allocated, running_tasks, now):
         """Place the tasks of a job that fit and return the others."""
         unplaced = []
-        tasks = owned.waiting_tasks()
-        if self._is_held(owned, tasks, allocated, now):
-            return [(owned, task) for task in tasks]
-        for task in tasks:
+        for task in owned.waiting_tasks():
             if task.name in running_tasks:
                 continue
             state = self._choose_server(owned, task, allocated, now)
@@ -154,33 +148,6 @@
             self._place(owned, task, state, now)
         return unplaced
 
-    def _is_held(self, owned, tasks, allocated, now):
-        """Return whether a job waits until more of its tasks fit."""
-        if owned.hold is not None:
-            return owned.hold.is_active(now, self.ended_runs)
-        if owned.has_started or len(tasks) < 2 or owned.work.service not in self.reserved.pressed:
-            return False
-        # A hold takes too much of the slack of urgent jobs: benchmarks.kind_scheduling served fewer
-        # of them in time when they were held as well.
-        if owned.work.priority == 0:
-            return False
-        servers = self.owner.server_states.values()
-        fitting = min(
-            placement.count_fitting(tasks[0].step.demand, owned.work.service, servers, allocated),
-            self.reserved.count_allowed(owned, tasks[0]),
-        )
-        owned.hold = placement_group.new_hold(
-            len(tasks), fitting, owned.work.objective_s, self.ended_runs, now
-        )
-        if owned.hold is None:
-            return False
-        self.owner.runtime.spawn(self._wake_after, owned.hold.until - now)
-        return True
-
-    def _wake_after(self, delay_s):
-        self.owner.runtime.sleep(delay_s)
-        self.owner.wake_scheduler()
-
     def _choose_server(self, owned, task, allocated, now):
         """Return the server to place a task on now, or None if it waits."""
         # Capacity only decreases while tasks are placed.
--- a/rosedyke/scheduling/reservation.py
+++ b/rosedyke/scheduling/reservation.py
@@ -212,13 +212,9 @@
 
     def spare(self, free_millicores: int) -> int:
         """Return how much of a server's free capacity is not needed for the reservation."""
-        size, slots = self.reserved.slot_millicores, self.spare_slots()
-        return free_millicores if free_millicores // size <= slots else slots * size
-
-    def spare_slots(self) -> int:
-        """Return the number of free slots that are not needed for the reservation."""
-        used_slots = self.used_millicores // self.reserved.slot_millicores
-        return max(0, self.free_slots + used_slots - self.reserved.slots)
+        size = self.reserved.slot_millicores
+        slots = self.free_slots + self.used_millicores // size - self.reserved.slots
+        return free_millicores if free_millicores // size <= slots else max(0, slots) * size
 
     def after(self, priority: int, millicores: int, free_millicores: int) -> "Usage":
         """Return the usage after a task was placed on a server."""
