--- a/rosedyke/rerunnable_jobs/capacity_offers.py
+++ b/rosedyke/rerunnable_jobs/capacity_offers.py
@@ -91,11 +91,15 @@
             self.owner.listener.offer_capacity(request.message.sender, offer)
 
     def _free_servers(self, now):
-        """Return the servers that are not offered yet and their free millicores, fastest first."""
+        """Return the servers that are not offered yet and their free millicores, fastest first.
+
+        Servers that are kept for urgent tasks of this pool are left out.
+        """
+        kept = frozenset().union(*self.owner.task_scheduler.kept.values())
         free = [
             (state, state.free_millicores())
             for state in self.owner.available_servers(now)
-            if state.server.id not in self.offered_until
+            if state.server.id not in self.offered_until and state.server.id not in kept
         ]
         return sorted(free, key=lambda entry: -self.owner.speeds.speed_of(entry[0].server.id))
 
--- a/rosedyke/rerunnable_jobs/reserved_capacity.py
+++ b/rosedyke/rerunnable_jobs/reserved_capacity.py
@@ -189,6 +189,10 @@
             for each in self.pressed.values()
         )
 
+    def is_urgent_first(self, service: str) -> bool:
+        """Return whether priority 0 comes first among the waiting jobs of a service."""
+        return service in self.pressed and self.pressed[service].is_urgent_first
+
     def spare_capacity(self, service: str, free_millicores: int, priority: int) -> int:
         """Return how much of a server's free capacity may be offered to tasks of a priority.
 
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -12,7 +12,7 @@
     server_commands,
     server_state,
 )
-from rosedyke.scheduling import queue_order
+from rosedyke.scheduling import backfill, queue_order
 
 
 class Scheduler:
@@ -25,15 +25,19 @@
 
     Attributes
     ----------
-    full : set of (str, Demand)
-        Services and demands that no server has capacity for, while tasks are placed.
+    full : set of (str, Demand, bool)
+        Services and demands that no server has capacity for, while tasks are placed, and whether
+        servers that are kept count.
+    kept : dict of str to frozenset of str
+        By service: servers that are kept for urgent tasks, while tasks are placed.
     is_held : bool
         Tasks wait for the instance's link, and a wake-up is scheduled.
     """
 
     def __init__(self, owner):
         self.owner = owner
-        self.full: set[tuple[str, job.Demand]] = set()
+        self.full: set[tuple[str, job.Demand, bool]] = set()
+        self.kept: dict[str, frozenset[str]] = {}
         self.reserved = reserved_capacity.ReservedCapacity(owner)
         self.is_held = False
 
@@ -42,6 +46,8 @@
         if not self.owner.is_active:
             return
         now = self.owner.runtime.now()
+        self.full.clear()
+        self.kept.clear()
         waiting = self._waiting_jobs(now)
         allocated = {}
         if waiting or self.owner.offers.requests:
@@ -69,7 +75,6 @@
         ]
 
     def _place_jobs(self, waiting, allocated, now):
-        self.full.clear()
         running_tasks = self.owner.running_tasks()
         unplaced = []
         ordered = self.order_jobs(waiting, now)
@@ -146,20 +151,58 @@
             # After a lost message two parts may contain the same task.
             running_tasks.add(task.name)
             self._place(owned, task, state, now)
+        self._keep_servers(owned, [task for _, task in unplaced], allocated, now)
         return unplaced
 
+    def _keep_servers(self, owned, blocked, allocated, now):
+        """Keep servers for the tasks of an urgent job that fit on none now."""
+        service = owned.work.service
+        if not blocked or not self._is_urgent(owned) or now > owned.due_at:
+            return
+        states = [
+            state
+            for server_id, state in self.owner.server_states.items()
+            if server_id in allocated and state.server.service == service
+        ]
+        self.kept[service] = backfill.servers_to_keep(
+            [self._capacity(state, allocated[state.server.id]) for state in states],
+            [
+                task.step.demand.millicores
+                for task in blocked
+                if (service, task.step.demand, True) in self.full
+            ],
+            self.kept.get(service, frozenset()),
+            len(states),
+        )
+
+    def _is_urgent(self, owned):
+        """Return whether servers are kept for a job, and not kept from it."""
+        return owned.work.priority == 0 and self.reserved.is_urgent_first(owned.work.service)
+
+    def _capacity(self, state, allocated):
+        return backfill.ServerCapacity(
+            state.server.id,
+            state.server.capacity.millicores - allocated.millicores,
+            tuple(
+                (self.owner.releaser.expected_run_end(state, run), run.demand.millicores)
+                for run in state.runs.values()
+                if run.demand is not None
+            ),
+        )
+
     def _choose_server(self, owned, task, allocated, now):
         """Return the server to place a task on now, or None if it waits."""
         # Capacity only decreases while tasks are placed.
-        request = (owned.work.service, task.step.demand)
+        service, is_urgent = owned.work.service, self._is_urgent(owned)
+        request = (service, task.step.demand, is_urgent)
         if request in self.full or self.reserved.holds_back(owned, task, now):
             return None
+        usable = allocated
+        if not is_urgent and self.kept.get(service):
+            kept = self.kept[service]
+            usable = {name: used for name, used in allocated.items() if name not in kept}
         state = placement.choose_server(
-            task,
-            owned.work.service,
-            self.owner.server_states.values(),
-            self.owner.speeds,
-            allocated,
+            task, service, self.owner.server_states.values(), self.owner.speeds, usable
         )
         if state is None:
             self.full.add(request)
