Split racks into several pools by a record of the registry

A registry returns the numbers of pools of split racks. The index maps all servers by one of these records. A new name's token is above those of the rack's former names, and its owner allows for runs of a former one.

--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -184,6 +184,39 @@
     "A part of a job had started when its holder withdrew it, because a pool had refused another "
     "part, whose tasks are submitted to other pools, or because the caller's timeout was near.",
 )
+RACKS_SPLIT = event.define(
+    8044,
+    "racks_split",
+    logging.INFO,
+    "The record of the racks that are split into several pools has become known or has changed.",
+)
+POOL_SPLITS_CREATED = event.define(
+    8045,
+    "pool_splits_created",
+    logging.INFO,
+    "The fleet is starting and all instances are small, so this one has written the numbers of "
+    "pools of the racks.",
+)
+POOL_SPLITS_NOT_CREATED = event.define(
+    8046,
+    "pool_splits_not_created",
+    logging.WARNING,
+    "Writing the numbers of pools of the racks failed, or its result is unknown; it is retried "
+    "while the fleet is starting.",
+)
+POOL_SPLITS_UNREADABLE = event.define(
+    8047,
+    "pool_splits_unreadable",
+    logging.ERROR,
+    "The record of the split racks is invalid; the last valid one stays in effect.",
+)
+POOL_RENAMED = event.define(
+    8048,
+    "pool_renamed",
+    logging.WARNING,
+    "The record of the split racks became known late, so that the pool's servers belong to pools "
+    "of other names; its jobs end as after the loss of an owner.",
+)
 QUEUE_TOO_LONG = event.define(
     8060,
     "queue_too_long",
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -19,6 +19,7 @@
     pool_index,
     pool_owner,
     ports,
+    rack_splitting,
     renewal,
     resubmissions,
     server_speed,
@@ -99,6 +100,7 @@
         )
         self.fleet.claim_callbacks.append(self._on_remote_claim)
         self.fleet.claim_callbacks.append(self._request_first_report)
+        self.rack_splitting = rack_splitting.RackSplitting(self)
         self.handover = handover.Handover(self)
         self.synchroniser = document_sync.DocumentSync(self)
         self.renewal = renewal.Renewal(self)
@@ -175,7 +177,9 @@
         """
         if pool in self.owned_pools or self.takeovers.is_suspended:
             return
-        highest_token = self.fleet.highest_tokens.get(pool, 0)
+        if not self.takeovers.may_claim() or not self.pools.is_current(pool):
+            return  # the names have changed since the decision, or may do so soon
+        highest_token = self._highest_token(pool)
         new_token = fencing_token.next_token(self.instance_bits, self.wall_clock_s(), highest_token)
         event.log(events.POOL_CLAIMED, pool=pool, token=new_token, reason=reason)
         self._import_speeds(pool)
@@ -199,6 +203,17 @@
         owned_pool.start()
         self._announce(owned_pool)
 
+    def _highest_token(self, pool):
+        """Return the highest known token of earlier owners of a pool's servers, 0 without any."""
+        return max(
+            (
+                token
+                for name, token in self.fleet.highest_tokens.items()
+                if self.pools.may_share_servers(pool, name)
+            ),
+            default=0,
+        )
+
     def _predecessor_servers(self, pool):
         """Return the servers that the previous owner used, None if some may be unknown."""
         state = self.fleet.owners.get(pool)
@@ -304,7 +319,19 @@
 
     def _on_servers(self):
         for owned_pool in list(self.owned_pools.values()):
-            owned_pool.on_servers()
+            if self.pools.is_current(owned_pool.name):
+                owned_pool.on_servers()
+            else:
+                event.log(events.POOL_RENAMED, pool=owned_pool.name, jobs=len(owned_pool.jobs))
+                owned_pool.step_down("its rack is split in another way")
+        self._remove_former_pools()
+
+    def _remove_former_pools(self):
+        """Remove unresponsive owners of names without servers, which nobody takes over."""
+        for pool, state in list(self.fleet.owners.items()):
+            is_lost = self.fleet.owner_contact_age_s(pool) > self.timing.owner_lost_s
+            if is_lost and not self.pools.is_current(pool):
+                self.fleet.remove_owner(pool, state.claim.owner.name)
 
     # Other messages.
 
--- a/rosedyke/rerunnable_jobs/ports.py
+++ b/rosedyke/rerunnable_jobs/ports.py
@@ -8,14 +8,20 @@
 
 from rosedyke import fault
 from rosedyke.rerunnable_jobs import job, messages
+from rosedyke.scheduling import pool_split
 
 
-def pool_of(server: "Server") -> str:
-    """Return the pool of a server: its rack.
+def pool_of(server: "Server", splits: pool_split.Splits = pool_split.NO_SPLITS) -> str:
+    """Return the pool of a server: its rack, or a part of it if the rack is split.
 
     A rack has 6 to 20 servers, few enough for one small instance.  All instances see the same
-    racks, so no coordination is needed.
+    racks, so no coordination is needed unless racks are split.
     """
+    return pool_split.pool_of(rack_of(server), server.id, splits)
+
+
+def rack_of(server: "Server") -> str:
+    """Return the name of a server's rack, which is also its pool if the rack is not split."""
     return f"{server.data_centre}/{server.rack}"
 
 
@@ -213,5 +219,11 @@
     def servers(self) -> tuple[Server, ...]:
         """Return the current list."""
 
+    def pool_splits(self) -> pool_split.Splits | None:
+        """Return the number of pools of each split rack, None while it is unknown or absent.
+
+        Returns the same object until it changes.
+        """
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback()`` after each change; it must not block."""
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -21,6 +21,7 @@
     ports,
     settings,
 )
+from rosedyke.scheduling import pool_split
 from rosedyke.wire import peer
 
 CHECK_INTERVAL_S = 0.04
@@ -61,6 +62,11 @@
     ----------
     claim_pool : callable
         ``claim_pool(pool, reason)`` makes this instance the owner.
+
+    Attributes
+    ----------
+    listed_since : float or None
+        Since when servers are known, None while none are.
     """
 
     def __init__(
@@ -87,18 +93,31 @@
         self.is_running = True
         # Set while the instance starts or shuts down; it then takes no pool.
         self.is_suspended = False
+        self.listed_since: float | None = None
 
     def run(self) -> None:
         """Check all candidate pools until stopped."""
         while self.is_running:
-            if not self.is_suspended:
-                for pool in self.pools.names():
+            names = self.pools.names()
+            if self.listed_since is None and names:
+                self.listed_since = self.runtime.now()
+            if not self.is_suspended and self.may_claim():
+                for pool in names:
                     if self.is_candidate(pool):
                         self._check_pool(pool)
             self.runtime.sleep(
                 CHECK_INTERVAL_S * min(self.fleet.interval_factor, MAX_INTERVAL_FACTOR)
             )
 
+    def listed_s(self) -> float | None:
+        """Return the seconds since servers became known, None if none are."""
+        return None if self.listed_since is None else self.runtime.now() - self.listed_since
+
+    def may_claim(self) -> bool:
+        """Return whether this instance knows the names of the pools, or has waited long enough."""
+        splits = self.pools.registry.pool_splits()
+        return pool_split.may_claim(self.timing.balances_pools, splits, self.listed_s())
+
     def back_off(self, pool: str) -> None:
         """Do not take a pool for a while, so that ownership does not alternate."""
         self.retry_at[pool] = self.runtime.now() + self.timing.rest_s
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -6,6 +6,7 @@
 
 from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import documents, job, messages, node, ports, settings
+from rosedyke.scheduling import pool_split
 from rosedyke.standins import leased_servers, virtual
 from rosedyke.wire import peer
 
@@ -21,6 +22,8 @@
         self.hidden: set[str] = set()
         self.evacuated: set[str] = set()
         self.reachable = True
+        # Empty by default, so that no instance waits for the record.
+        self.known_splits: pool_split.Splits | None = pool_split.NO_SPLITS
         self.callbacks: list[Callable[[], None]] = []
 
     def servers(self) -> tuple[ports.Server, ...]:
@@ -31,6 +34,15 @@
             if server.listed.id not in self.hidden
         )
 
+    def pool_splits(self) -> pool_split.Splits | None:
+        """Return the record of the split racks that this instance knows."""
+        return self.known_splits
+
+    def set_splits(self, splits: pool_split.Splits) -> None:
+        """Let this instance know the record of the split racks."""
+        self.known_splits = splits
+        self.changed()
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback()`` after each change of the lists."""
         self.callbacks.append(callback)
@@ -111,11 +123,26 @@
             )
         )
 
-    def add(self, name: str, data_centre: str, address: str, clock_s: float = 0.0) -> Member:
-        """Start an instance whose wall clock is skewed by ``clock_s``."""
-        own = messages.Instance(name, address, data_centre)
+    def add(
+        self,
+        name: str,
+        data_centre: str,
+        address: str,
+        clock_s: float = 0.0,
+        cores: float = 1.0,
+        splits: pool_split.Splits | None = pool_split.NO_SPLITS,
+    ) -> Member:
+        """Start an instance whose wall clock is skewed by ``clock_s``.
+
+        Parameters
+        ----------
+        splits : Mapping or None
+            The record of the split racks that it knows, None if it knows none.
+        """
+        own = messages.Instance(name, address, data_centre, cores)
         peers = virtual.VirtualPeers(self.network, peer.Peer(name, 1, data_centre, address))
         listed = FakePlatform(self)
+        listed.known_splits = splits
         delay = own_delay.OwnDelay(self.runtime, self.timing.link_bytes_per_s)
         if delay.is_limited:
             self.network.links[name] = delay
