Merge pools smaller than a rack; a pool has six servers at least

With eight, the racks of 12 and 13 servers of the first customer's small instances would not be split; the smallest racks of all deployments have six.

--- a/rosedyke/scheduling/pool_split.py
+++ b/rosedyke/scheduling/pool_split.py
@@ -11,8 +11,9 @@
 import attrs
 import xxhash
 
-# With fewer servers, tasks of several cores pack badly, and each pool costs renewals.
-SERVERS_PER_POOL = 8
+# As many as the smallest racks have.  With fewer servers, tasks of several cores pack badly, and each
+# pool costs renewals.
+SERVERS_PER_POOL = 6
 MAX_POOLS_PER_RACK = 4
 # An instance with fewer cores is small.
 SMALL_CORES = 0.25
