A successor knows the servers although their speeds have changed since

Cause: a changed speed raised the version of the servers. Reports with outcomes mention the version without the servers, so an owner that was lost between a change of speed and the next renewal left its successor with an incomplete set, and all tasks waited for the end of the holders' leases (1.2 s). Change: the names and the speeds of the servers have separate versions; only that of the names decides whether a set is complete.

--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -44,10 +44,10 @@
         Time and millicores of each submission that the last report does not include yet.
     servers : dict of str to float, or None
         The last servers and speeds that the owner reported under this token, None before the first.
-    servers_version : int
-        Their version.
+    servers_version, speeds_version : int
+        The versions of the servers and of the speeds.
     newest_servers_version : int
-        The highest version that a report mentioned.
+        The highest version of the servers that a report mentioned.
     servers_confirmed_at : float
         When a report last showed that ``servers`` had not changed.
     """
@@ -60,6 +60,7 @@
     submitted: list[tuple[float, int]] = attrs.Factory(list)
     servers: dict[str, float] | None = None
     servers_version: int = 0
+    speeds_version: int = 0
     newest_servers_version: int = 0
     servers_confirmed_at: float = float("-inf")
 
@@ -85,8 +86,10 @@
         version = report.servers_version
         self.newest_servers_version = max(self.newest_servers_version, version)
         # A delayed report may contain an older set than the known one.
-        if report.servers is not None and (self.servers is None or version > self.servers_version):
-            self.servers, self.servers_version = report.servers, version
+        versions = (version, report.speeds_version)
+        known_versions = (self.servers_version, self.speeds_version)
+        if report.servers is not None and (self.servers is None or versions > known_versions):
+            self.servers, (self.servers_version, self.speeds_version) = report.servers, versions
         if self.servers is not None and version == self.servers_version:
             self.servers_confirmed_at = now
 
@@ -341,10 +344,10 @@
             return 0.0
         return self.runtime.now() - state.last_contact_at
 
-    def servers_versions(self, owner: str) -> dict[str, tuple[int, int]]:
-        """Return the token and version of the known servers of each pool of an owner."""
+    def servers_versions(self, owner: str) -> dict[str, tuple[int, int, int]]:
+        """Return the token and versions of the known servers of each pool of an owner."""
         return {
-            pool: (state.claim.token, state.servers_version)
+            pool: (state.claim.token, state.servers_version, state.speeds_version)
             for pool, state in self.owners.items()
             if state.claim.owner.name == owner and state.servers is not None
         }
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -59,11 +59,14 @@
         of them does not see all runs yet.  None if the receiver knows them by their version, or if
         they are left out of a message that must be small.
     servers_version : int
-        Version of ``servers``, which increases within one token.
+        Version of the names in ``servers``, which increases within one token.  Separate from that
+        of the speeds, since a successor that lacks the latest speeds still knows all servers.
     link_backlog_s : float
         Time that new start commands wait for the owner's link.
     link_bytes_per_s : float
         Rate of the owner's link, 0 if it is unlimited.
+    speeds_version : int
+        Version of the speeds in ``servers``, which increases within one token.
     """
 
     pool: str
@@ -76,6 +79,7 @@
     servers_version: int = 0
     link_backlog_s: float = 0.0
     link_bytes_per_s: float = 0.0
+    speeds_version: int = 0
 
     @property
     def rooms(self) -> tuple[tuple[int, float], ...]:
@@ -153,9 +157,9 @@
         The version up to which the sender knows the receiver's claims, 0 for none.
     documents : dict of str to DocumentVersion
         The sender's versions of the shared documents that may be news to the receiver.
-    servers_versions : dict of str to (int, int)
-        Token and ``PoolReport.servers_version`` of the servers that the sender knows of the
-        receiver's pools.
+    servers_versions : dict of str to (int, int, int)
+        Token, ``PoolReport.servers_version`` and ``speeds_version`` of the servers that the sender
+        knows of the receiver's pools.
     receiver_checksum : int
         ``Instance.checksum`` of the receiver as the sender knows it.
     """
@@ -165,7 +169,7 @@
     sent_s: float
     claims_version: int
     documents: dict[str, DocumentVersion]
-    servers_versions: dict[str, tuple[int, int]]
+    servers_versions: dict[str, tuple[int, int, int]]
     receiver_checksum: int
 
 
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -31,7 +31,9 @@
     servers : dict of str to float
         The servers and speeds of the last report.
     servers_version : int
-        Increases whenever ``servers`` changes.
+        Increases whenever a server is added to ``servers`` or removed.
+    speeds_version : int
+        Increases whenever one of the speeds changes.
     speeds_changed_at : float
         When it last increased because of a speed.
     """
@@ -43,7 +45,7 @@
         self.reported_at = owner.owned_since
         self.sent_at: dict[str, float] = {}
         self.servers: dict[str, float] = {}
-        self.servers_version = 0
+        self.servers_version = self.speeds_version = 0
         self.speeds_changed_at = float("-inf")
 
     def resignation(self, balance: messages.BalanceMove | None = None) -> messages.Resign:
@@ -76,9 +78,11 @@
             ),
             sum(state.server.capacity.millicores for state in servers),
             dict(waiting),
-            *self._versioned_servers(),
+            self._updated_servers(),
+            self.servers_version,
             round(delay.work_wait_s(now), 4),
             delay.outgoing.bytes_per_s,
+            self.speeds_version,
         )
 
     def recent_report(self) -> messages.PoolReport:
@@ -101,7 +105,7 @@
         return self.last_without_servers
 
     def report_for_renewal(
-        self, holder: str, known_version: tuple[int, int] | None
+        self, holder: str, known_version: tuple[int, int, int] | None
     ) -> messages.PoolReport:
         """Return the cached report for a holder, without ``servers`` if the holder knows them.
 
@@ -109,17 +113,18 @@
         ----------
         holder : str
             Name of the holder's instance.
-        known_version : (int, int) or None
-            Token and version of the servers that the holder knows, None if it knows none.
+        known_version : (int, int, int) or None
+            Token and versions of the servers and speeds that the holder knows, None if it knows
+            none.
         """
         report = self.recent_report()
         self.sent_at[holder] = self.owner.runtime.now()
-        if known_version == (report.token, report.servers_version):
+        if known_version == (report.token, report.servers_version, report.speeds_version):
             return self.last_without_servers
         return report
 
-    def _versioned_servers(self):
-        """Return the servers with their speeds, and the version of this set."""
+    def _updated_servers(self):
+        """Return the servers with their speeds, and update the versions."""
         now, speeds = self.owner.runtime.now(), self._speeds()
         if speeds.keys() != self.servers.keys() or not self.servers_version:
             self.servers, self.servers_version = speeds, self.servers_version + 1
@@ -127,9 +132,9 @@
             abs(speed - self.servers[server_id]) >= SPEED_CHANGE * self.servers[server_id]
             for server_id, speed in speeds.items()
         ):
-            self.servers, self.servers_version = speeds, self.servers_version + 1
+            self.servers, self.speeds_version = speeds, self.speeds_version + 1
             self.speeds_changed_at = now
-        return self.servers, self.servers_version
+        return self.servers
 
     def _speeds(self):
         return {
--- a/rosedyke/rerunnable_jobs/report_builder_test.py
+++ b/rosedyke/rerunnable_jobs/report_builder_test.py
@@ -78,6 +78,21 @@
         self.region.run(0.5)
         self.assertEqual(len(self.other._predecessor_servers("a/r1")), 3)
 
+    def test_servers_are_complete_although_speeds_have_changed_since(self):
+        # Guards against a successor that delays all tasks because the owner failed between a change
+        # of a speed and the next renewal; every load changes speeds.
+        holder, owner = self.other.this_instance.name, self.region.owner("a")
+        self.other.renewal.renew = lambda instance: False
+        self.region.run(0.1)
+        self.owner.speeds.by_server["s-a-0"] = 1.2
+        self.region.submit(holder, "j1", 1, 0.02)
+        reports = [message.report for message in sent(self.region, messages.JobEnded, 0.1)]
+        self.assertEqual([(each.servers, each.speeds_version) for each in reports], [(None, 1)])
+        self.region.kill(owner)
+        state = self.other.fleet.owners["a/r1"]
+        self.assertEqual(state.speeds_version, 0)
+        self.assertEqual(len(state.complete_servers(self.region.runtime.now() - 0.5)), 3)
+
     def test_servers_are_complete_only_if_no_later_version_is_known(self):
         # Guards against a takeover that counts an incomplete set of servers as complete.
         state = fleet_view.OwnerState(messages.Claim("a/r1", OWNER, 5), 0.0, 1)
