Pools: a resigning or reporting owner includes its predecessor's servers

A fresh owner told its successor only of the servers that it had itself. A server whose platform entry had expired was missing, so the successor counted the set as complete and started tasks whose earlier runs there still had a lease.

The set now contains the servers of a known predecessor until their leases have expired. If the predecessor's servers are unknown, Resign says so and reports leave the set out for the same time, and the receiver counts it as unknown.

Tests: handover_test.EarlierServers fails without the change (j1.0.0.0 runs on s-a-0 and s-a-1); handover, report_builder, takeover, renewal and evacuation tests pass.

--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -262,7 +262,12 @@
                 return messages.ResignAnswer(False)
             self.moved_at = self.node.runtime.now()
         self.node.speeds.import_speeds(message.servers)
-        self.node.claim_pool(message.pool, "its owner gave it up", frozenset(message.servers))
+        servers = frozenset(message.servers) if message.knows_all_servers else None
+        claim = self.node.fleet.claim_of(message.pool)
+        if servers is None and claim is not None:
+            # Reports of an owner before the sender must not replace the unknown set.
+            self.node.fleet.remove_owner(message.pool, claim.owner.name)
+        self.node.claim_pool(message.pool, "its owner gave it up", servers)
         return messages.ResignAnswer(message.pool in self.node.owned_pools)
 
     def _accepts(self, message):
--- a/rosedyke/rerunnable_jobs/handover_test.py
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -188,3 +188,62 @@
         region.run(1.0)
         self.assertFalse(node.handover._takes_part(region.runtime.now()))
         self.assertGreater(len(node.owned_pools), 1)
+
+
+class EarlierServers(unittest.TestCase):
+    """A fresh owner hands its pool over while runs of earlier owners may be left."""
+
+    def test_resignation_right_after_a_takeover(self):
+        # Guards against a second run of a task whose first one is on a server that only the owner
+        # before the resigning one has reached.
+        region = rerun_region.Region({"a": 5})
+        region.run(3.0)
+        owner = region.owner("a")
+        region.submit(region.non_owner("a"), "j1", 1, 5.0, timeout_s=20)
+        region.run(0.3)
+        server = region.backend.starts[0][2]
+        for member in region.members.values():
+            member.listed.hidden = {server}
+            member.listed.changed()
+        region.run(0.05)
+        for name in region.members:
+            if name != owner:
+                region.backend.partitioned.add((name, server))
+        region.kill(owner)
+        while not region.owner("a"):
+            region.run(0.005)
+        successor = region.members[region.owner("a")].node
+        region.run(0.005)
+        region.runtime.spawn(successor.handover.hand_pools_over, True)
+        region.run(2.1)
+        self.assertEqual(region.backend.violations, [])
+
+    def start_with_unknown_predecessor(self):
+        region = rerun_region.Region({"a": 3})
+        region.run(3.0)
+        node = region.members[region.owner("a")].node
+        pool = node.owned_pools["a/r1"]
+        pool.owned_since, pool.predecessor_servers = region.runtime.now(), None
+        return region, node, pool
+
+    def test_unknown_servers_stay_unknown_to_the_receiver(self):
+        # Guards against a receiver that takes an incomplete set, or that of an earlier owner's
+        # reports, for complete.
+        region, node, pool = self.start_with_unknown_predecessor()
+        region.runtime.call(node.handover.hand_pools_over, True)
+        successor = region.members[region.owner("a")].node.owned_pools["a/r1"]
+        self.assertIsNot(successor, pool)
+        self.assertIsNone(successor.predecessor_servers)
+        self.assertIsNone(successor.reports.report().servers)
+
+    def test_servers_are_complete_once_earlier_leases_have_expired(self):
+        # Guards against a pool whose every later takeover delays its tasks, because one predecessor
+        # was unknown or used a server that is gone.
+        region, node, pool = self.start_with_unknown_predecessor()
+        self.assertFalse(pool.reports.resignation().knows_all_servers)
+        region.run(region.timing.holder_lease_end_s + 0.01)
+        self.assertTrue(pool.reports.resignation().knows_all_servers)
+        pool.predecessor_servers = frozenset({"s-gone"})
+        self.assertEqual(len(pool.reports.resignation().servers), 3)
+        pool.owned_since = region.runtime.now()
+        self.assertIn("s-gone", pool.reports.resignation().servers)
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -56,8 +56,9 @@
         Number of jobs in each queue that have not started.
     servers : dict of str to float, or None
         Servers that may have runs, with their estimated speeds.  A successor whose list lacks one
-        of them does not see all runs yet.  None if the receiver knows them by their version, or if
-        they are left out of a message that must be small.
+        of them does not see all runs yet.  None if the receiver knows them by their version, if
+        they are left out of a message that must be small, or if the owner does not know all of
+        those that earlier owners used.
     servers_version : int
         Version of ``servers``, which increases within one token.
     link_backlog_s : float
@@ -450,14 +451,19 @@
 
     Attributes
     ----------
+    servers : dict of str to float
+        Servers that may have runs, with their estimated speeds.
     balance : BalanceMove or None
         Set if the owner could keep the pool, but the receiver owns fewer; the receiver may decline.
+    knows_all_servers : bool
+        False if earlier owners may have runs on servers that are not in ``servers``.
     """
 
     pool: str
     token: int
     servers: dict[str, float]
     balance: BalanceMove | None = None
+    knows_all_servers: bool = False
 
 
 @codec.message("rerun.resign_answer")
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -48,7 +48,21 @@
 
     def resignation(self, balance: messages.BalanceMove | None = None) -> messages.Resign:
         """Return the message that hands the pool to a successor."""
-        return messages.Resign(self.owner.name, self.owner.token, self._speeds(), balance)
+        return messages.Resign(
+            self.owner.name, self.owner.token, self._speeds(), balance, self.knows_all_servers()
+        )
+
+    def knows_all_servers(self) -> bool:
+        """Return whether the reported servers are all that may have runs, also of earlier owners.
+
+        They contain those of a known predecessor.  The leases of an unknown one have expired after
+        some time.
+        """
+        return self.owner.predecessor_servers is not None or self._are_earlier_leases_over()
+
+    def _are_earlier_leases_over(self):
+        owned_s = self.owner.runtime.now() - self.owner.owned_since
+        return owned_s > self.owner.timing.holder_lease_end_s
 
     def report(self) -> messages.PoolReport:
         """Return a new report, by which holders choose pools."""
@@ -119,7 +133,9 @@
         return report
 
     def _versioned_servers(self):
-        """Return the servers with their speeds, and the version of this set."""
+        """Return the servers with their speeds, None if some are unknown, and their version."""
+        if not self.knows_all_servers():
+            return None, self.servers_version
         now, speeds = self.owner.runtime.now(), self._speeds()
         if speeds.keys() != self.servers.keys() or not self.servers_version:
             self.servers, self.servers_version = speeds, self.servers_version + 1
@@ -132,7 +148,15 @@
         return self.servers, self.servers_version
 
     def _speeds(self):
+        """Return the speed of each server that may have runs.
+
+        A predecessor's server that is not listed cannot be fenced, so it counts until its lease has
+        expired.
+        """
+        server_ids = set(self.owner.server_states)
+        if not self._are_earlier_leases_over():
+            server_ids |= self.owner.predecessor_servers or set()
         return {
             server_id: round(self.owner.speeds.speed_of(server_id), 3)
-            for server_id in self.owner.server_states
+            for server_id in sorted(server_ids)
         }
