Owners: a new submission whose tasks are on servers counts as started

A submission without may_have_run whose tasks were orphans, or were still being stopped for an earlier holder, had has_started=False. It could be refused, or confirmed as withdrawn, while its tasks ran.

submit() now sets has_started if a server may run one of the tasks, and adopt() sets it for adopted runs and completions.

Tests: withdrawal_test.EarlierRuns fails in all four cases without the change (REFUSED); withdrawal, takeover and refusals tests pass.

--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -33,9 +33,9 @@
             self.owner.report_outcome(message.holder, (message.work.id, message.part), finished)
             return
         owned = owned_job.OwnedJob.from_message(message, now)
-        if has_started:
+        if has_started or self._has_runs(owned):
             # A refusal would let the caller submit the job again while the runs of its earlier
-            # submission are still being stopped.
+            # submission are still on servers, as orphans or because they are being stopped.
             owned.has_started = owned.has_started_elsewhere = True
         self.owner.add_job(owned)
         self.owner.resubmissions.record_accepted()
@@ -46,6 +46,14 @@
         self.owner.refusals.on_arrival(owned)
         self.owner.wake_scheduler()
 
+    def _has_runs(self, owned):
+        """Return whether a server may be running a task of a job that has just arrived."""
+        return any(
+            run.task in owned.tasks and not run.is_over
+            for state in self.owner.server_states.values()
+            for run in state.runs.values()
+        )
+
     def _parts_of(self, job_id):
         return list(self.owner.by_job.get(job_id, ()))
 
@@ -93,11 +101,13 @@
                 run.state = server_state.RunState.STARTED
                 task.state, task.run_number = owned_job.TaskState.PLACED, run.number
                 task.server_id = state.server.id
+                owned.has_started = owned.has_started_elsewhere = True
             if had_orphans and not state.has_orphans():
                 self.owner.runtime.spawn(self.owner.commands.renew_lease, state)
         for name, task in owned.tasks.items():
             if name in self.owner.completed_tasks and task.state is owned_job.TaskState.WAITING:
                 task.state = owned_job.TaskState.DONE
+                owned.has_started = owned.has_started_elsewhere = True
 
     def renew(
         self, holder: messages.Instance, wanted: tuple[messages.PartKey, ...], sent_at: float
--- a/rosedyke/rerunnable_jobs/withdrawal_test.py
+++ b/rosedyke/rerunnable_jobs/withdrawal_test.py
@@ -1,6 +1,6 @@
 import unittest
 
-from rosedyke.rerunnable_jobs import job, messages, ports, settings
+from rosedyke.rerunnable_jobs import job, messages, owned_job, ports, server_state, settings
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
@@ -210,6 +210,78 @@
         self.assertEqual(owner.requests.withdraw(("j1", 7)), messages.Withdrawn(False, True))
 
 
+class EarlierRuns(unittest.TestCase):
+    """A job is submitted as new while servers run tasks of its earlier submission."""
+
+    def start(self, instances):
+        timing = settings.RerunSettings(predicts_completion=True)
+        self.region = rerun_region.Region({"a": instances}, timing=timing)
+        self.region.run(STARTUP_S)
+        owner = self.region.owner("a")
+        return owner, *[name for name in self.region.members if name != owner][:2]
+
+    def test_orphans(self):
+        # Guards against status 503 for a job whose runs were found on the servers.
+        owner, first_holder, second_holder = self.start(4)
+        first = self.region.submit(first_holder, "j1", 14, 4.0, timeout_s=20)
+        self.region.run(0.2)
+        self.region.kill(owner)
+        self.region.run(0.25)
+        first.disconnected.set()  # the Cancel goes to the failed owner
+        while not self.region.owner("a"):
+            self.region.run(0.002)
+        self.region.run(0.05)
+        second = self.region.submit(second_holder, "j1", 14, 4.0, timeout_s=5.0, objective_s=1.8)
+        self.region.run(1.1)
+        self.assertEqual(second.outcome.end, job.EndState.LOST)
+
+    def test_runs_being_stopped(self):
+        # Guards against status 503 while the stop commands for a cancelled job are unanswered.
+        _, first_holder, second_holder = self.start(3)
+        first = self.region.submit(first_holder, "j1", 12, 4.0, timeout_s=20)
+        self.region.run(0.2)
+        self.region.backend.fault_injector = lambda kind, name, server: (
+            0.5 if kind == "stop" else None
+        )
+        self.region.submit(first_holder, "x", 12, 3.0, timeout_s=20, objective_s=30)
+        first.disconnected.set()
+        self.region.run(0.01)
+        second = self.region.submit(second_holder, "j1", 12, 4.0, timeout_s=5.0, objective_s=1.5)
+        self.region.run(0.1)
+        self.assertIsNone(second.outcome)
+
+    def adopt(self, prepare):
+        """Return a new job after the adoption of its only task, which ``prepare(pool)`` sets up."""
+        owner, holder, _ = self.start(3)
+        pool = self.region.members[owner].node.owned_pools["a/r1"]
+        step = job.Step(1, job.Demand(1000, 64), 1.0)
+        work = job.Job("j1", "tags", rerun_region.SERVICE, "{}", (step,), 0, 3, 2.0, 5.0)
+        now, own = self.region.runtime.now(), self.region.members[holder].own
+        message = messages.Submit("a/r1", 7, now, work, own, 0.0, ("j1.0.0.0",), False, False)
+        owned = owned_job.OwnedJob.from_message(message, now)
+        prepare(pool)
+        pool.requests.adopt(owned)
+        return owned
+
+    def test_adopted_run_counts_as_started(self):
+        # Guards against a withdrawal that is confirmed for a job with a running task.
+        def add_orphan(pool):
+            state = next(iter(pool.server_states.values()))
+            run = server_state.Run("j1.0.0.0", 1, None, server_state.RunState.ORPHAN, 0.0)
+            state.runs[run.key] = run
+
+        owned = self.adopt(add_orphan)
+        self.assertTrue(owned.has_started and owned.has_started_elsewhere)
+
+    def test_adopted_completion_counts_as_started(self):
+        # Guards against a refusal of a job of which a task has completed.
+        def add_completion(pool):
+            pool.completed_tasks["j1.0.0.0"] = 0.0
+
+        owned = self.adopt(add_completion)
+        self.assertTrue(owned.has_started and owned.has_started_elsewhere)
+
+
 class Burst(unittest.TestCase):
     def test_refused_jobs_have_not_run_and_no_task_runs_twice_when_messages_are_slow(self):
         # Guards against tasks that are submitted twice, once as released and once as withdrawn, and
