Owners: a job still counts as started after a task that has run is released

If a task failed, waited again and was released, and the release message was lost, a discarded run of another task reset has_started: discard_run looks only at the tasks that are left. The job could then be refused although it had run.

_release_part now records runs of the released tasks in has_started_elsewhere.

Test: withdrawal_test.ReleasedTask fails without the change (False is not true).

--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -82,7 +82,8 @@
         When the holder sent this submission, on the local clock.  It renews with no earlier owner
         since.
     has_started_elsewhere : bool
-        Another owner may have sent a start command for one of its tasks.
+        A start command may have been sent for one of its tasks by another owner, for an earlier
+        submission, or for a task that was released since.
     hold : Hold or None
         Whether it waits, or has waited, for capacity for more of its tasks.
     was_held : bool
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -92,6 +92,8 @@
                 self._release_part(owned, tasks, "", owned.moves)
 
     def _release_part(self, owned, tasks, target_pool, moves):
+        # A run of a released task counts after the task has left the job.
+        owned.has_started_elsewhere |= any(task.may_have_started() for task in tasks)
         for task in tasks:
             del owned.tasks[task.name]
         task_names = tuple(task.name for task in tasks)
--- a/rosedyke/rerunnable_jobs/withdrawal_test.py
+++ b/rosedyke/rerunnable_jobs/withdrawal_test.py
@@ -282,6 +282,55 @@
         self.assertTrue(owned.has_started and owned.has_started_elsewhere)
 
 
+class ReleasedTask(unittest.TestCase):
+    """A task fails, and is released to another pool when it waits again."""
+
+    def start(self):
+        self.region = rerun_region.Region(
+            {"a": 2, "b": 2}, timing=settings.RerunSettings(predicts_completion=True)
+        )
+        self.region.run(STARTUP_S)
+        self.holder = self.region.members[self.region.non_owner("a")].node.holder
+        self.pool = self.region.members[self.region.owner("a")].node.owned_pools["a/r1"]
+
+    def owned_job(self, has_started=False):
+        """Return a job of the pool with two tasks that have not started."""
+        step = job.Step(2, job.Demand(1000, 64), 1.0)
+        work = job.Job("j1", "tags", rerun_region.SERVICE, "{}", (step,), 0, 3, 2.0, 5.0)
+        now, own = self.region.runtime.now(), self.holder.fleet.this_instance
+        tasks = tuple(name for name, _ in work.named_steps())
+        message = messages.Submit("a/r1", 7, now, work, own, 0.0, tasks, False, has_started)
+        owned = owned_job.OwnedJob.from_message(message, now)
+        self.pool.add_job(owned)
+        return owned
+
+    def place(self, owned, task):
+        """Record the placement of a task, as before its start command."""
+        task.run_number += 1
+        owned.has_started = True
+
+    def test_job_counts_as_started_after_the_release_of_a_task_that_has_run(self):
+        # Guards against status 503 if the release is lost and the other task's start is not sent.
+        self.start()
+        owned = self.owned_job()
+        first, second = owned.tasks.values()
+        self.place(owned, first)
+        self.place(owned, second)
+        self.pool.releaser._release_part(owned, [first], "b/r1", 1)
+        owned.discard_run(second)
+        self.assertTrue(owned.has_started)
+
+    def test_job_does_not_count_as_started_after_the_release_of_a_task_that_has_not_run(self):
+        # Guards against status 504 for a job of which no task has started.
+        self.start()
+        owned = self.owned_job()
+        first, second = owned.tasks.values()
+        self.place(owned, second)
+        self.pool.releaser._release_part(owned, [first], "b/r1", 1)
+        owned.discard_run(second)
+        self.assertFalse(owned.has_started)
+
+
 class Burst(unittest.TestCase):
     def test_refused_jobs_have_not_run_and_no_task_runs_twice_when_messages_are_slow(self):
         # Guards against tasks that are submitted twice, once as released and once as withdrawn, and
