Owners: a moved job keeps what its new holder knows of earlier runs

A resubmission with the same tasks moved the job to its new holder but dropped may_have_run and has_started of the message, so the job could be refused, or a waiting task started while an earlier owner's run of it was left.

Both flags are now added to the job. With may_have_run, the time for which waiting tasks wait for earlier leases counts from the new submission.

--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -79,6 +79,7 @@
             self.owner.remove_job(existing)
             existing.holder, existing.part = message.holder, message.part
             existing.renew(now, message.sent_s)
+            existing.record_earlier_runs(message, now)
             self.owner.add_job(existing)
         else:
             self.owner.cancel_job(existing)
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -147,6 +147,16 @@
         self.renewed_at = now
         self.heard_at = max(self.heard_at, min(now, sent_at))
 
+    def record_earlier_runs(self, message: messages.Submit, now: float) -> None:
+        """Record what another holder's submission of the same tasks says about earlier runs."""
+        may_have_started = message.may_have_run or message.has_started
+        self.has_started |= may_have_started
+        self.has_started_elsewhere |= may_have_started
+        if message.may_have_run:
+            # That holder has renewed its part with an earlier owner until now.
+            self.may_have_run = True
+            self.submitted_at = max(self.submitted_at, min(now, message.sent_s))
+
     def may_start(self, now: float, timing: settings.RerunSettings) -> bool:
         """Return whether the holder was heard from recently enough to start a task.
 
--- a/rosedyke/rerunnable_jobs/withdrawal_test.py
+++ b/rosedyke/rerunnable_jobs/withdrawal_test.py
@@ -209,6 +209,36 @@
         )
         self.assertEqual(owner.requests.withdraw(("j1", 7)), messages.Withdrawn(False, True))
 
+    def test_resubmitted_job_keeps_what_its_new_holder_knows_of_earlier_runs(self):
+        # Guards against status 503, and against a second run, of a job that an earlier owner of the
+        # new holder's part may be running.
+        for may_have_run, has_started in ((True, False), (False, True), (False, False)):
+            region = rerun_region.Region({"a": 2})
+            region.run(STARTUP_S)
+            pool = region.members[region.owner("a")].node.owned_pools["a/r1"]
+            step = job.Step(1, job.Demand(1000, 64), 1.0)
+            work = job.Job("j1", "tags", rerun_region.SERVICE, "{}", (step,), 0, 3, 2.0, 5.0)
+            for number, name in enumerate(("a-1", "a-2")):
+                now = STARTUP_S - 0.1 + 0.1 * number
+                message = messages.Submit(
+                    "a/r1",
+                    number,
+                    now,
+                    work,
+                    region.members[name].own,
+                    0.0,
+                    ("j1.0.0.0",),
+                    number == 1 and may_have_run,
+                    number == 1 and has_started,
+                )
+                pool.requests.submit(message)
+            (owned,) = pool.by_job["j1"]
+            self.assertEqual(owned.holder.name, "a-2")
+            self.assertEqual(owned.may_have_run, may_have_run)
+            self.assertAlmostEqual(owned.submitted_at, now if may_have_run else now - 0.1)
+            expected = may_have_run or has_started
+            self.assertEqual((owned.has_started, owned.has_started_elsewhere), (expected,) * 2)
+
 
 class EarlierRuns(unittest.TestCase):
     """A job is submitted as new while servers run tasks of its earlier submission."""
