Holders: the refusal of a part with an earlier owner leaves its job in doubt

on_refused deleted such a part and with it the fact that an earlier owner may have started its tasks, so the job could end as refused.

The job now counts as possibly started.

--- a/rosedyke/rerunnable_jobs/withdrawal.py
+++ b/rosedyke/rerunnable_jobs/withdrawal.py
@@ -35,6 +35,8 @@
             The refusal.
         """
         del pending.parts[part.number]
+        # The refusing owner may not know of runs by an earlier one.
+        pending.has_started |= part.had_earlier_owner
         if pending.is_withdrawn:
             return  # its tasks are resubmitted when the withdrawal is complete
         pending.refused_by.add(part.pool)
--- a/rosedyke/rerunnable_jobs/withdrawal_test.py
+++ b/rosedyke/rerunnable_jobs/withdrawal_test.py
@@ -168,6 +168,28 @@
             self.start_with_failing_commands(error)
             self.assertEqual(self.run_job(), job.EndState.LOST)
 
+    def test_job_is_not_refused_with_a_part_that_an_earlier_owner_may_have_started(self):
+        # Guards against status 503 if the successor of a part's owner refuses it.
+        for had_earlier_owner, is_withdrawn in ((True, False), (True, True), (False, False)):
+            self.start(predicts_completion=True)
+            name = self.holder.fleet.this_instance.name
+            self.fill(12)
+            submission = self.region.submit(name, "j1", 1, 0.1, timeout_s=1.0)
+            self.region.run(0.01)
+            pending = self.holder.jobs["j1"]
+            (part,) = pending.parts.values()
+            part.had_earlier_owner, pending.is_withdrawn = had_earlier_owner, is_withdrawn
+            self.holder.resubmissions.try_spend = lambda: False
+            refusal = job.Outcome(job.EndState.REFUSED, "full")
+            ended = messages.JobEnded(
+                "j1", part.number, part.pool, part.token, refusal, tuple(part.tasks)
+            )
+            self.region.runtime.call(self.holder.on_ended, ended)
+            self.assertEqual(pending.may_have_run(), had_earlier_owner)
+            self.region.run(1.2)
+            expected = job.EndState.LOST if had_earlier_owner else job.EndState.REFUSED
+            self.assertEqual(submission.outcome.end, expected)
+
     def test_part_that_its_receiver_did_not_accept_is_not_in_doubt(self):
         # Guards against a NotOwner message that is ignored because it arrives during a withdrawal.
         self.start()
