Takeover: bound the allowance for the own delay by the end of the owner's jobs

With a limited link, owner_suspected_s (0.4), the addition in a large fleet (0.15) and the allowance for the own delay (0.3) reached owner_lost_s (0.85), so holders could end the jobs before a takeover started.

owner_allowance_s caps the allowance such that a check of the pool still falls before owner_lost_s: 0.2 s in the largest fleet, 0.3 s as before in a small one. settings.check contains it.

--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -14,6 +14,8 @@
 CLOCK_DRIFT = 0.02
 # Time by which the last lease on a lost holder's run ends before the resubmission.
 HOLDER_LEASE_MARGIN_S = 0.03
+# Longest interval at which candidates check a pool in a large fleet.
+TAKEOVER_CHECK_S = 0.1
 
 
 class InvalidTimings(fault.RosedykeError):
@@ -122,6 +124,23 @@
         """The longest timeout of a command, which includes the backlog of a limited link."""
         return self.order_s + (own_delay.MAX_ADDED_DELAY_S if self.link_bytes_per_s else 0.0)
 
+    def owner_allowance_s(self, added_s: float) -> float:
+        """Return the most by which an own delay may extend an owner's timeout.
+
+        A takeover has to start before the holders end the owner's jobs, but the smallest backlog
+        that a limited link usually has must not make owners look lost.
+
+        Parameters
+        ----------
+        added_s : float
+            By how much the timeout is longer than in a small fleet.
+        """
+        if not self.link_bytes_per_s:
+            return 0.0
+        remaining_s = self.owner_lost_s - self.owner_suspected_s - added_s - TAKEOVER_CHECK_S
+        longest_s = min(own_delay.MAX_ALLOWANCE_S, remaining_s)
+        return max(own_delay.MAX_ADDED_DELAY_S, longest_s)
+
     @property
     def lease_end_s(self) -> float:
         """The longest time that a run continues after the last renewal was sent, by local clock."""
@@ -166,7 +185,8 @@
     if 2 * timing.renew_at_most_s >= timing.holder_lost_s:
         violations.append("a job must not be cancelled after a single lost renewal")
     added_s = max(0.0, timing.renew_at_most_s - timing.renew_s)
-    if timing.owner_suspected_s + added_s >= timing.owner_lost_s:
+    allowed_s = added_s + timing.owner_allowance_s(added_s)
+    if timing.owner_suspected_s + allowed_s >= timing.owner_lost_s:
         violations.append("a takeover must start before the holders end the jobs of a lost owner")
     if violations:
         raise InvalidTimings("; ".join(violations))
--- a/rosedyke/rerunnable_jobs/settings_test.py
+++ b/rosedyke/rerunnable_jobs/settings_test.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import settings
 
 DEFAULT = settings.RerunSettings()
@@ -47,3 +48,16 @@
         settings.check(attrs.evolve(DEFAULT, stale_s=0.46))
         with self.assertRaisesRegex(settings.InvalidTimings, "arrives late"):
             settings.check(attrs.evolve(limited, stale_s=0.46))
+
+    def test_takeover_starts_before_the_holders_end_the_jobs(self):
+        # Guards against jobs of a lost owner that end although its successor could continue them,
+        # because the candidate's own delay extends the owner's timeout up to ``owner_lost_s``.
+        limited = attrs.evolve(DEFAULT, link_bytes_per_s=250_000.0)
+        self.assertEqual(DEFAULT.owner_allowance_s(0.0), 0.0)
+        self.assertEqual(limited.owner_allowance_s(0.0), own_delay.MAX_ALLOWANCE_S)
+        added_s = limited.renew_at_most_s - limited.renew_s
+        self.assertAlmostEqual(limited.owner_allowance_s(added_s), 0.2)
+        shorter = attrs.evolve(limited, owner_lost_s=0.6)
+        settings.check(attrs.evolve(shorter, link_bytes_per_s=0.0))
+        with self.assertRaisesRegex(settings.InvalidTimings, "a takeover must start"):
+            settings.check(shorter)
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -115,8 +115,11 @@
         else:
             self.ownerless_since.pop(pool, None)
             elapsed_s = self.fleet.owner_contact_age_s(pool)
-            required_s = self.timing.owner_suspected_s + self.fleet.added_owner_timeout_s()
-            required_s += self.fleet.delay.allowance_s(now)
+            added_s = self.fleet.added_owner_timeout_s()
+            required_s = self.timing.owner_suspected_s + added_s
+            required_s += min(
+                self.fleet.delay.allowance_s(now), self.timing.owner_allowance_s(added_s)
+            )
         # Computing the rank is expensive, so the minimum delay is checked first.
         required_s += self._location_delay_s(pool)
         if elapsed_s < required_s or now < self.retry_at.get(pool, 0.0) or pool in self.in_progress:
--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -1,6 +1,7 @@
 import unittest
 
-from rosedyke.rerunnable_jobs import fencing_token, job, messages, ports
+from rosedyke.overload import own_delay
+from rosedyke.rerunnable_jobs import fencing_token, job, messages, ports, settings
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
@@ -213,6 +214,27 @@
         self.assertEqual(region.owner("a"), owner)
 
 
+class DelayedCandidate(unittest.TestCase):
+    def test_takeover_starts_before_the_holders_end_the_jobs_in_a_large_fleet(self):
+        # Guards against a candidate whose own delay extends the owner's timeout so far that holders
+        # end the jobs that it would continue.
+        region = rerun_region.Region({"a": 3}, link_bytes_per_s=250_000.0)
+        region.run(STARTUP_S)
+        node = region.members[region.non_owner("a")].node
+        fleet, takeovers = node.fleet, node.takeovers
+        fleet.interval_factor = 2.0
+        fleet.delay.allowance_s = lambda now: own_delay.MAX_ALLOWANCE_S
+        takeovers.rank = lambda pool, claim: 0
+        attempts = []
+        takeovers._attempt = lambda pool, claim: attempts.append(pool)
+        latest_s = region.timing.owner_lost_s - settings.TAKEOVER_CHECK_S
+        for elapsed_s, expected in ((latest_s - 0.01, []), (latest_s + 0.01, ["a/r1"])):
+            fleet.owners["a/r1"].last_contact_at = region.runtime.now() - elapsed_s
+            takeovers._check_pool("a/r1")
+            region.run(0.0)
+            self.assertEqual(attempts, expected)
+
+
 class EndOfPartition(unittest.TestCase):
     def test_pool_is_not_taken_when_its_servers_are_reachable_before_its_owner(self):
         # Guards against an unneeded takeover after a partition between data centres: servers are
