--- a/rosedyke/rerunnable_jobs/withdrawal_test.py
+++ b/rosedyke/rerunnable_jobs/withdrawal_test.py
@@ -1,6 +1,6 @@
 import unittest
 
-from rosedyke.rerunnable_jobs import job, messages, ports, settings
+from rosedyke.rerunnable_jobs import job, messages, owned_job, ports, server_state, settings
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
@@ -168,6 +168,28 @@
             self.start_with_failing_commands(error)
             self.assertEqual(self.run_job(), job.EndState.LOST)
 
+    def test_job_is_not_refused_with_a_part_that_an_earlier_owner_may_have_started(self):
+        # Guards against status 503 if the successor of a part's owner refuses it.
+        for had_earlier_owner, is_withdrawn in ((True, False), (True, True), (False, False)):
+            self.start(predicts_completion=True)
+            name = self.holder.fleet.this_instance.name
+            self.fill(12)
+            submission = self.region.submit(name, "j1", 1, 0.1, timeout_s=1.0)
+            self.region.run(0.01)
+            pending = self.holder.jobs["j1"]
+            (part,) = pending.parts.values()
+            part.had_earlier_owner, pending.is_withdrawn = had_earlier_owner, is_withdrawn
+            self.holder.resubmissions.try_spend = lambda: False
+            refusal = job.Outcome(job.EndState.REFUSED, "full")
+            ended = messages.JobEnded(
+                "j1", part.number, part.pool, part.token, refusal, tuple(part.tasks)
+            )
+            self.region.runtime.call(self.holder.on_ended, ended)
+            self.assertEqual(pending.may_have_run(), had_earlier_owner)
+            self.region.run(1.2)
+            expected = job.EndState.LOST if had_earlier_owner else job.EndState.REFUSED
+            self.assertEqual(submission.outcome.end, expected)
+
     def test_part_that_its_receiver_did_not_accept_is_not_in_doubt(self):
         # Guards against a NotOwner message that is ignored because it arrives during a withdrawal.
         self.start()
@@ -209,6 +231,157 @@
         )
         self.assertEqual(owner.requests.withdraw(("j1", 7)), messages.Withdrawn(False, True))
 
+    def test_resubmitted_job_keeps_what_its_new_holder_knows_of_earlier_runs(self):
+        # Guards against status 503, and against a second run, of a job that an earlier owner of the
+        # new holder's part may be running.
+        for may_have_run, has_started in ((True, False), (False, True), (False, False)):
+            region = rerun_region.Region({"a": 2})
+            region.run(STARTUP_S)
+            pool = region.members[region.owner("a")].node.owned_pools["a/r1"]
+            step = job.Step(1, job.Demand(1000, 64), 1.0)
+            work = job.Job("j1", "tags", rerun_region.SERVICE, "{}", (step,), 0, 3, 2.0, 5.0)
+            for number, name in enumerate(("a-1", "a-2")):
+                now = STARTUP_S - 0.1 + 0.1 * number
+                message = messages.Submit(
+                    "a/r1",
+                    number,
+                    now,
+                    work,
+                    region.members[name].own,
+                    0.0,
+                    ("j1.0.0.0",),
+                    number == 1 and may_have_run,
+                    number == 1 and has_started,
+                )
+                pool.requests.submit(message)
+            (owned,) = pool.by_job["j1"]
+            self.assertEqual(owned.holder.name, "a-2")
+            self.assertEqual(owned.may_have_run, may_have_run)
+            self.assertAlmostEqual(owned.submitted_at, now if may_have_run else now - 0.1)
+            expected = may_have_run or has_started
+            self.assertEqual((owned.has_started, owned.has_started_elsewhere), (expected,) * 2)
+
+
+class EarlierRuns(unittest.TestCase):
+    """A job is submitted as new while servers run tasks of its earlier submission."""
+
+    def start(self, instances):
+        timing = settings.RerunSettings(predicts_completion=True)
+        self.region = rerun_region.Region({"a": instances}, timing=timing)
+        self.region.run(STARTUP_S)
+        owner = self.region.owner("a")
+        return owner, *[name for name in self.region.members if name != owner][:2]
+
+    def test_orphans(self):
+        # Guards against status 503 for a job whose runs were found on the servers.
+        owner, first_holder, second_holder = self.start(4)
+        first = self.region.submit(first_holder, "j1", 14, 4.0, timeout_s=20)
+        self.region.run(0.2)
+        self.region.kill(owner)
+        self.region.run(0.25)
+        first.disconnected.set()  # the Cancel goes to the failed owner
+        while not self.region.owner("a"):
+            self.region.run(0.002)
+        self.region.run(0.05)
+        second = self.region.submit(second_holder, "j1", 14, 4.0, timeout_s=5.0, objective_s=1.8)
+        self.region.run(1.1)
+        self.assertEqual(second.outcome.end, job.EndState.LOST)
+
+    def test_runs_being_stopped(self):
+        # Guards against status 503 while the stop commands for a cancelled job are unanswered.
+        _, first_holder, second_holder = self.start(3)
+        first = self.region.submit(first_holder, "j1", 12, 4.0, timeout_s=20)
+        self.region.run(0.2)
+        self.region.backend.fault_injector = lambda kind, name, server: (
+            0.5 if kind == "stop" else None
+        )
+        self.region.submit(first_holder, "x", 12, 3.0, timeout_s=20, objective_s=30)
+        first.disconnected.set()
+        self.region.run(0.01)
+        second = self.region.submit(second_holder, "j1", 12, 4.0, timeout_s=5.0, objective_s=1.5)
+        self.region.run(0.1)
+        self.assertIsNone(second.outcome)
+
+    def adopt(self, prepare):
+        """Return a new job after the adoption of its only task, which ``prepare(pool)`` sets up."""
+        owner, holder, _ = self.start(3)
+        pool = self.region.members[owner].node.owned_pools["a/r1"]
+        step = job.Step(1, job.Demand(1000, 64), 1.0)
+        work = job.Job("j1", "tags", rerun_region.SERVICE, "{}", (step,), 0, 3, 2.0, 5.0)
+        now, own = self.region.runtime.now(), self.region.members[holder].own
+        message = messages.Submit("a/r1", 7, now, work, own, 0.0, ("j1.0.0.0",), False, False)
+        owned = owned_job.OwnedJob.from_message(message, now)
+        prepare(pool)
+        pool.requests.adopt(owned)
+        return owned
+
+    def test_adopted_run_counts_as_started(self):
+        # Guards against a withdrawal that is confirmed for a job with a running task.
+        def add_orphan(pool):
+            state = next(iter(pool.server_states.values()))
+            run = server_state.Run("j1.0.0.0", 1, None, server_state.RunState.ORPHAN, 0.0)
+            state.runs[run.key] = run
+
+        owned = self.adopt(add_orphan)
+        self.assertTrue(owned.has_started and owned.has_started_elsewhere)
+
+    def test_adopted_completion_counts_as_started(self):
+        # Guards against a refusal of a job of which a task has completed.
+        def add_completion(pool):
+            pool.completed_tasks["j1.0.0.0"] = 0.0
+
+        owned = self.adopt(add_completion)
+        self.assertTrue(owned.has_started and owned.has_started_elsewhere)
+
+
+class ReleasedTask(unittest.TestCase):
+    """A task fails, and is released to another pool when it waits again."""
+
+    def start(self):
+        self.region = rerun_region.Region(
+            {"a": 2, "b": 2}, timing=settings.RerunSettings(predicts_completion=True)
+        )
+        self.region.run(STARTUP_S)
+        self.holder = self.region.members[self.region.non_owner("a")].node.holder
+        self.pool = self.region.members[self.region.owner("a")].node.owned_pools["a/r1"]
+
+    def owned_job(self, has_started=False):
+        """Return a job of the pool with two tasks that have not started."""
+        step = job.Step(2, job.Demand(1000, 64), 1.0)
+        work = job.Job("j1", "tags", rerun_region.SERVICE, "{}", (step,), 0, 3, 2.0, 5.0)
+        now, own = self.region.runtime.now(), self.holder.fleet.this_instance
+        tasks = tuple(name for name, _ in work.named_steps())
+        message = messages.Submit("a/r1", 7, now, work, own, 0.0, tasks, False, has_started)
+        owned = owned_job.OwnedJob.from_message(message, now)
+        self.pool.add_job(owned)
+        return owned
+
+    def place(self, owned, task):
+        """Record the placement of a task, as before its start command."""
+        task.run_number += 1
+        owned.has_started = True
+
+    def test_job_counts_as_started_after_the_release_of_a_task_that_has_run(self):
+        # Guards against status 503 if the release is lost and the other task's start is not sent.
+        self.start()
+        owned = self.owned_job()
+        first, second = owned.tasks.values()
+        self.place(owned, first)
+        self.place(owned, second)
+        self.pool.releaser._release_part(owned, [first], "b/r1", 1)
+        owned.discard_run(second)
+        self.assertTrue(owned.has_started)
+
+    def test_job_does_not_count_as_started_after_the_release_of_a_task_that_has_not_run(self):
+        # Guards against status 504 for a job of which no task has started.
+        self.start()
+        owned = self.owned_job()
+        first, second = owned.tasks.values()
+        self.place(owned, second)
+        self.pool.releaser._release_part(owned, [first], "b/r1", 1)
+        owned.discard_run(second)
+        self.assertFalse(owned.has_started)
+
 
 class Burst(unittest.TestCase):
     def test_refused_jobs_have_not_run_and_no_task_runs_twice_when_messages_are_slow(self):
