--- a/rosedyke/overload/job_limit.py
+++ b/rosedyke/overload/job_limit.py
@@ -56,7 +56,10 @@
         if jobs_held < USED_SHARE * limit.jobs:
             return limit
         return JobLimit(limit.jobs + INCREASE_JOBS, limit.decreased_at)
-    if delay_s > LONG_DELAY_S and now - limit.decreased_at >= DECREASE_INTERVAL_S:
+    # With so few jobs the delay has another cause, such as the start commands of owned pools.
+    is_cause = jobs_held >= MIN_JOBS
+    is_due = now - limit.decreased_at >= DECREASE_INTERVAL_S
+    if delay_s > LONG_DELAY_S and is_cause and is_due:
         # What the instance holds is too much, however far below the limit that is.
         used_jobs = min(limit.jobs, jobs_held)
         return JobLimit(max(MIN_JOBS, DECREASE_FACTOR * used_jobs), now)
--- a/rosedyke/overload/loop_delay.py
+++ b/rosedyke/overload/loop_delay.py
@@ -11,6 +11,8 @@
 SAMPLE_INTERVAL_S = 0.05
 # Weight of a new sample; the mean follows a change within about a quarter of a second.
 SAMPLE_WEIGHT = 0.2
+# A longer sample counts as this in the mean, so that one pause of the process is no overload.
+MAX_SAMPLE_S = 0.1
 MAXIMUM_WINDOW_S = 1.0
 
 
@@ -43,7 +45,7 @@
     def record(self, now: float) -> None:
         """Record that the timer that was due has fired."""
         delay_s = max(0.0, now - self.due_at)
-        self.mean_s += SAMPLE_WEIGHT * (delay_s - self.mean_s)
+        self.mean_s += SAMPLE_WEIGHT * (min(delay_s, MAX_SAMPLE_S) - self.mean_s)
         self.samples.append((now, delay_s))
         while now - self.samples[0][0] > MAXIMUM_WINDOW_S:
             self.samples.popleft()
--- a/rosedyke/overload/loop_delay_test.py
+++ b/rosedyke/overload/loop_delay_test.py
@@ -41,6 +41,12 @@
         self.run_for(2.0, 0.1)
         self.assertAlmostEqual(self.measured()[0], 0.1, delta=0.01)
 
+    def test_one_pause_is_no_overload(self):
+        # Guards against an instance that refuses jobs after one pause of its process.
+        self.run_for(1.0, 0.0)
+        self.run_for(0.1, 0.6)
+        self.assertLess(self.delay.loop.mean_s, 0.03)
+
     def test_timer_that_has_not_fired_yet_counts(self):
         # Guards against decisions right after a pause that are made by the delay before it.
         self.run_for(1.0, 0.0)
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -143,8 +143,8 @@
             if state is None:
                 unplaced.append((owned, task))
                 continue
-            if task.may_have_started() and not self.owner.resubmissions.try_spend():
-                continue  # a repeated run, which waits here until there is budget
+            if task.failures and not self.owner.resubmissions.try_spend():
+                continue  # repeats a failed run, so it waits here until there is budget
             self.reserved.record_placement(owned, task, state, allocated[state.server.id])
             if state.is_cold(now):
                 del allocated[state.server.id]  # one task at a time
