--- a/rosedyke/rerunnable_jobs/capacity_offers.py
+++ b/rosedyke/rerunnable_jobs/capacity_offers.py
@@ -69,7 +69,7 @@
         }
         free = self._free_servers(now)
         for pool, request in list(self.requests.items()):
-            reserved = self._reserve(free, request)
+            reserved = _reserve(free, request)
             if not reserved:
                 continue
             request.missing_millicores -= sum(millicores for _, millicores in reserved)
@@ -86,7 +86,6 @@
                 pool,
                 request.message.service,
                 offered_servers,
-                self.owner.task_scheduler.reserved.last_offered_priority(request.message),
             )
             self.owner.listener.offer_capacity(request.message.sender, offer)
 
@@ -103,23 +102,16 @@
         ]
         return sorted(free, key=lambda entry: -self.owner.speeds.speed_of(entry[0].server.id))
 
-    def _reserve(self, free, request):
-        """Remove the servers that satisfy a request from the free ones and return them."""
-        demand, reserved = request.message, []
-        missing = request.missing_millicores
-        for state, free_millicores in list(free):
-            if missing <= 0:
-                break
-            if state.server.service != demand.service:
-                continue
-            millicores = self.owner.task_scheduler.reserved.spare_capacity(
-                demand.service, free_millicores, demand.priority
-            )
-            if millicores >= demand.smallest_millicores:
-                free.remove((state, free_millicores))
-                self.owner.task_scheduler.reserved.record_offer(
-                    demand.service, millicores, free_millicores, demand.priority
-                )
-                reserved.append((state, millicores))
-                missing -= millicores
-        return reserved
+
+def _reserve(free, request):
+    """Remove the servers that satisfy a request from the free ones and return them."""
+    demand, reserved = request.message, []
+    missing = request.missing_millicores
+    for state, millicores in list(free):
+        if missing <= 0:
+            break
+        if state.server.service == demand.service and millicores >= demand.smallest_millicores:
+            free.remove((state, millicores))
+            reserved.append((state, millicores))
+            missing -= millicores
+    return reserved
--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -236,12 +236,12 @@
     8070,
     "pool_under_pressure",
     logging.INFO,
-    "Jobs compete for a pool that is nearly full, so its owner reserves capacity for urgent ones "
-    "and shares it between queues of one priority.",
+    "Jobs compete for a pool that is nearly full, so priority 0 comes first, and queues of one "
+    "priority share the pool.",
 )
 POOL_PRESSURE_ENDED = event.define(
     8071,
     "pool_pressure_ended",
     logging.INFO,
-    "A pool has not been under pressure for a second; nothing is reserved or shared.",
+    "A pool has not been under pressure for a second.",
 )
--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -39,7 +39,6 @@
             owned.has_started = owned.has_started_elsewhere = True
         self.owner.add_job(owned)
         self.owner.resubmissions.record_accepted()
-        self.owner.task_scheduler.reserved.record_arrival(owned, now)
         if message.may_have_run:
             self.adopt(owned)
             self.owner.finish_if_done(owned)
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -315,8 +315,6 @@
         The service whose servers are needed.
     smallest_millicores, millicores : int
         Demand of the smallest waiting task, and of all of them.
-    priority : int
-        The highest priority (lowest number) of the waiting tasks.
     """
 
     sender: Instance
@@ -324,7 +322,6 @@
     service: str
     smallest_millicores: int
     millicores: int
-    priority: int = 0
 
 
 @codec.message("rerun.offer")
@@ -340,16 +337,12 @@
         The full pool and the requested service.
     rooms : tuple of (int, float)
         Free millicores and speed of the servers that are reserved for the full pool for a moment.
-    last_priority : int or None
-        Only tasks up to this priority may be moved, so that long tasks do not take capacity that is
-        reserved for urgent ones.  None if any may.
     """
 
     pool: str
     wanted_by: str
     service: str
     rooms: tuple[tuple[int, float], ...]
-    last_priority: int | None = None
 
 
 @codec.message("rerun.not_owner")
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -62,19 +62,8 @@
     "counter",
     "Moves, resubmissions and repeated runs that did not take place for lack of retry budget.",
 )
-RESERVED = metric.define(
-    "rerun.reserved_millicores",
+KEPT_SERVERS = metric.define(
+    "rerun.kept_servers",
     "gauge",
-    "Capacity that this owner's pools under pressure reserve for urgent work.",
+    "Servers that this owner's pools keep for urgent tasks that fit on none now.",
 )
-# Higher numbers count as this one.
-LAST_PRIORITY = 3
-HELD_BACK = {
-    priority: metric.define(
-        f"rerun.held_back_p{priority}",
-        "counter",
-        f"Tasks of priority {priority}{' or a higher number' if priority == LAST_PRIORITY else ''} "
-        "that waited for a reservation.",
-    )
-    for priority in range(1, LAST_PRIORITY + 1)
-}
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -266,11 +266,11 @@
             self.holder.on_ended(message)
 
     def request_capacity(
-        self, pool: str, service: str, smallest_millicores: int, millicores: int, priority: int
+        self, pool: str, service: str, smallest_millicores: int, millicores: int
     ) -> None:
         """Ask owners of other pools of a service to offer free capacity to a full pool."""
         request = messages.CapacityRequest(
-            self.this_instance, pool, service, smallest_millicores, millicores, priority
+            self.this_instance, pool, service, smallest_millicores, millicores
         )
         for target in self._likely_owners(service, pool, smallest_millicores):
             if target.name == self.this_instance.name:
--- a/rosedyke/rerunnable_jobs/owned_job.py
+++ b/rosedyke/rerunnable_jobs/owned_job.py
@@ -32,8 +32,6 @@
         Server of the last run.
     failed_on : set of str
         Servers on which it failed or stalled; others are preferred.
-    is_held_back : bool
-        It waited for capacity that was reserved for more urgent work.
     discarded_runs : int
         Number of runs whose start command was not sent or not executed.
     """
@@ -45,7 +43,6 @@
     failures: int = 0
     server_id: str = ""
     failed_on: set[str] = attrs.Factory(set)
-    is_held_back: bool = False
     discarded_runs: int = 0
 
     def may_have_started(self) -> bool:
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -48,7 +48,7 @@
         """Send a job's outcome or its released tasks to its holder."""
 
     def request_capacity(
-        self, pool: str, service: str, smallest_millicores: int, millicores: int, priority: int
+        self, pool: str, service: str, smallest_millicores: int, millicores: int
     ) -> None:
         """Ask owners of other pools of a service to offer free capacity to a full pool."""
 
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -67,10 +67,9 @@
                 sum(owned.evacuated_runs() for owned in self.node.owned_pools.values()),
             )
             metric.gauge(
-                metrics.RESERVED,
+                metrics.KEPT_SERVERS,
                 sum(
-                    owned.task_scheduler.reserved.reserved_millicores()
-                    for owned in self.node.owned_pools.values()
+                    owned.task_scheduler.kept_servers() for owned in self.node.owned_pools.values()
                 ),
             )
             metric.gauge(metrics.HELD_JOBS, len(self.node.holder.jobs))
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -8,7 +8,7 @@
     metrics,
     owned_job,
     placement,
-    reserved_capacity,
+    pool_pressure,
     server_commands,
     server_state,
 )
@@ -38,7 +38,7 @@
         self.owner = owner
         self.full: set[tuple[str, job.Demand, bool]] = set()
         self.kept: dict[str, frozenset[str]] = {}
-        self.reserved = reserved_capacity.ReservedCapacity(owner)
+        self.pressure = pool_pressure.PoolPressure(owner)
         self.is_held = False
 
     def place_all(self) -> None:
@@ -54,7 +54,7 @@
             allocated = {
                 state.server.id: state.allocated() for state in self.owner.available_servers(now)
             }
-        self.reserved.update(waiting, allocated, now)
+        self.pressure.update(waiting, allocated, now)
         if waiting and self.owner.is_evacuated():
             self.owner.releaser.release_all(waiting)
         elif waiting:
@@ -89,12 +89,12 @@
     def order_jobs(self, jobs: list[owned_job.OwnedJob], now: float) -> list[owned_job.OwnedJob]:
         """Return waiting jobs in scheduling order."""
         fastest = self.owner.fastest_speed()
-        pressed = self.reserved.pressed
+        pressed = self.pressure.services
         is_link_limit = self.owner.delay.is_link_limit
         others = [owned.queued(fastest) for owned in jobs if owned.work.service not in pressed]
         ordered = queue_order.order_jobs(others, now, is_link_limit=is_link_limit)
         # Jobs of different services do not compete, so their relative order has no effect.
-        for service, capacity in pressed.items():
+        for service, usage in pressed.items():
             ordered += queue_order.order_jobs(
                 [
                     owned.queued(fastest, owned.waiting_millicores())
@@ -102,8 +102,8 @@
                     if owned.work.service == service
                 ],
                 now,
-                capacity.is_urgent_first,
-                capacity.used_by_queue,
+                usage.is_urgent_first,
+                usage.used_by_queue,
                 is_link_limit,
             )
         return [queued.key for queued in ordered]
@@ -145,7 +145,6 @@
                 continue
             if task.failures and not self.owner.resubmissions.try_spend():
                 continue  # repeats a failed run, so it waits here until there is budget
-            self.reserved.record_placement(owned, task, state, allocated[state.server.id])
             if state.is_cold(now):
                 del allocated[state.server.id]  # one task at a time
             else:
@@ -177,9 +176,13 @@
             len(states),
         )
 
+    def kept_servers(self) -> int:
+        """Return the number of servers that are kept for urgent tasks."""
+        return sum(len(servers) for servers in self.kept.values())
+
     def _is_urgent(self, owned):
         """Return whether servers are kept for a job, and not kept from it."""
-        return owned.work.priority == 0 and self.reserved.is_urgent_first(owned.work.service)
+        return owned.work.priority == 0 and self.pressure.is_urgent_first(owned.work.service)
 
     def _capacity(self, state, allocated):
         return backfill.ServerCapacity(
@@ -197,7 +200,7 @@
         # Capacity only decreases while tasks are placed.
         service, is_urgent = owned.work.service, self._is_urgent(owned)
         request = (service, task.step.demand, is_urgent)
-        if request in self.full or self.reserved.holds_back(owned, task, now):
+        if request in self.full:
             return None
         usable = allocated
         if not is_urgent and self.kept.get(service):
@@ -209,10 +212,7 @@
         if state is None:
             self.full.add(request)
             return None
-        if self._should_wait(owned, task, state, allocated, now):
-            return None
-        used = allocated[state.server.id]
-        return state if self.reserved.allows(owned, task, state, used, now) else None
+        return None if self._should_wait(owned, task, state, allocated, now) else state
 
     def _should_wait(self, owned, task, state, allocated, now):
         return placement.should_wait(
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -33,9 +33,8 @@
             by_service.setdefault(owned.work.service, []).append((owned, task))
         for service, tasks in by_service.items():
             millicores = [task.step.demand.millicores for _, task in tasks]
-            priority = min(owned.work.priority for owned, _ in tasks)
             self.owner.listener.request_capacity(
-                self.owner.name, service, min(millicores), sum(millicores), priority
+                self.owner.name, service, min(millicores), sum(millicores)
             )
 
     def _remaining_run_times(self, now):
@@ -70,7 +69,6 @@
             (owned, task)
             for owned, task in spillover.movable_tasks(waiting, self._remaining_run_times(now), now)
             if owned.work.service == offer.service
-            and (offer.last_priority is None or owned.work.priority <= offer.last_priority)
         ]
         released = spillover.assign_tasks(
             candidates, offer.rooms, self.owner.speeds.fastest_speed(), now
