Tests: facts that keep a job in doubt survive discarded runs, moves and withdrawals

Each new test fails under the mutation that it guards against: discard_run without has_started_elsewhere, Part.may_have_run without had_earlier_owner, on_not_owner that drops such a part during a withdrawal, and TasksReleased without has_started at either end.

--- a/rosedyke/rerunnable_jobs/withdrawal_test.py
+++ b/rosedyke/rerunnable_jobs/withdrawal_test.py
@@ -1,6 +1,14 @@
 import unittest
 
-from rosedyke.rerunnable_jobs import job, messages, owned_job, ports, server_state, settings
+from rosedyke.rerunnable_jobs import (
+    job,
+    messages,
+    owned_job,
+    pending_job,
+    ports,
+    server_state,
+    settings,
+)
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
@@ -192,6 +200,14 @@
 
     def test_part_that_its_receiver_did_not_accept_is_not_in_doubt(self):
         # Guards against a NotOwner message that is ignored because it arrives during a withdrawal.
+        self.assertFalse(self.may_have_run_after_not_accepted(had_earlier_owner=False))
+
+    def test_part_with_an_earlier_owner_that_its_receiver_did_not_accept_is_in_doubt(self):
+        # Guards against status 503 if the earlier owner of the part has started it.
+        self.assertTrue(self.may_have_run_after_not_accepted(had_earlier_owner=True))
+
+    def may_have_run_after_not_accepted(self, had_earlier_owner):
+        """Return the doubt after a receiver that is no longer the owner refused to take a part."""
         self.start()
         owner = self.region.members[self.region.owner("b")].node
         owned_pool = owner.owned_pools.pop("b/r1")
@@ -199,11 +215,21 @@
         self.region.submit(self.holder.fleet.this_instance.name, "j1", 1, 0.1)
         self.region.run(0.0001)
         (pending,) = self.holder.jobs.values()
+        (part,) = pending.parts.values()
+        part.had_earlier_owner = had_earlier_owner
         pending.begin_withdrawal()
         self.assertTrue(pending.may_have_run())
         self.region.run(0.01)
-        self.assertFalse(pending.may_have_run())
         owner.owned_pools["b/r1"] = owned_pool
+        return pending.may_have_run()
+
+    def test_unsent_part_with_an_earlier_owner_may_have_run(self):
+        # Guards against status 503 if only the submission to the latest owner was not sent.
+        for had_earlier_owner in (True, False):
+            part = pending_job.Part(
+                1, "a/r1", {"j1.0.0.0"}, had_earlier_owner=had_earlier_owner, is_sent=False
+            )
+            self.assertEqual(part.may_have_run(), had_earlier_owner)
 
 
 class WithdrawReply(unittest.TestCase):
@@ -372,6 +398,47 @@
         owned.discard_run(second)
         self.assertTrue(owned.has_started)
 
+    def test_job_that_has_started_elsewhere_still_counts_as_started_after_a_discarded_run(self):
+        # Guards against status 503 for a job that another pool has started.
+        self.start()
+        owned = self.owned_job(has_started=True)
+        task = next(iter(owned.tasks.values()))
+        self.place(owned, task)
+        owned.discard_run(task)
+        self.assertTrue(owned.has_started)
+
+    def test_refusal_elsewhere_after_the_release_of_a_failed_task_is_in_doubt(self):
+        # Guards against status 503 for a job whose only task has failed once and was moved.
+        self.start()
+        self.holder.choose_pools = lambda work, count: {"a/r1": count}
+        for server in self.region.backend.servers.values():
+            server.fails_all = True
+        name = self.holder.fleet.this_instance.name
+        submission = self.region.submit(name, "j1", 1, 0.1, timeout_s=3.0)
+        for member in self.region.members.values():
+            member.node.request_capacity = lambda *request: None
+        while not any(
+            task.failures for owned in self.pool.jobs.values() for task in owned.tasks.values()
+        ):
+            self.region.run(0.001)
+            self.assertLess(self.region.runtime.now(), STARTUP_S + 1.0)
+        (owned,) = self.pool.jobs.values()
+        (task,) = owned.tasks.values()
+        task.state = owned_job.TaskState.WAITING
+        self.holder.submit = lambda target, message: True  # the other owner is scripted below
+        self.pool.releaser._release_part(owned, [task], "b/r1", 1)
+        self.region.run(0.01)
+        (part,) = self.holder.jobs["j1"].parts.values()
+        self.assertEqual(part.pool, "b/r1")
+        self.holder.resubmissions.try_spend = lambda: False
+        refusal = job.Outcome(job.EndState.REFUSED, "full")
+        ended = messages.JobEnded(
+            "j1", part.number, part.pool, part.token, refusal, tuple(part.tasks)
+        )
+        self.region.runtime.call(self.holder.on_ended, ended)
+        self.region.run(3.5)
+        self.assertEqual(submission.outcome.end, job.EndState.LOST)
+
     def test_job_does_not_count_as_started_after_the_release_of_a_task_that_has_not_run(self):
         # Guards against status 504 for a job of which no task has started.
         self.start()
