Handover: a candidate that shuts down declines before it changes its view

With a resignation whose servers are unknown, a candidate that declined had already removed the sender, which was still the owner, from its view.

--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -261,6 +261,8 @@
             if not self._accepts(message):
                 return messages.ResignAnswer(False)
             self.moved_at = self.node.runtime.now()
+        if self.node.takeovers.is_suspended:
+            return messages.ResignAnswer(False)
         self.node.speeds.import_speeds(message.servers)
         servers = frozenset(message.servers) if message.knows_all_servers else None
         claim = self.node.fleet.claim_of(message.pool)
--- a/rosedyke/rerunnable_jobs/handover_test.py
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -236,6 +236,15 @@
         self.assertIsNone(successor.predecessor_servers)
         self.assertIsNone(successor.reports.report().servers)
 
+    def test_candidate_that_shuts_down_still_knows_the_owner(self):
+        # Guards against an owner that is removed from the view of a candidate that declines.
+        region, node, pool = self.start_with_unknown_predecessor()
+        candidate = region.members[region.non_owner("a")].node
+        candidate.takeovers.is_suspended = True
+        answer = candidate.handover.on_resign(None, pool.reports.resignation())
+        self.assertFalse(answer.is_taken)
+        self.assertEqual(candidate.fleet.claim_of("a/r1").owner.name, node.this_instance.name)
+
     def test_servers_are_complete_once_earlier_leases_have_expired(self):
         # Guards against a pool whose every later takeover delays its tasks, because one predecessor
         # was unknown or used a server that is gone.
