--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -212,7 +212,9 @@
         if state is None:
             self.full.add(request)
             return None
-        return None if self._should_wait(owned, task, state, allocated, now) else state
+        if self._should_wait(owned, task, state, allocated, now):
+            return None
+        return state
 
     def _should_wait(self, owned, task, state, allocated, now):
         return placement.should_wait(
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -51,6 +51,24 @@
         "if self._should_wait(owned, task, state, allocated, now):",
         "if False:",
     ),
+    Mechanism(
+        "urgent-first",
+        RERUN / "pool_pressure.py",
+        "pressure.is_urgent_first(used_by_urgent, capacity)",
+        "False",
+    ),
+    Mechanism(
+        "kept-servers",
+        RERUN / "scheduler.py",
+        "self._keep_servers(owned, [task for _, task in unplaced], allocated, now)",
+        "pass",
+    ),
+    Mechanism(
+        "starts-wait-for-the-link",
+        RERUN / "scheduler.py",
+        "if hold_s := self.owner.delay.hold_s(now):",
+        "if hold_s := 0.0:",
+    ),
     Mechanism(
         "moving-tasks-between-pools", RERUN / "spillover.py", "MAX_MOVES = 4", "MAX_MOVES = 0"
     ),
