--- a/rosedyke/overload/door.py
+++ b/rosedyke/overload/door.py
@@ -9,7 +9,7 @@
 import attrs
 
 from rosedyke.observe import event, metric
-from rosedyke.overload import door_events, door_metrics, job_limit
+from rosedyke.overload import events, job_limit, metrics
 
 # Share of the limits up to which requests of each priority are accepted, so that the most urgent
 # ones are refused last.
@@ -84,7 +84,7 @@
         """Return why a request that arrives now is refused, empty if it is accepted."""
         delay_s = self.own_delay_s(now)
         self.limit = job_limit.adapt(self.limit, jobs, delay_s, now)
-        metric.gauge(door_metrics.JOB_LIMIT, self.limit.jobs)
+        metric.gauge(metrics.JOB_LIMIT, self.limit.jobs)
         usage = Usage(jobs, self.limit.jobs, used_bytes, self.max_body_bytes)
         reason = refusal_reason(usage, priority, body_bytes)
         if reason:
@@ -92,12 +92,12 @@
         return reason
 
     def _record_refusal(self, usage, delay_s, now):
-        metric.count(door_metrics.REFUSED)
+        metric.count(metrics.REQUESTS_REFUSED)
         self.refused += 1
         if now - self.logged_at < LOG_INTERVAL_S:
             return
         event.log(
-            door_events.REQUESTS_REFUSED,
+            events.REQUESTS_REFUSED,
             refused=self.refused,
             jobs=usage.jobs,
             limit=round(usage.max_jobs, 1),
--- a/rosedyke/overload/events.py
+++ b/rosedyke/overload/events.py
@@ -14,3 +14,11 @@
 LINK_LIMIT_ENDED = event.define(
     8051, "link_limit_ended", logging.INFO, "For a second no work had to wait for the link."
 )
+REQUESTS_REFUSED = event.define(
+    8061,
+    "requests_refused_unread",
+    logging.WARNING,
+    "Requests were refused before their bodies were read, because the instance holds as many jobs "
+    "as its link and processor carry; logged at most once a second, with the number since the last "
+    "entry. The field delay_ms is the delay that the instance itself adds.",
+)
--- a/rosedyke/overload/metrics.py
+++ b/rosedyke/overload/metrics.py
@@ -18,3 +18,9 @@
     "counter",
     "Submissions of this holder to pools that had to wait for the link.",
 )
+JOB_LIMIT = metric.define(
+    "overload.job_limit", "gauge", "Jobs that this instance may hold at a time."
+)
+REQUESTS_REFUSED = metric.define(
+    "overload.refused_unread", "counter", "Requests refused before their bodies were read."
+)
