--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -87,7 +87,8 @@
     balances_pools : bool
         An owner of several pools hands some over to instances that own fewer.
     schedules_by_kind : bool
-        Capacity is reserved for urgent queues while a pool is under pressure.
+        While a pool is under pressure, priority 0 comes first, servers are kept for its tasks that
+        fit on none, and queues of one priority share the pool.
     predicts_completion : bool
         Jobs are refused by their predicted completion, and by a limit on the jobs held.
     """
