A claim with the same fencing token is not answered with a claim

Cause: two instances that share an IP address and claim a pool within the same second have the same token. Each answered the other's claim with its own, endlessly. On a link of 1 Mbit/s the messages filled the link's account, so no job was submitted, and all were refused after 5 s ("the caller's time is over").

Change: an owner answers only claims with a lower token.

--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -376,9 +376,12 @@
         self.fleet.record_contact(message.owner)
         owned_pool = self.owned_pools.get(message.pool)
         is_remote = message.owner.name != self.this_instance.name
-        if not self.fleet.record_claim(message) and owned_pool is not None and is_remote:
+        if self.fleet.record_claim(message) or owned_pool is None or not is_remote:
+            return
+        if message.token < owned_pool.token:
             # Two candidates took the pool at the same time, and the sender does not know of this
-            # owner yet.
+            # owner yet.  A claim with the same token is not answered, or the two owners would
+            # answer each other endlessly.
             claim = messages.Claim(owned_pool.name, self.this_instance, owned_pool.token)
             self.holder.send(message.owner, claim)
 
--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -642,6 +642,35 @@
         self.assertEqual((len(region.backend.starts), region.backend.violations), (1, []))
 
 
+class SharedAddress(unittest.TestCase):
+    # Instances that share an IP address, which the platform excludes, have tokens that differ by
+    # the time only, so two claims within a second have the same one.
+
+    def setUp(self):
+        self.region = rerun_region.Region({"a": 0}, servers=2, link_bytes_per_s=125_000)
+        self.claims = delay_messages(self.region, messages.Claim, 0.001)
+        for number in (1, 2):
+            self.region.add(f"a-{number}", "a", f"10.0.0.1:{7000 + number}")
+
+    def claim_pool(self, *names):
+        """Let instances claim the pool before they know of each other's claim."""
+        self.region.run(0.02)
+        for name in names:
+            node = self.region.members[name].node
+            self.region.runtime.call(node.claim_pool, "a/r1", "it has no owner")
+        tokens = {member.node.owned_pools["a/r1"].token for member in self.region.members.values()}
+        self.assertEqual(len(tokens), 1)
+
+    def test_claims_with_the_same_token_are_not_exchanged_endlessly(self):
+        # Guards against two owners that answer each other's claim with their own: the messages
+        # fill the link, so no job is submitted.
+        self.claim_pool("a-1", "a-2")
+        self.region.run(STARTUP_S)
+        self.assertLess(len(self.claims), 10)
+        for member in self.region.members.values():
+            self.assertLess(member.node.delay.outgoing.backlog_s(self.region.runtime.now()), 0.02)
+
+
 class Tokens(unittest.TestCase):
     def test_two_instances_never_share_a_token(self):
         numbers = [fencing_token.instance_number(f"10.1.0.{host}:7000") for host in (1, 2)]
