Benchmarks: kind_scheduling and decision_cost start again

Both imported rerunnable_jobs.admission, whose function is now in refusals, and the simulated pool lacked the owner's delay and retry budget, which the scheduler and the release of tasks read.

--- a/benchmarks/simulated_pool.py
+++ b/benchmarks/simulated_pool.py
@@ -5,10 +5,12 @@
 
 # ruff: noqa: D102
 
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     capacity_offers,
     job,
     ports,
+    resubmissions,
     scheduler,
     server_speed,
     server_state,
@@ -34,6 +36,8 @@
     def __init__(self, region, number, timing):
         self.region, self.runtime, self.listener, self.commands = region, region, region, region
         self.name, self.timing, self.jobs = f"p{number}", timing, {}
+        self.delay = own_delay.OwnDelay(region)
+        self.resubmissions = resubmissions.Resubmissions(timing, region)
         self.speeds = server_speed.ServerSpeeds()
         self.server_states = {}
         for index in range(SERVERS):
