Weights and limits in the order of queues that share a pool

Without shares the order is that of the version before, shown by a property test against a copy of it; weights of 3, 1 and 1 get 60, 20 and 20 of the first 100 places.

--- a/rosedyke/scheduling/queue_order.py
+++ b/rosedyke/scheduling/queue_order.py
@@ -3,13 +3,17 @@
 Load: short jobs wait behind long ones that have slack, and more jobs wait than can meet their
 objective.  In first-come, first-served order the short ones would miss theirs.  Several queues of
 one priority compete, and the one with the most jobs would get nearly all of the capacity.
+Operators want some of these queues to get more than others, or at most a certain share.
 """
 
+import collections
 import heapq
 from collections.abc import Hashable, Iterable, Mapping
 
 import attrs
 
+from rosedyke.scheduling import shares
+
 
 @attrs.frozen
 class QueuedJob:
@@ -45,6 +49,8 @@
     is_under_pressure: bool = False,
     used_by_queue: Mapping[str, int] | None = None,
     is_link_limit: bool = False,
+    queue_shares: Mapping[str, shares.QueueShare] | None = None,
+    capacity: int = 0,
 ) -> list[QueuedJob]:
     """Return waiting jobs in scheduling order.
 
@@ -59,11 +65,18 @@
     used_by_queue : mapping of str to int or None
         Millicores that the running tasks of each queue use.  Queues of one priority then share the
         capacity: within a group, each place of the priority goes to the queue that uses least.
+        Limits of queues apply to all of their jobs.
     is_link_limit : bool
         Start commands wait for the owner's link.  Started jobs then come first even if they are
         late: jobs become late in this wait, and start commands of jobs that never end would take
         the link from others.
+    queue_shares : mapping of str to QueueShare or None
+        Weights and limits, for queues that do not have the defaults.  Usage is divided by the
+        weight.
+    capacity : int
+        Millicores of the pool, needed for limits only.
     """
+    queue_shares = queue_shares or {}
 
     def group(queued):
         is_late = queued.latest_start < now
@@ -80,10 +93,13 @@
     ordered = sorted(jobs, key=key)
     if used_by_queue is None:
         return ordered
-    return _shared(ordered, group, used_by_queue)
+    ordered = _shared(ordered, group, used_by_queue, queue_shares)
+    if not shares.has_limits(queue_shares):
+        return ordered
+    return _limited(ordered, used_by_queue, queue_shares, capacity)
 
 
-def _shared(ordered, group, used_by_queue):
+def _shared(ordered, group, used_by_queue, queue_shares):
     """Return the jobs so that queues of one priority take turns within a group, by their usage.
 
     The places of each priority stay the same, and so does the order within each queue.
@@ -103,15 +119,57 @@
             queued = by_queue[place.queue].pop()
         else:
             if turn not in heaps:
-                heaps[turn] = [(used.get(queue, 0), queue) for queue in sorted(by_queue)]
+                heaps[turn] = [
+                    (used.get(queue, 0) / shares.share_of(queue_shares, queue).weight, queue)
+                    for queue in sorted(by_queue)
+                ]
                 heapq.heapify(heaps[turn])
             queue = heaps[turn][0][1]
             queued = by_queue[queue].pop()
             if by_queue[queue]:
-                usage = heaps[turn][0][0] + queued.millicores
+                weight = shares.share_of(queue_shares, queue).weight
+                usage = heaps[turn][0][0] + queued.millicores / weight
                 heapq.heapreplace(heaps[turn], (usage, queue))
             else:
                 heapq.heappop(heaps[turn])
         used[queued.queue] = used.get(queued.queue, 0) + queued.millicores
         result.append(queued)
     return result
+
+
+def _limited(ordered, used_by_queue, queue_shares, capacity):
+    """Return the jobs so that queues with a limit get no more than that of the places.
+
+    Up to the pool's capacity, a queue uses at most its share of that; of the places behind it, it
+    gets at most the same share.  Jobs that must wait for this keep their order, and come last if
+    no other queue has jobs left.
+    """
+    used = dict(used_by_queue)
+    total = sum(used.values())
+    deferred: dict[str, collections.deque[QueuedJob]] = {}
+    result = []
+
+    def is_deferred(queue):
+        # Any part of a job that fits below the limit keeps the job's place.
+        share, in_use = shares.share_of(queue_shares, queue), used.get(queue, 0)
+        return shares.is_over_limit(share, in_use, 1, max(capacity, total))
+
+    def append(queued):
+        nonlocal total
+        used[queued.queue] = used.get(queued.queue, 0) + queued.millicores
+        total += queued.millicores
+        result.append(queued)
+
+    for queued in ordered:
+        if queued.queue in deferred or is_deferred(queued.queue):
+            deferred.setdefault(queued.queue, collections.deque()).append(queued)
+            continue
+        append(queued)
+        for queue, jobs in list(deferred.items()):
+            while jobs and not is_deferred(queue):
+                append(jobs.popleft())
+            if not jobs:
+                del deferred[queue]
+    positions = {id(queued): position for position, queued in enumerate(ordered)}
+    rest = [queued for jobs in deferred.values() for queued in jobs]
+    return result + sorted(rest, key=lambda queued: positions[id(queued)])
--- a/rosedyke/scheduling/queue_order_test.py
+++ b/rosedyke/scheduling/queue_order_test.py
@@ -1,6 +1,11 @@
+import collections
+import heapq
 import unittest
 
-from rosedyke.scheduling import queue_order
+import hypothesis
+from hypothesis import strategies
+
+from rosedyke.scheduling import queue_order, shares
 
 
 def queued(key, arrived_at, estimate_s, objective_s, priority=0, fastest=1.0, **fields):
@@ -90,3 +95,112 @@
         ]
         expected = ["urgent", "started", "new", "long", "late"]
         self.assertEqual(self.order({"b": 99, "d": 99, "e": 99}, jobs), expected)
+
+    def test_places_follow_the_weights(self):
+        jobs = [
+            queue_order.QueuedJob((queue, n), queue, 1, 1 + n, False, 10)
+            for queue in ("light", "heavy", "other")
+            for n in range(100)
+        ]
+        weights = {"heavy": shares.QueueShare(3.0)}
+        result = queue_order.order_jobs(jobs, 0.0, True, {}, False, weights, 1000)
+        counts = collections.Counter(queued.queue for queued in result[:100])
+        self.assertEqual(counts, {"heavy": 60, "light": 20, "other": 20})
+
+    def test_limits_bound_the_share_of_the_places(self):
+        # Guards against a prediction for the other queues that ignores the limit.
+        jobs = [
+            queue_order.QueuedJob((queue, n), queue, 1, 1 + n, False, 10)
+            for queue in ("bounded", "other")
+            for n in range(40)
+        ]
+        limits = {"bounded": shares.QueueShare(1000.0, 0.25)}
+        result = queue_order.order_jobs(jobs, 0.0, True, {"bounded": 20}, False, limits, 100)
+        self.assertEqual(set(result), set(jobs))
+        for places in (8, 18, 48):
+            counts = collections.Counter(queued.queue for queued in result[:places])
+            # The running 20 count as well, and the last job may exceed the limit.
+            self.assertLessEqual(20 + 10 * counts["bounded"], 0.25 * (20 + 10 * places) + 10)
+        for queue in ("bounded", "other"):
+            own = [queued.key for queued in result if queued.queue == queue]
+            self.assertEqual(own, sorted(own))
+
+
+def order_with_equal_weights(ordered, group, used_by_queue):
+    """Return the order of the version before weights existed."""
+    queues = {}
+    for queued in reversed(ordered):
+        by_queue = queues.setdefault((group(queued), queued.priority), {})
+        by_queue.setdefault(queued.queue, []).append(queued)
+    used, heaps, result = dict(used_by_queue), {}, []
+    for place in ordered:
+        turn = (group(place), place.priority)
+        by_queue = queues[turn]
+        if len(by_queue) == 1:
+            queued = by_queue[place.queue].pop()
+        else:
+            if turn not in heaps:
+                heaps[turn] = [(used.get(queue, 0), queue) for queue in sorted(by_queue)]
+                heapq.heapify(heaps[turn])
+            queue = heaps[turn][0][1]
+            queued = by_queue[queue].pop()
+            if by_queue[queue]:
+                usage = heaps[turn][0][0] + queued.millicores
+                heapq.heapreplace(heaps[turn], (usage, queue))
+            else:
+                heapq.heappop(heaps[turn])
+        used[queued.queue] = used.get(queued.queue, 0) + queued.millicores
+        result.append(queued)
+    return result
+
+
+JOBS = strategies.lists(
+    strategies.builds(
+        queue_order.QueuedJob,
+        strategies.integers(),
+        strategies.sampled_from("abcd"),
+        strategies.integers(0, 2),
+        strategies.floats(-1, 1),
+        strategies.booleans(),
+        strategies.integers(0, 50_000),
+    ),
+    max_size=40,
+)
+USED = strategies.dictionaries(strategies.sampled_from("abcd"), strategies.integers(0, 500_000))
+SHARES = strategies.dictionaries(
+    strategies.sampled_from("abcd"),
+    strategies.builds(
+        shares.QueueShare, strategies.floats(0.001, 1000), strategies.floats(0.001, 1)
+    ),
+)
+
+
+class Defaults(unittest.TestCase):
+    @hypothesis.settings(deadline=None, derandomize=True)
+    @hypothesis.given(JOBS, USED, strategies.booleans(), strategies.booleans())
+    def test_order_without_shares_is_that_of_the_version_before(self, jobs, used, urgent, link):
+        # Guards against another order in deployments that set no shares.
+        def group(queued):
+            is_late = queued.latest_start < 0.0
+            rank = min(queued.priority, 1) if urgent else 0
+            if link and queued.has_started:
+                return (False, -1, False)
+            return (is_late, queued.priority if is_late else rank, not queued.has_started)
+
+        ordered = sorted(jobs, key=lambda queued: (*group(queued), queued.latest_start))
+        expected = order_with_equal_weights(ordered, group, used)
+        for queue_shares in (None, {}, {"a": shares.DEFAULT}):
+            result = queue_order.order_jobs(jobs, 0.0, urgent, used, link, queue_shares, 9)
+            self.assertEqual(list(map(id, result)), list(map(id, expected)))
+        self.assertEqual(queue_order.order_jobs(jobs, 0.0, urgent, None, link, {}), ordered)
+
+    @hypothesis.settings(deadline=None, derandomize=True)
+    @hypothesis.given(JOBS, USED, SHARES, strategies.integers(0, 900_000))
+    def test_shares_keep_every_job_and_the_order_of_priorities(self, jobs, used, weights, capacity):
+        # Guards against jobs that are lost or doubled, and against a weight that beats a priority.
+        result = queue_order.order_jobs(jobs, 0.0, True, used, False, weights, capacity)
+        self.assertCountEqual(map(id, result), map(id, jobs))
+        unlimited = {queue: shares.QueueShare(share.weight) for queue, share in weights.items()}
+        result = queue_order.order_jobs(jobs, 0.0, True, used, False, unlimited, capacity)
+        expected = queue_order.order_jobs(jobs, 0.0, True)
+        self.assertEqual([job.priority for job in result], [job.priority for job in expected])
