Test of limits in the order detects a limit that does not grow with the places

Replacing max(capacity, total) by capacity left the tests green, since only the upper bound of the share was checked; now both bounds are, and the mutation fails.

--- a/rosedyke/scheduling/queue_order_test.py
+++ b/rosedyke/scheduling/queue_order_test.py
@@ -119,8 +119,9 @@
         self.assertEqual(set(result), set(jobs))
         for places in (8, 18, 48):
             counts = collections.Counter(queued.queue for queued in result[:places])
-            # The running 20 count as well, and the last job may exceed the limit.
-            self.assertLessEqual(20 + 10 * counts["bounded"], 0.25 * (20 + 10 * places) + 10)
+            # The running 20 count as well.
+            share = 0.25 * (20 + 10 * places)
+            self.assertAlmostEqual(20 + 10 * counts["bounded"], share, delta=10)
         for queue in ("bounded", "other"):
             own = [queued.key for queued in result if queued.queue == queue]
             self.assertEqual(own, sorted(own))
