Queues share a pool by weights and limits while it is under pressure

Queues of one priority shared a pool by equal weights. RerunSettings.queue_shares now gives them weights and limits. A queue at its limit places no task while a task of another queue waits that fits on one of the pool's servers; what nobody else wants is lent to it in the same pass. Gauges by queue show the capacity used, the pools in which it borrows, and the tasks at its limit.

--- a/rosedyke/observe/catalogue.py
+++ b/rosedyke/observe/catalogue.py
@@ -57,4 +57,5 @@
     yield "|---|---|---|"
     for name in sorted(metric.catalogue):
         definition = metric.catalogue[name]
-        yield f"| `{definition.name}` | {definition.kind} | {definition.meaning} |"
+        kind = f"{definition.kind} by {definition.label}" if definition.label else definition.kind
+        yield f"| `{definition.name}` | {kind} | {definition.meaning} |"
--- a/rosedyke/observe/exposition.py
+++ b/rosedyke/observe/exposition.py
@@ -25,6 +25,11 @@
                 yield core.GaugeMetricFamily(
                     name, definition.meaning, metric.gauges[definition.name]
                 )
+            elif definition.name in metric.labelled_gauges:
+                family = core.GaugeMetricFamily(name, definition.meaning, labels=[definition.label])
+                for value, measured in metric.labelled_gauges[definition.name].items():
+                    family.add_metric([value], measured)
+                yield family
             elif definition.name in metric.histograms:
                 histogram = metric.histograms[definition.name]
                 yield core.HistogramMetricFamily(
--- a/rosedyke/observe/metric.py
+++ b/rosedyke/observe/metric.py
@@ -5,6 +5,7 @@
 
 import bisect
 import collections
+from collections.abc import Mapping
 from typing import Protocol
 
 import attrs
@@ -24,18 +25,21 @@
         ``counter``, ``gauge`` or ``timer`` (milliseconds).
     meaning : str
         Description of what it counts, for docs/METRICS.md.
+    label : str
+        Name of the label of a gauge that has several values; empty if it has one.
     """
 
     name: str
     kind: str
     meaning: str
+    label: str = ""
 
 
-def define(name: str, kind: str, meaning: str) -> Metric:
+def define(name: str, kind: str, meaning: str, label: str = "") -> Metric:
     """Add a metric to the catalogue and return it."""
     if name in catalogue:
         raise ValueError(f"metric {name} is defined twice")
-    catalogue[name] = Metric(name, kind, meaning)
+    catalogue[name] = Metric(name, kind, meaning, label)
     return catalogue[name]
 
 
@@ -73,6 +77,8 @@
 counts: collections.Counter[str] = collections.Counter()
 histograms: dict[str, Histogram] = collections.defaultdict(Histogram)
 gauges: dict[str, float] = {}
+# Values of the gauges with a label, by name and by value of the label.
+labelled_gauges: dict[str, dict[str, float]] = {}
 _sink: Sink | None = None
 
 
@@ -96,6 +102,11 @@
         _sink.gauge(metric.name, value)
 
 
+def gauge_by_label(metric: Metric, values: Mapping[str, float]) -> None:
+    """Replace all values of a gauge with a label; they are not sent to the sink."""
+    labelled_gauges[metric.name] = dict(values)
+
+
 def timing(metric: Metric, milliseconds: float) -> None:
     """Record a duration."""
     histograms[metric.name].add(milliseconds)
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -67,3 +67,21 @@
     "gauge",
     "Servers that this owner's pools keep for urgent tasks that fit on none now.",
 )
+QUEUE_USED = metric.define(
+    "rerun.queue_used",
+    "gauge",
+    "Millicores that running tasks of the queue use in this owner's pools, while shares are set.",
+    "queue",
+)
+QUEUE_BORROWS = metric.define(
+    "rerun.queue_borrows",
+    "gauge",
+    "Pools of this owner under pressure in which the queue uses more than its limit.",
+    "queue",
+)
+QUEUE_AT_LIMIT = metric.define(
+    "rerun.queue_at_limit",
+    "gauge",
+    "Tasks of the queue that wait in this owner's pools because the queue is at its limit.",
+    "queue",
+)
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -1,7 +1,7 @@
 """Periodic renewals between instances: liveness, leases on jobs, and pool reports."""
 
 from rosedyke.observe import metric
-from rosedyke.rerunnable_jobs import messages, metrics, ports
+from rosedyke.rerunnable_jobs import messages, metrics, ports, queue_shares
 from rosedyke.wire import peer
 
 # Timeout of one renewal.
@@ -72,6 +72,7 @@
                     owned.task_scheduler.kept_servers() for owned in self.node.owned_pools.values()
                 ),
             )
+            queue_shares.record_usage(self.node)
             metric.gauge(metrics.HELD_JOBS, len(self.node.holder.jobs))
             self.node.handover.return_remote_pools()
             self.node.handover.balance_pools()
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -1,5 +1,7 @@
 """Places the waiting tasks of one owner on its servers."""
 
+import collections
+
 from rosedyke.observe import metric
 from rosedyke.overload import metrics as overload_metrics
 from rosedyke.overload import own_delay
@@ -77,12 +79,16 @@
     def _place_jobs(self, waiting, allocated, now):
         running_tasks = self.owner.running_tasks()
         unplaced = []
-        ordered = self.order_jobs(waiting, now)
-        for index, owned in enumerate(ordered):
+        jobs = collections.deque(self.order_jobs(waiting, now))
+        while jobs:
             if hold_s := self.owner.delay.hold_s(now):
-                self._hold(ordered[index:], hold_s, now)
+                self._hold(jobs, hold_s, now)
                 return
-            unplaced += self._place_job(owned, allocated, running_tasks, now)
+            unplaced += self._place_job(jobs.popleft(), allocated, running_tasks, now)
+            if not jobs and self.pressure.at_limit:
+                borrowers, blocked = self.pressure.lend(unplaced)
+                jobs += borrowers
+                unplaced += blocked
         if unplaced:
             self.owner.releaser.request_capacity_for(unplaced, now)
 
@@ -105,6 +111,8 @@
                 usage.is_urgent_first,
                 usage.used_by_queue,
                 is_link_limit,
+                self.owner.timing.queue_shares,
+                usage.capacity,
             )
         return [queued.key for queued in ordered]
 
@@ -139,6 +147,8 @@
         for task in owned.waiting_tasks():
             if task.name in running_tasks:
                 continue
+            if self.pressure.waits_at_limit(owned, task):
+                continue
             state = self._choose_server(owned, task, allocated, now)
             if state is None:
                 unplaced.append((owned, task))
@@ -151,6 +161,7 @@
                 allocated[state.server.id] = allocated[state.server.id].plus(task.step.demand)
             # After a lost message two parts may contain the same task.
             running_tasks.add(task.name)
+            self.pressure.on_placed(owned, task)
             self._place(owned, task, state, now)
         self._keep_servers(owned, [task for _, task in unplaced], allocated, now)
         return unplaced
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -5,10 +5,13 @@
 resulting inequalities at startup.
 """
 
+from collections.abc import Mapping
+
 import attrs
 
 from rosedyke import fault
 from rosedyke.overload import own_delay
+from rosedyke.scheduling import shares
 
 # Maximum drift of a server's monotonic clock; leases last longer on a slow clock.
 CLOCK_DRIFT = 0.02
@@ -91,6 +94,9 @@
         fit on none, and queues of one priority share the pool.
     predicts_completion : bool
         Jobs are refused by their predicted completion, and by a limit on the jobs held.
+    queue_shares : mapping of str to QueueShare
+        Weights and limits of queues, for those that do not have the defaults.  They take effect
+        with ``schedules_by_kind`` only.
     """
 
     resubmit_s: float = 1.3
@@ -119,6 +125,8 @@
     balances_pools: bool = False
     schedules_by_kind: bool = False
     predicts_completion: bool = False
+    # Without hash, because mappings have none.
+    queue_shares: Mapping[str, shares.QueueShare] = attrs.field(factory=dict, hash=False)
 
     @property
     def max_order_s(self) -> float:
