Servers are kept only for urgent tasks that the limit of their queue allows

Each task of an urgent job that fit on no server kept one, up to half of the pool, although the limit let only some of them run; the kept servers were idle meanwhile. With 8 servers and 4 tasks of 3 cores, 4 servers were kept at a limit of 0.2 or 0.1, and now 2 and 1.

--- a/rosedyke/rerunnable_jobs/pool_pressure.py
+++ b/rosedyke/rerunnable_jobs/pool_pressure.py
@@ -187,6 +187,22 @@
         self.at_limit.append((owned, task))
         return True
 
+    def within_limit(
+        self, owned: owned_job.OwnedJob, tasks: list[owned_job.OwnedTask]
+    ) -> list[owned_job.OwnedTask]:
+        """Return those tasks of a job that may run together without exceeding its queue's limit."""
+        limits, queue = self._limits(owned), owned.work.queue
+        if limits is None or queue in limits.borrowing:
+            return tasks
+        share, used = shares.share_of(limits.queue_shares, queue), limits.used_by_queue[queue]
+        result = []
+        for task in tasks:
+            millicores = task.step.demand.millicores
+            if not shares.is_over_limit(share, used, millicores, limits.capacity):
+                used += millicores
+                result.append(task)
+        return result
+
     def on_placed(self, owned: owned_job.OwnedJob, task: owned_job.OwnedTask) -> None:
         """Count a task that was placed."""
         if limits := self._limits(owned):
--- a/rosedyke/rerunnable_jobs/queue_shares_test.py
+++ b/rosedyke/rerunnable_jobs/queue_shares_test.py
@@ -147,6 +147,48 @@
         self.assertEqual([each.outcome and each.outcome.end for each in urgent], [DONE] * 6)
 
 
+class UrgentTasksBesideLargeOnes(Load):
+    """Priority 0 has tasks of three cores, on servers of four."""
+
+    def submit_sized(self, region, queue, priority, cores, count=1, duration_s=0.2):
+        number = self.numbers[queue] = self.numbers[queue] + 1
+        job_id = f"{queue}-{number}"
+        region.backend.durations[job_id] = duration_s
+        step = job.Step(count, job.Demand(1000 * cores, 64), duration_s)
+        work = job.Job(job_id, queue, rerun_region.SERVICE, "", (step,), priority, 3, 25.0, 28.0)
+        region.runtime.spawn(region.members["a-1"].node.run, work, region.runtime.signal())
+
+    def test_servers_are_kept_only_for_tasks_that_the_limit_allows(self):
+        # Guards against half of a pool that is kept, and idle, for tasks that must wait anyway.
+        for limit, expected in ((1.0, 4), (0.2, 2), (0.1, 1)):
+            timing = settings.RerunSettings(
+                schedules_by_kind=True, queue_shares={"urgent": shares.QueueShare(limit=limit)}
+            )
+            region = rerun_region.Region({"a": 1}, 8, timing=timing)
+            region.run(STARTUP_S)
+            self.submit_sized(region, "small", 1, 1, 40, 0.9)
+            region.run(0.02)
+            self.submit_sized(region, "urgent", 0, 3, 4)
+            region.run(0.02)
+            scheduler = region.members["a-1"].node.owned_pools["a/r1"].task_scheduler
+            self.assertEqual(scheduler.kept_servers(), expected, limit)
+
+    def test_limit_of_the_urgent_queue_leaves_places_for_large_tasks(self):
+        # Guards against a queue whose tasks never get a server: each one that becomes free while
+        # priority 0 uses at most half of the pool goes to priority 0.
+        region = new_region({"urgent": shares.QueueShare(limit=0.5)})
+        for number in range(80):
+            self.submit_sized(region, "urgent", 0, 3, 1 + number % 2)
+            if number % 4 == 0:
+                self.submit_sized(region, "large", 1, 3)
+                self.submit_sized(region, "small", 1, 1)
+            region.run(0.05)
+        starts = collections.Counter(task.split("-")[0] for _, task, _ in region.backend.starts)
+        self.assertGreaterEqual(starts["large"], 19)
+        self.assertGreaterEqual(starts["urgent"], 35)
+        self.assertEqual(region.backend.violations, [])
+
+
 class Reload(Load):
     """The shares change while jobs run."""
 
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -180,7 +180,7 @@
             [self._capacity(state, allocated[state.server.id]) for state in states],
             [
                 task.step.demand.millicores
-                for task in blocked
+                for task in self.pressure.within_limit(owned, blocked)
                 if (service, task.step.demand, True) in self.full
             ],
             self.kept.get(service, frozenset()),
