--- a/rosedyke/observe/catalogue.py
+++ b/rosedyke/observe/catalogue.py
@@ -53,6 +53,9 @@
     yield "and gauges are also in `rosedyke status --json`. Timers are in milliseconds. This page"
     yield "is written by `tools/update_catalogues.py`."
     yield ""
+    yield "A gauge by a label, such as the queue, has several values, which are served at the"
+    yield "metrics address only."
+    yield ""
     yield "| Name | Kind | Meaning |"
     yield "|---|---|---|"
     for name in sorted(metric.catalogue):
--- a/rosedyke/rerunnable_jobs/queue_shares_test.py
+++ b/rosedyke/rerunnable_jobs/queue_shares_test.py
@@ -12,7 +12,8 @@
 
 
 def new_region(queues, sizes=None, **switches):
-    timing = settings.RerunSettings(schedules_by_kind=True, queue_shares=queues, **switches)
+    switches = {"schedules_by_kind": True, **switches}
+    timing = settings.RerunSettings(queue_shares=queues, **switches)
     region = rerun_region.Region(sizes or {"a": 1}, timing=timing)
     region.run(STARTUP_S)
     return region
@@ -138,6 +139,16 @@
         self.play(region, 0.6, {"bounded": 90})
         self.assertEqual(self.running(region, "bounded"), CORES)
 
+    def test_shares_take_effect_with_scheduling_by_kind_only(self):
+        # Guards against new behaviour in deployments that did not switch it on.
+        starts = []
+        for queues in ({}, {"heavy": shares.QueueShare(3.0), "light": shares.QueueShare(1, 0.1)}):
+            region = new_region(queues, schedules_by_kind=False)
+            self.numbers.clear()
+            self.play(region, 1.0, {"heavy": 90, "light": 90})
+            starts.append(region.backend.starts)
+        self.assertEqual(starts[0], starts[1])
+
     def test_priority_0_comes_before_any_weight(self):
         # Guards against a weight that lets less urgent work delay priority 0.
         region = new_region({"long": shares.QueueShare(1000.0), "urgent": shares.QueueShare(0.001)})
