--- a/rosedyke/observe/catalogue.py
+++ b/rosedyke/observe/catalogue.py
@@ -53,8 +53,12 @@
     yield "and gauges are also in `rosedyke status --json`. Timers are in milliseconds. This page"
     yield "is written by `tools/update_catalogues.py`."
     yield ""
+    yield "A gauge by a label, such as the queue, has several values, which are served at the"
+    yield "metrics address only."
+    yield ""
     yield "| Name | Kind | Meaning |"
     yield "|---|---|---|"
     for name in sorted(metric.catalogue):
         definition = metric.catalogue[name]
-        yield f"| `{definition.name}` | {definition.kind} | {definition.meaning} |"
+        kind = f"{definition.kind} by {definition.label}" if definition.label else definition.kind
+        yield f"| `{definition.name}` | {kind} | {definition.meaning} |"
