Moves to offered capacity spend no retry budget

A move repeats nothing: the task has not started, and it goes only where capacity was offered, at most four times.

--- a/rosedyke/rerunnable_jobs/resubmissions.py
+++ b/rosedyke/rerunnable_jobs/resubmissions.py
@@ -1,7 +1,9 @@
 """Applies the retry budget of an instance to resubmissions inside the fleet.
 
 Resubmissions that the safety of a takeover requires, and those of an evacuated pool, are not
-counted: without them a job would wait at an owner that no longer exists.
+counted: without them a job would wait at an owner that no longer exists.  Moves to capacity that
+another pool has offered are not counted either, since they repeat nothing: the offers bound them,
+and without them tasks wait in one pool, until they are refused, while servers of another are idle.
 """
 
 from rosedyke import runtime as runtime_module
--- a/rosedyke/rerunnable_jobs/task_release.py
+++ b/rosedyke/rerunnable_jobs/task_release.py
@@ -74,8 +74,6 @@
             candidates, offer.rooms, self.owner.speeds.fastest_speed(), now
         )
         for owned, tasks in released.items():
-            if not self.owner.resubmissions.try_spend():
-                return  # the others wait here
             self._release_part(owned, tasks, offer.pool, owned.moves + 1)
 
     def release_all(self, waiting):
