Export and import of learned run time ratios

A successor of a pool's owner starts without ratios, so it predicts run times by estimates that are known to be wrong until 20 runs of a queue have ended. RunTimes.export returns the median and the 90% quantile of each queue in whole percent; import_quantiles uses such values until there are 20 own runs.

--- a/rosedyke/scheduling/run_times_test.py
+++ b/rosedyke/scheduling/run_times_test.py
@@ -28,3 +28,31 @@
             learned.record("q", 0.1, measured_s)
             learned.record("q", 0.0, measured_s)
         self.assertAlmostEqual(learned.ratio("q", 0.9), 2.0)
+
+
+class Received(unittest.TestCase):
+    """Quantiles from an earlier owner."""
+
+    def test_are_used_until_there_are_twenty_own_runs(self):
+        # Guards against a successor that starts with estimates known to be wrong.
+        learned = run_times.RunTimes()
+        values = {"q": run_times.RatioQuantiles(130, 180, 200)}
+        self.assertEqual(learned.import_quantiles(values), ["q"])
+        for _ in range(19):
+            learned.record("q", 0.1, 0.7)
+        self.assertEqual([learned.ratio("q", 0.5), learned.ratio("q", 0.9)], [1.3, 1.8])
+        self.assertEqual(learned.export(), values)
+        learned.record("q", 0.1, 0.7)
+        self.assertAlmostEqual(learned.ratio("q", 0.5), 7.0)
+        self.assertEqual(learned.export(), {"q": run_times.RatioQuantiles(700, 700, 20)})
+        self.assertEqual(learned.import_quantiles(values), [])
+        self.assertAlmostEqual(learned.ratio("q", 0.5), 7.0)
+
+    def test_quantiles_of_few_runs_and_too_many_queues_are_ignored(self):
+        # Guards against a faulty peer that uses up the memory.
+        learned = run_times.RunTimes()
+        learned.import_quantiles({"q": run_times.RatioQuantiles(130, 180, 19)})
+        self.assertEqual(learned.ratio("q", 0.5), 1.0)
+        quantiles = run_times.RatioQuantiles(130, 180, 20)
+        learned.import_quantiles({f"q{number}": quantiles for number in range(5_000)})
+        self.assertEqual(len(learned.received), run_times.MAX_RECEIVED_QUEUES)
