A successor uses its predecessor's run time ratios and suspensions

A successor of a lost owner knew neither the learned run time ratios of the queues nor which servers were suspended because all their runs fail, so it refused jobs by wrong estimates and started tasks on broken servers again. Reports to candidates and Resign now carry both (LearnedState); a report carries them only if the receiver does not name their version. Sent and used only where predicts_completion is on.

Event 8006, metric rerun.suspensions_taken_over.

--- a/rosedyke/rerunnable_jobs/completions.py
+++ b/rosedyke/rerunnable_jobs/completions.py
@@ -70,5 +70,5 @@
         """Count a failed run and suspend its server after too many in a row."""
         state.failures += 1
         if state.failures >= MAX_CONSECUTIVE_FAILURES:
-            state.suspended_until = self.owner.runtime.now() + SUSPENSION_S
+            state.suspend_for_failures(self.owner.runtime.now() + SUSPENSION_S)
             event.log(events.SERVER_SUSPENDED, server=state.server.id, failures=state.failures)
--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -39,6 +39,13 @@
     "A server had seen a higher fencing token at the first contact, most likely from an owner "
     "whose clock was ahead; the new owner continues with a higher one.",
 )
+LEARNED_STATE_TAKEN_OVER = event.define(
+    8006,
+    "learned_state_taken_over",
+    logging.INFO,
+    "A new owner uses what the previous one had learned: the field queues counts the queues whose "
+    "run time ratios it takes, the field suspended names the servers that stay suspended.",
+)
 SERVER_LISTED = event.define(
     8010,
     "server_listed",
--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event
 from rosedyke.overload import own_delay
-from rosedyke.rerunnable_jobs import events, messages, ports, settings
+from rosedyke.rerunnable_jobs import events, learned_state, messages, ports, settings
 
 # An instance is alive if a message from it came within this time; seven missed renewals.
 LIVENESS_TIMEOUT_S = 0.7
@@ -50,6 +51,10 @@
         The highest version of the servers that a report mentioned.
     servers_confirmed_at : float
         When a report last showed that ``servers`` had not changed.
+    learned : ReceivedState or None
+        What the owner has learned, as last reported under this token.
+    learned_version : int
+        Its version, 0 before the first.
     """
 
     claim: messages.Claim
@@ -63,6 +68,8 @@
     speeds_version: int = 0
     newest_servers_version: int = 0
     servers_confirmed_at: float = float("-inf")
+    learned: learned_state.ReceivedState | None = None
+    learned_version: int = 0
 
     @property
     def submitted_millicores(self) -> int:
@@ -92,6 +99,11 @@
             self.servers, (self.servers_version, self.speeds_version) = report.servers, versions
         if self.servers is not None and version == self.servers_version:
             self.servers_confirmed_at = now
+        learned = report.learned
+        # Of a known version a delayed report has only outdated remaining times.
+        if learned is not msgspec.UNSET and learned.version > self.learned_version:
+            self.learned = learned_state.receive(learned, now)
+            self.learned_version = learned.version
 
     def complete_servers(self, since: float) -> frozenset[str] | None:
         """Return all servers that may have runs of the owner, None if some may be unknown.
@@ -344,12 +356,18 @@
             return 0.0
         return self.runtime.now() - state.last_contact_at
 
-    def servers_versions(self, owner: str) -> dict[str, tuple[int, int, int]]:
-        """Return the token and versions of the known servers of each pool of an owner."""
+    def servers_versions(self, owner: str) -> dict[str, tuple[int, ...]]:
+        """Return ``Renew.servers_versions`` of what is known of each pool of an owner."""
         return {
-            pool: (state.claim.token, state.servers_version, state.speeds_version)
+            pool: (
+                state.claim.token,
+                state.servers_version,
+                state.speeds_version,
+                *((state.learned_version,) if state.learned_version else ()),
+            )
             for pool, state in self.owners.items()
-            if state.claim.owner.name == owner and state.servers is not None
+            if state.claim.owner.name == owner
+            and (state.servers is not None or state.learned_version)
         }
 
     def claims_since(self, version: int) -> tuple[messages.Claim, ...]:
--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -3,7 +3,7 @@
 import collections
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import election, events, messages, metrics, ports
+from rosedyke.rerunnable_jobs import election, events, learned_state, messages, metrics, ports
 from rosedyke.scheduling import pool_balance
 from rosedyke.wire import peer
 
@@ -269,7 +269,10 @@
         if servers is None and claim is not None:
             # Reports of an owner before the sender must not replace the unknown set.
             self.node.fleet.remove_owner(message.pool, claim.owner.name)
-        self.node.claim_pool(message.pool, "its owner gave it up", servers)
+        learned = message.learned and learned_state.receive(
+            message.learned, self.node.runtime.now()
+        )
+        self.node.claim_pool(message.pool, "its owner gave it up", servers, learned)
         return messages.ResignAnswer(message.pool in self.node.owned_pools)
 
     def _accepts(self, message):
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterable
 
 import attrs
+import msgspec
 
 from rosedyke.rerunnable_jobs import job
+from rosedyke.scheduling import run_times
 from rosedyke.wire import codec
 
 # A job's id and the number of one of its parts.
@@ -34,6 +36,25 @@
         return zlib.crc32(fields.encode())
 
 
+@attrs.frozen
+class LearnedState:
+    """What the owner of a pool has learned, for a successor.
+
+    Attributes
+    ----------
+    version : int
+        Increases within one token whenever the state changes.
+    run_time_ratios : dict of str to RatioQuantiles
+        Ratios of run time to estimate, by queue.
+    suspended : dict of str to int
+        Remaining milliseconds of each suspension because of repeated failed runs, by server id.
+    """
+
+    version: int
+    run_time_ratios: dict[str, run_times.RatioQuantiles]
+    suspended: dict[str, int]
+
+
 @attrs.frozen
 class PoolReport:
     """State of a pool, which its owner reports with each renewal.
@@ -68,6 +89,9 @@
         Rate of the owner's link, 0 if it is unlimited.
     speeds_version : int
         Version of the speeds in ``servers``, which increases within one token.
+    learned : LearnedState or UNSET
+        What the owner has learned.  UNSET, which is not encoded, if the receiver knows this
+        version, in a message that must be small, or if there is nothing.
     """
 
     pool: str
@@ -81,6 +105,7 @@
     link_backlog_s: float = 0.0
     link_bytes_per_s: float = 0.0
     speeds_version: int = 0
+    learned: LearnedState | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def rooms(self) -> tuple[tuple[int, float], ...]:
@@ -98,8 +123,8 @@
         )
 
     def without_servers(self) -> "PoolReport":
-        """Return this report with ``servers`` left out."""
-        return attrs.evolve(self, servers=None)
+        """Return this report with ``servers`` and ``learned`` left out."""
+        return attrs.evolve(self, servers=None, learned=msgspec.UNSET)
 
 
 def group_rooms(rooms: Iterable[tuple[int, float]]) -> dict[int, tuple[int, ...]]:
@@ -158,9 +183,9 @@
         The version up to which the sender knows the receiver's claims, 0 for none.
     documents : dict of str to DocumentVersion
         The sender's versions of the shared documents that may be news to the receiver.
-    servers_versions : dict of str to (int, int, int)
+    servers_versions : dict of str to tuple of int
         Token, ``PoolReport.servers_version`` and ``speeds_version`` of the servers that the sender
-        knows of the receiver's pools.
+        knows of the receiver's pools, followed by ``LearnedState.version`` if it knows one.
     receiver_checksum : int
         ``Instance.checksum`` of the receiver as the sender knows it.
     """
@@ -170,7 +195,7 @@
     sent_s: float
     claims_version: int
     documents: dict[str, DocumentVersion]
-    servers_versions: dict[str, tuple[int, int, int]]
+    servers_versions: dict[str, tuple[int, ...]]
     receiver_checksum: int
 
 
@@ -454,6 +479,8 @@
         Set if the owner could keep the pool, but the receiver owns fewer; the receiver may decline.
     knows_all_servers : bool
         False if earlier owners may have runs on servers that are not in ``servers``.
+    learned : LearnedState or None
+        What the owner has learned; None if it shares nothing.
     """
 
     pool: str
@@ -461,6 +488,7 @@
     servers: dict[str, float]
     balance: BalanceMove | None = None
     knows_all_servers: bool = False
+    learned: LearnedState | None = None
 
 
 @codec.message("rerun.resign_answer")
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -26,6 +26,11 @@
     "rerun.pools_moved", "counter", "Pools handed over to an instance that owned fewer."
 )
 POOLS_TAKEN = metric.define("rerun.pools_taken", "counter", "Times that it took a pool.")
+SUSPENSIONS_TAKEN_OVER = metric.define(
+    "rerun.suspensions_taken_over",
+    "counter",
+    "Servers that a new owner keeps suspended because their runs failed at the previous one.",
+)
 EVACUATED_RUNS = metric.define(
     "rerun.evacuated_runs",
     "gauge",
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -14,6 +14,7 @@
     handover,
     holder,
     job,
+    learned_state,
     messages,
     metrics,
     pool_index,
@@ -166,7 +167,11 @@
     # Pools.
 
     def claim_pool(
-        self, pool: str, reason: str, predecessor_servers: frozenset[str] | None = None
+        self,
+        pool: str,
+        reason: str,
+        predecessor_servers: frozenset[str] | None = None,
+        learned: learned_state.ReceivedState | None = None,
     ) -> None:
         """Become the owner of a pool.
 
@@ -174,6 +179,8 @@
         ----------
         predecessor_servers : frozenset of str or None
             The servers that the previous owner used, None if unknown.
+        learned : ReceivedState or None
+            What the previous owner handed over, None if only its reports tell what it has learned.
         """
         if pool in self.owned_pools or self.takeovers.is_suspended:
             return
@@ -183,6 +190,10 @@
         new_token = fencing_token.next_token(self.instance_bits, self.wall_clock_s(), highest_token)
         event.log(events.POOL_CLAIMED, pool=pool, token=new_token, reason=reason)
         self._import_speeds(pool)
+        if self.timing.predicts_completion:
+            learned = learned or self._reported_learned_state(pool)
+        else:
+            learned = None
         owned_pool = pool_owner.PoolOwner(
             self.timing,
             self.runtime,
@@ -200,7 +211,7 @@
         )
         self.owned_pools[pool] = owned_pool
         metric.count(metrics.POOLS_TAKEN)
-        owned_pool.start()
+        owned_pool.start(learned)
         self._announce(owned_pool)
 
     def _highest_token(self, pool):
@@ -227,6 +238,11 @@
         if state is not None and state.servers is not None:
             self.speeds.import_speeds(state.servers)
 
+    def _reported_learned_state(self, pool):
+        """Return what the previous owner reported to have learned, None if nothing."""
+        state = self.fleet.owners.get(pool)
+        return state.learned if state is not None else None
+
     def _announce(self, owned_pool):
         claim = messages.Claim(owned_pool.name, self.this_instance, owned_pool.token)
         self.fleet.record_claim(claim, is_own=True)
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -16,6 +16,7 @@
     events,
     holder_requests,
     job,
+    learned_state,
     messages,
     owned_job,
     ports,
@@ -142,9 +143,17 @@
         self.reports = report_builder.ReportBuilder(self)
         self.refusals = refusals.Refusals(self)
 
-    def start(self) -> None:
-        """Start polling the servers and scheduling."""
+    def start(self, learned: learned_state.ReceivedState | None = None) -> None:
+        """Start polling the servers and scheduling.
+
+        Parameters
+        ----------
+        learned : ReceivedState or None
+            What the previous owner has learned, None if unknown.
+        """
         self.on_servers()
+        if learned is not None:
+            learned_state.take_over(self, learned)
         self.runtime.spawn(self._run)
 
     def step_down(self, reason: str) -> None:
--- a/rosedyke/rerunnable_jobs/renewal_test.py
+++ b/rosedyke/rerunnable_jobs/renewal_test.py
@@ -175,6 +175,7 @@
     for pool in owner.owned_pools.values():
         report = attrs.asdict(pool.reports.recent_report())
         del report["speeds_by_free"], report["servers_version"], report["speeds_version"]
+        del report["learned"]
         rooms = tuple(
             (state.free_millicores(), owner.speeds.speed_of(state.server.id))
             for state in pool.server_states.values()
@@ -223,6 +224,30 @@
             size, before = len(codec.encode(reply)), len(encoded_as_before(reply, self.owner))
             self.assertLessEqual(size, 0.4 * before)
 
+    def test_learned_state_does_not_change_the_size_of_a_steady_reply(self):
+        # Guards against ratios, suspensions or their version in each reply.
+        sizes = []
+        for _ in range(2):
+            first = len(self.region.network.log)
+            self.region.run(1.0)
+            sizes.append(
+                {
+                    len(codec.encode(message))
+                    for _, source, _, message in self.region.network.log[first:]
+                    if isinstance(message, messages.RenewReply)
+                    and source == self.owner.this_instance.name
+                    and not message.documents
+                }
+            )
+            pool = self.owner.owned_pools["a/r1"]
+            pool.timing = attrs.evolve(pool.timing, predicts_completion=True)
+            for _ in range(20):
+                self.owner.run_times.record("tags", 0.1, 0.2)
+            pool.completion_handler.record_failure(pool.server_states["s-a-0"])
+            self.region.run(0.5)
+        self.assertEqual(pool.reports.report().learned.version, 1)
+        self.assertEqual(sizes[0], sizes[1])
+
     def test_documents_are_sent_only_as_news_or_again_after_half_a_second(self):
         # Guards against renewals that repeat versions without effect.
         first = len(self.region.network.log)
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -2,7 +2,10 @@
 
 import collections
 
-from rosedyke.rerunnable_jobs import messages, routing
+import attrs
+import msgspec
+
+from rosedyke.rerunnable_jobs import learned_state, messages, routing
 
 # How long a report is reused; all holders renew at about the same time.
 REPORT_CACHE_S = 0.02
@@ -47,11 +50,17 @@
         self.servers: dict[str, float] = {}
         self.servers_version = self.speeds_version = 0
         self.speeds_changed_at = float("-inf")
+        self.learned = learned_state.LearnedStateBuilder(owner)
 
     def resignation(self, balance: messages.BalanceMove | None = None) -> messages.Resign:
         """Return the message that hands the pool to a successor."""
         return messages.Resign(
-            self.owner.name, self.owner.token, self._speeds(), balance, self.knows_all_servers()
+            self.owner.name,
+            self.owner.token,
+            self._speeds(),
+            balance,
+            self.knows_all_servers(),
+            self.learned.current(),
         )
 
     def knows_all_servers(self) -> bool:
@@ -97,6 +106,7 @@
             round(delay.work_wait_s(now), 4),
             delay.outgoing.bytes_per_s,
             self.speeds_version,
+            self.learned.reported(),
         )
 
     def recent_report(self) -> messages.PoolReport:
@@ -119,23 +129,31 @@
         return self.last_without_servers
 
     def report_for_renewal(
-        self, holder: str, known_version: tuple[int, int, int] | None
+        self, holder: str, known_version: tuple[int, ...] | None
     ) -> messages.PoolReport:
-        """Return the cached report for a holder, without ``servers`` if the holder knows them.
+        """Return the cached report for a holder, without what the holder knows already.
 
         Parameters
         ----------
         holder : str
             Name of the holder's instance.
-        known_version : (int, int, int) or None
-            Token and versions of the servers and speeds that the holder knows, None if it knows
-            none.
+        known_version : tuple of int or None
+            Token and versions of the servers, speeds and learned state that the holder knows, as in
+            ``Renew.servers_versions``; None if it knows none.
         """
         report = self.recent_report()
         self.sent_at[holder] = self.owner.runtime.now()
-        if known_version == (report.token, report.servers_version, report.speeds_version):
+        known = known_version or ()
+        versions = (report.token, report.servers_version, report.speeds_version)
+        knows_servers = report.servers is None or known[:3] == versions
+        knows_learned = report.learned is msgspec.UNSET or (
+            known[:1] == (report.token,) and known[3:] == (report.learned.version,)
+        )
+        if knows_servers and knows_learned:
             return self.last_without_servers
-        return report
+        if knows_servers:
+            return attrs.evolve(report, servers=None)
+        return attrs.evolve(report, learned=msgspec.UNSET) if knows_learned else report
 
     def _updated_servers(self):
         """Return the servers with their speeds, None if some are unknown; update the versions."""
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -123,6 +123,8 @@
         When its listing was last requested outside the long poll.
     suspended_until : float
         The server gets no tasks before this time.
+    failing_until : float
+        When a suspension because of repeated failed runs ends, which a successor keeps up.
     has_lease_lapsed : bool
         The lease expired while commands were unanswered.  It is not renewed until they are
         resolved, or the renewal would extend runs started by delayed commands.
@@ -146,6 +148,7 @@
     last_contact_at: float = 0.0
     last_read_at: float = 0.0
     suspended_until: float = 0.0
+    failing_until: float = 0.0
     has_lease_lapsed: bool = False
     is_unlisted: bool = False
     cold_until: float = 0.0
@@ -187,6 +190,11 @@
             and not self.has_orphans()
         )
 
+    def suspend_for_failures(self, until: float) -> None:
+        """Give the server no tasks before a time because its runs fail."""
+        self.failing_until = until
+        self.suspended_until = max(self.suspended_until, until)
+
     def expects_start(self, run: Run) -> bool:
         """Return whether the start command of a placed run may still be sent.
 
