A failed command no longer shortens the suspension of a failing server

The pause of 0.2 s after a failed command replaced the end of a suspension of 2 s, for example when a start that was under way failed, so a server on which all runs fail got tasks again too early. The later end now counts. Suspension.test_failed_command_does_not_shorten_it: red before (suspended until 2.7 s instead of 4.5 s), passes now.

--- a/rosedyke/rerunnable_jobs/learned_state_test.py
+++ b/rosedyke/rerunnable_jobs/learned_state_test.py
@@ -216,3 +216,14 @@
         expected = {"zero": (10, 10, 200), "huge": (1000, 1000, 200), "down": (10, 10, 20)}
         values = {queue: attrs.astuple(each) for queue, each in received.run_time_ratios.items()}
         self.assertEqual(values, expected)
+
+
+class Suspension(LearnedStateCase):
+    def test_failed_command_does_not_shorten_it(self):
+        # Guards against a broken server that gets tasks again 0.2 s after a start that was under
+        # way has failed.
+        self.start()
+        learn(self.owner)
+        pool = self.owner.owned_pools[POOL]
+        pool.commands._suspend(pool.server_states["s-a-0"])
+        self.assertEqual(pool.server_states["s-a-0"].suspended_until, self.until)
--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -277,7 +277,8 @@
         return self.owner.timing.order_s + self.owner.delay.added_command_s(now)
 
     def _suspend(self, state):
-        state.suspended_until = self.owner.runtime.now() + SERVER_BACKOFF_S
+        until = self.owner.runtime.now() + SERVER_BACKOFF_S
+        state.suspended_until = max(state.suspended_until, until)
 
     def _on_fenced(self, state):
         """Step down because of a higher token, or raise the token at the first contact."""
