--- a/rosedyke/standins/leased_servers.py
+++ b/rosedyke/standins/leased_servers.py
@@ -123,6 +123,8 @@
 
     def _end(self, run, result):
         del self.runs[(run.task, run.number)]
+        if result is ports.RunResult.DONE:
+            self.world.completed.add(run.task)
         self.excluded[run.task] = max(run.number, self.excluded.get(run.task, 0))
         self.count += 1
         self.ended.append(ports.EndedRun(self.count, run.task, run.number, result))
@@ -184,6 +186,8 @@
         Tasks with concurrent runs, servers over capacity, tokens used by two owners.
     starts : list of (float, str, str)
         Time, task and server id of every start.
+    completed : set of str
+        Tasks of which a run was completed.
     durations : dict of str to float
         Duration of a job's tasks at speed 1, by job id.
     partitioned : set of (str, str)
@@ -199,6 +203,7 @@
         self.servers: dict[str, LeasedServer] = {}
         self.violations: list[str] = []
         self.starts: list[tuple[float, str, str]] = []
+        self.completed: set[str] = set()
         self.durations: dict[str, float] = {}
         self.demands: dict[str, job.Demand] = {}
         self.partitioned: set[tuple[str, str]] = set()
