Benchmark of a job's processor time measures all cases at the same time

Other load on the machine changes the figures by 10% from one minute to the next, more than most changes gain; versions measured one after the other can't be compared.

--- a/benchmarks/job_cost.py
+++ b/benchmarks/job_cost.py
@@ -4,10 +4,10 @@
 2 to 8 tasks, go to the instance that does not own the pool, which is about a third used.  The
 processor time of idle instances is subtracted.
 
-    .venv/bin/python -W ignore -m benchmarks.job_cost [--rounds N] [FOLDER ...]
+    .venv/bin/python -W ignore -m benchmarks.job_cost [--rounds N] [--switches on] [FOLDER ...]
 
-Each folder is a working copy whose code the instances run, by default this one.  The folders, with
-the switches off and on, take turns, so that other load on the machine affects them alike.
+Each folder is a working copy whose code the instances run, by default this one.  All folders, with
+the switches off and on, are measured at the same time, so that other load affects them alike.
 """
 
 import argparse
@@ -17,6 +17,7 @@
 import pathlib
 import signal
 import statistics
+import subprocess
 import sys
 
 import eventlet
@@ -131,26 +132,44 @@
     return next(float(line.split()[1]) for line in lines if line.startswith("rosedyke_rerun_pools"))
 
 
+def measure(folder: str, switches: str) -> None:
+    """Measure one case and print the processor times."""
+    pair = Pair(pathlib.Path(folder), switches == "on")
+    try:
+        print(*pair.measure_ms())
+    finally:
+        pair.close()
+
+
+def measure_together(cases: list[tuple[str, str]]) -> list[list[float]]:
+    """Return the processor times of all cases, each measured by a process of its own."""
+    command = [sys.executable, "-W", "ignore", "-m", "benchmarks.job_cost", "--case"]
+    processes = [
+        subprocess.Popen([*command, *case], cwd=ROOT, stdout=subprocess.PIPE, text=True)
+        for case in cases
+    ]
+    outputs = [process.communicate()[0] for process in processes]
+    return [[float(word) for word in output.split()] for output in outputs]
+
+
 def main() -> None:
     """Run the measurements and print the medians."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("folders", nargs="*", type=pathlib.Path, default=[ROOT])
     parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--switches", choices=("off", "on"))
+    parser.add_argument("--case", nargs=2, help=argparse.SUPPRESS)
     options = parser.parse_args()
-    cases = [(folder.resolve(), is_on) for folder in options.folders for is_on in (False, True)]
-    results: dict[tuple[pathlib.Path, bool], list[list[float]]] = {case: [] for case in cases}
-    for _ in range(options.rounds):
-        for case in cases:
-            pair = Pair(*case)
-            try:
-                results[case].append(pair.measure_ms())
-            finally:
-                pair.close()
+    if options.case:
+        measure(*options.case)
+        return
+    switches = [options.switches] if options.switches else ["off", "on"]
+    cases = [(str(folder.resolve()), value) for folder in options.folders for value in switches]
+    rounds = [measure_together(cases) for _ in range(options.rounds)]
     print(f"milliseconds for each job, medians of {options.rounds}; load {os.getloadavg()[0]:.1f}")
-    for (folder, is_on), measured in results.items():
-        owner_ms, holder_ms = (statistics.median(values) for values in zip(*measured, strict=True))
-        name = "on" if is_on else "off"
-        print(f"{folder.name}, switches {name}: owner {owner_ms:.3f}, holder {holder_ms:.3f}")
+    for (folder, value), measured in zip(cases, zip(*rounds, strict=True), strict=True):
+        owner_ms, holder_ms = map(statistics.median, zip(*measured, strict=True))
+        print(f"{folder}, switches {value}: owner {owner_ms:.3f}, holder {holder_ms:.3f}")
 
 
 if __name__ == "__main__":
