HTTP client keeps the parser of a connection and the heads of its requests

An owner sends two requests for each task. Each built a parser, decoded headers that nothing reads, formatted the same head again, and went through the loop of the green socket.

--- a/rosedyke/gateways/http_connection.py
+++ b/rosedyke/gateways/http_connection.py
@@ -5,7 +5,9 @@
 which urllib3 uses as well, takes more processor time than the rest of a request.
 """
 
+import functools
 import socket
+from collections.abc import Sequence
 
 import attrs
 import eventlet
@@ -18,6 +20,8 @@
 KEEPALIVE_PROBE_COUNT = 3
 FIRST_FINAL_STATUS = 200
 RECEIVE_BUFFER_BYTES = 64 * 1024
+# Requests whose heads are kept; an owner sends three kinds to each of its servers.
+KEPT_HEADS = 1024
 
 
 class Expired(Exception):
@@ -45,12 +49,15 @@
         When it last received a response, or was opened.
     delay : OwnDelay or None
         Account of the instance's link, to which the bytes are added.
+    parser : ResponseParser or None
+        Parser of its responses, None before the first one.
     """
 
     sock: eventlet.green.socket.socket | None
     address: str
     last_used_at: float
     delay: own_delay.OwnDelay | None = None
+    parser: "ResponseParser | None" = None
 
     def is_dropped(self) -> bool:
         """Return whether the server has closed the connection or sent unsolicited data."""
@@ -69,7 +76,13 @@
         """Send all of the data."""
         if self.delay is not None:
             self.delay.record_sent(len(data))
-        self.sock.sendall(data)
+        # A request normally fits into the buffer, so the loop of the green socket is not needed.
+        try:
+            sent_bytes = self.sock.fd.send(data)
+        except BlockingIOError:
+            sent_bytes = 0
+        if sent_bytes < len(data):
+            self.sock.sendall(data[sent_bytes:])
 
     def receive(self) -> bytes:
         """Block until data arrives and return it, empty at the end of the stream."""
@@ -99,17 +112,21 @@
 
     Attributes
     ----------
-    headers : dict of str to str
-        Values by lower-case name.
+    headers : sequence of (bytes, bytes)
+        Names and values as they were received; most responses are used without them.
     """
 
     status: int
-    headers: dict[str, str]
+    headers: Sequence[tuple[bytes, bytes]]
     body: bytes
 
     def header(self, name: str) -> str:
-        """Return a header's value, empty if it is absent."""
-        return self.headers.get(name.lower(), "")
+        """Return a header's last value, empty if it is absent."""
+        wanted = name.lower().encode("latin-1")
+        for received_name, value in reversed(self.headers):
+            if received_name.lower() == wanted:
+                return value.decode("latin-1")
+        return ""
 
     def has_flag(self, name: str) -> bool:
         """Return whether a boolean header is true."""
@@ -117,7 +134,9 @@
 
 
 class ResponseParser:
-    """Parses one response; implements the callbacks of httptools.
+    """Parses the responses on one connection; implements the callbacks of httptools.
+
+    ``begin`` is called before each response.
 
     Attributes
     ----------
@@ -130,7 +149,11 @@
     def __init__(self, max_bytes: int):
         self.max_bytes = max_bytes
         self.parser = httptools.HttpResponseParser(self)
-        self.headers: dict[str, str] = {}
+        self.begin()
+
+    def begin(self) -> None:
+        """Prepare for the next response."""
+        self.headers: list[tuple[bytes, bytes]] = []
         self.body_chunks: list[bytes] = []
         self.status = self.body_length = 0
         self.has_headers = self.is_complete = self.can_reuse = False
@@ -146,7 +169,8 @@
 
     def feed_eof(self) -> None:
         """Handle the end of the stream, which ends a response without a length."""
-        has_length = {"content-length", "transfer-encoding"} & self.headers.keys()
+        names = {name.lower() for name, _ in self.headers}
+        has_length = {b"content-length", b"transfer-encoding"} & names
         if not self.has_headers or has_length:
             raise BadExchange("answer was cut off")
         self.status = self.parser.get_status_code()
@@ -161,7 +185,7 @@
         """Store a header."""
         if self.is_complete:
             return
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Record that all headers were received."""
@@ -183,7 +207,7 @@
             self.is_complete = True
             self.can_reuse = self.parser.should_keep_alive()
         else:
-            self.headers.clear()
+            self.headers = []
             self.has_headers = False
 
 
@@ -212,7 +236,11 @@
     """Send a request and return the response; raises one of ``TRANSPORT_ERRORS``."""
     # Headers and body are sent together to save a system call and a packet.
     connection.send(_encode_request(connection, method, path, body, headers))
-    response_parser = ResponseParser(max_bytes)
+    response_parser = connection.parser
+    if response_parser is None:
+        response_parser = connection.parser = ResponseParser(max_bytes)
+    else:
+        response_parser.begin()
     while not response_parser.is_complete:
         data = connection.receive()
         if data:
@@ -227,17 +255,26 @@
 
 
 def _encode_request(connection, method, path, body, headers) -> bytes:
+    body = body or b""
+    before, after = _request_head(connection.address, method, path, tuple(headers.items()))
+    return b"%b%d%b%b" % (before, len(body), after, body)
+
+
+@functools.lru_cache(maxsize=KEPT_HEADS)
+def _request_head(address, method, path, headers) -> tuple[bytes, bytes]:
+    """Return the parts of a request's head before and after the length of the body."""
     lines = [
         f"{method} {path} HTTP/1.1",
-        f"Host: {connection.address}",
+        f"Host: {address}",
         "Accept-Encoding: identity",
-        f"Content-Length: {len(body or b'')}",
-        *(f"{name}: {value}" for name, value in headers.items()),
+        "Content-Length: ",
     ]
-    if any("\r" in line or "\n" in line for line in lines):
+    more_lines = [f"{name}: {value}" for name, value in headers]
+    if any("\r" in line or "\n" in line for line in lines + more_lines):
         # Prevents header injection through external values such as names of servers.
         raise BadExchange("a line break in a request's head")
-    return "\r\n".join([*lines, "\r\n"]).encode("latin-1") + (body or b"")
+    after = "\r\n".join(["", *more_lines, "\r\n"])
+    return "\r\n".join(lines).encode("latin-1"), after.encode("latin-1")
 
 
 def socket_options(dead_peer_timeout_s: float) -> list[tuple[int, int, int]]:
