--- a/rosedyke/daemon/eventlet_runtime.py
+++ b/rosedyke/daemon/eventlet_runtime.py
@@ -41,7 +41,9 @@
     """A function that runs in a green thread."""
 
     def __init__(self, function: Callable[..., Any], arguments: tuple):
-        self.ended = GreenSignal()
+        self.is_ended = False
+        # Created only by ``wait``, because most tasks are never waited for.
+        self.ended: GreenSignal | None = None
         self.thread = eventlet.spawn_n(self._run, function, arguments)
 
     def _run(self, function, arguments):
@@ -55,16 +57,25 @@
                 getattr(function, "__qualname__", function),
             )
         finally:
+            self._end()
+
+    def _end(self):
+        self.is_ended = True
+        if self.ended is not None:
             self.ended.set()
 
     def cancel(self) -> None:
         """Stop the task at its next blocking call."""
-        if not self.ended.is_set():
+        if not self.is_ended:
             eventlet.kill(self.thread)
-            self.ended.set()
+            self._end()
 
     def wait(self, timeout_s: float | None = None) -> bool:
         """Block until the task has ended or until the timeout; return whether it has ended."""
+        if self.is_ended:
+            return True
+        if self.ended is None:
+            self.ended = GreenSignal()
         return self.ended.wait(timeout_s)
 
 
