Scheduling without pressure builds no records for one job and scans no samples

A single waiting job needs no order, and without waiting jobs the pressure of a pool is not computed.

--- a/rosedyke/overload/loop_delay.py
+++ b/rosedyke/overload/loop_delay.py
@@ -26,7 +26,8 @@
     due_at : float or None
         When the next timer should fire.
     samples : deque of (float, float)
-        Time and delay of the samples of the last second.
+        Time and delay of the samples of the last second that no later one exceeds, so that the
+        first is the longest.
     """
 
     def __init__(self, runtime: runtime_module.Runtime):
@@ -46,6 +47,8 @@
         """Record that the timer that was due has fired."""
         delay_s = max(0.0, now - self.due_at)
         self.mean_s += SAMPLE_WEIGHT * (min(delay_s, MAX_SAMPLE_S) - self.mean_s)
+        while self.samples and self.samples[-1][1] <= delay_s:
+            self.samples.pop()
         self.samples.append((now, delay_s))
         while now - self.samples[0][0] > MAXIMUM_WINDOW_S:
             self.samples.popleft()
@@ -56,8 +59,10 @@
 
     def maximum_s(self, now: float) -> float:
         """Return the longest delay of the last second."""
-        recent = (delay_s for at, delay_s in self.samples if now - at <= MAXIMUM_WINDOW_S)
-        return max(self._overdue_s(now), max(recent, default=0.0))
+        for at, delay_s in self.samples:
+            if now - at <= MAXIMUM_WINDOW_S:
+                return max(self._overdue_s(now), delay_s)
+        return self._overdue_s(now)
 
     def _overdue_s(self, now):
         return max(0.0, now - self.due_at) if self.due_at is not None else 0.0
--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -47,11 +47,12 @@
 
     def _has_runs(self, owned):
         """Return whether a server may be running a task of a job that has just arrived."""
-        return any(
-            run.task in owned.tasks and not run.is_over
-            for state in self.owner.server_states.values()
-            for run in state.runs.values()
-        )
+        tasks = owned.tasks
+        for state in self.owner.server_states.values():
+            for (task_name, _), run in state.runs.items():
+                if task_name in tasks and not run.is_over:
+                    return True
+        return False
 
     def _parts_of(self, job_id):
         return list(self.owner.by_job.get(job_id, ()))
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -232,6 +232,7 @@
         """End a job, stop its runs, and report the outcome to its holder."""
         now = self.runtime.now()
         finished = owned_job.FinishedJob(outcome, tuple(owned.tasks), now + self.timing.kept_s)
+        self.finished.pop(owned.key, None)  # the dictionary is in the order of expiry
         self.finished[owned.key] = finished
         if outcome.end is not job.EndState.SUCCEEDED or now > owned.due_at:
             self._log_end(owned, outcome, now)
@@ -330,12 +331,18 @@
             for task_name, completed_at in self.completed_tasks.items()
             if now - completed_at < COMPLETION_RETENTION_S
         }
-        self.finished = {
-            key: finished for key, finished in self.finished.items() if finished.expires_at > now
-        }
+        self._remove_expired(now)
         if set(self.server_states) - {server.id for server in self.list_servers()}:
             self.on_servers()
 
+    def _remove_expired(self, now):
+        """Remove the outcomes that are no longer kept, which are the first ones."""
+        while self.finished:
+            key, finished = next(iter(self.finished.items()))
+            if finished.expires_at > now:
+                return
+            del self.finished[key]
+
     def _log_emptied(self):
         """Log once when an evacuated pool has no run left."""
         was_emptied, self.is_emptied = self.is_emptied, self.is_evacuated() and all(
--- a/rosedyke/rerunnable_jobs/pool_pressure.py
+++ b/rosedyke/rerunnable_jobs/pool_pressure.py
@@ -66,9 +66,16 @@
         """
         if not self.owner.timing.schedules_by_kind:
             return
-        waiting_millicores: collections.Counter[str] = collections.Counter()
+        if not waiting:
+            if self.pressed_at is not None:
+                self.services = {}
+                self._log(now)
+            return
+        waiting_millicores: dict[str, int] = {}
         for owned in waiting:
-            waiting_millicores[owned.work.service] += owned.waiting_millicores()
+            service = owned.work.service
+            millicores = waiting_millicores.get(service, 0) + owned.waiting_millicores()
+            waiting_millicores[service] = millicores
         self.services = {}
         for service, millicores in waiting_millicores.items():
             usage = self._usage(service, millicores, allocated)
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -88,9 +88,15 @@
 
     def order_jobs(self, jobs: list[owned_job.OwnedJob], now: float) -> list[owned_job.OwnedJob]:
         """Return waiting jobs in scheduling order."""
+        if len(jobs) <= 1:
+            return jobs
         fastest = self.owner.fastest_speed()
         pressed = self.pressure.services
         is_link_limit = self.owner.delay.is_link_limit
+        if not pressed:
+            queued_jobs = [owned.queued(fastest) for owned in jobs]
+            ordered = queue_order.order_jobs(queued_jobs, now, is_link_limit=is_link_limit)
+            return [queued.key for queued in ordered]
         others = [owned.queued(fastest) for owned in jobs if owned.work.service not in pressed]
         ordered = queue_order.order_jobs(others, now, is_link_limit=is_link_limit)
         # Jobs of different services do not compete, so their relative order has no effect.
@@ -152,13 +158,14 @@
             # After a lost message two parts may contain the same task.
             running_tasks.add(task.name)
             self._place(owned, task, state, now)
-        self._keep_servers(owned, [task for _, task in unplaced], allocated, now)
+        if unplaced:
+            self._keep_servers(owned, [task for _, task in unplaced], allocated, now)
         return unplaced
 
     def _keep_servers(self, owned, blocked, allocated, now):
         """Keep servers for the tasks of an urgent job that fit on none now."""
         service = owned.work.service
-        if not blocked or not self._is_urgent(owned) or now > owned.due_at:
+        if not self._is_urgent(owned) or now > owned.due_at:
             return
         states = [
             state
--- a/rosedyke/scheduling/run_times.py
+++ b/rosedyke/scheduling/run_times.py
@@ -41,7 +41,9 @@
         """Add a run that completed."""
         if estimate_s <= 0 or measured_s_at_speed_1 <= 0:
             return
-        runs = self.queues.setdefault(queue, QueueRuns())
+        runs = self.queues.get(queue)
+        if runs is None:
+            runs = self.queues[queue] = QueueRuns()
         runs.ratios.append(measured_s_at_speed_1 / estimate_s)
         runs.quantiles.clear()
 
