Messages to peers wake the reader of their socket only if there is something to read

eventlet wakes the reader after each send in case the send has consumed a wake-up; it then raised and caught an error for nothing. The events of the socket tell whether that is needed.

--- a/rosedyke/wire/peer_connection.py
+++ b/rosedyke/wire/peer_connection.py
@@ -9,7 +9,7 @@
 import zmq as plain_zmq
 from eventlet.green import zmq
 
-from rosedyke.wire import curve_keys, metrics, peer, settings
+from rosedyke.wire import curve_keys, green_socket, metrics, peer, settings
 
 MS_PER_S = 1000
 RECONNECT_INTERVAL_MS = 50
@@ -66,11 +66,8 @@
         """Queue a frame or raise ``peer.PeerQueueFull``."""
         self.last_used_at = self.runtime.now()
         try:
-            self.socket.send(frame, zmq.NOBLOCK)
+            green_socket.send(self.socket, frame)
         except zmq.Again:
-            # The failed send has consumed the socket's wake-up; without this the reader would
-            # not wake for replies that have already arrived.
-            self.socket.getsockopt(zmq.EVENTS)
             metrics.metric.count(metrics.QUEUE_FULL)
             raise peer.PeerQueueFull(self.address) from None
 
@@ -96,7 +93,7 @@
     def _read(self):
         while True:
             try:
-                parts = self.socket.recv_multipart()
+                parts = green_socket.receive(self.socket)
             except zmq.ZMQError:
                 if self.socket.closed:
                     return
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -22,6 +22,7 @@
     curve_keys,
     envelope,
     events,
+    green_socket,
     handshake_monitor,
     metrics,
     peer,
@@ -311,7 +312,7 @@
     def _read(self):
         while True:
             try:
-                parts = self.router.recv_multipart()
+                parts = green_socket.receive(self.router)
             except zmq.ZMQError:
                 if self.is_stopped:
                     return
@@ -439,10 +440,8 @@
         if self.is_stopped:
             return
         try:
-            self.router.send_multipart([route, frame], zmq.NOBLOCK)
+            green_socket.send(self.router, route, frame)
         except zmq.ZMQError:
-            # As in ``PeerConnection.send``: the failed send has consumed the reader's wake-up.
-            self.router.getsockopt(zmq.EVENTS)
             metric.count(metrics.UNDELIVERED_REPLIES)
             return
         self._count_sent(frame)
