Connections of the HTTP client stay registered with the event loop

eventlet adds a socket to epoll for each wait and removes it afterwards, two system calls for each response. A registered idle connection that ends is closed at once.

--- a/rosedyke/gateways/http_client.py
+++ b/rosedyke/gateways/http_client.py
@@ -154,7 +154,8 @@
             connection = idle_connections.pop()
             idle_s = self.runtime.now() - connection.last_used_at
             is_recent = idle_s <= self.settings.max_idle_s
-            if idle_s <= UNCHECKED_REUSE_S or (is_recent and not connection.is_dropped()):
+            is_unchecked = idle_s <= UNCHECKED_REUSE_S and connection.sock is not None
+            if is_unchecked or (is_recent and not connection.is_dropped()):
                 return connection
             connection.close()
         return None
--- a/rosedyke/gateways/http_client_test.py
+++ b/rosedyke/gateways/http_client_test.py
@@ -143,3 +143,54 @@
         for _ in range(3):
             self.assertEqual(self.send(client), http_client.NotConnected)
         self.assertEqual(client.backoff.failures, {self.address: 1})
+
+
+class OpenConnections(unittest.TestCase):
+    """Connections stay registered with the event loop between requests."""
+
+    RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+    def setUp(self):
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.client = http_client.HttpClient(http_client.HttpClientSettings(), FakeRuntime())
+
+    def serve(self, answer):
+        def accept():
+            while True:
+                answer(self.listener.accept()[0])
+
+        accepting = eventlet.spawn(accept)
+        self.addCleanup(accepting.kill)
+
+    def request(self, body=None):
+        with eventlet.Timeout(10):
+            return self.client.request(self.address, "POST", "/", body, 5.0)
+
+    def test_idle_connection_that_the_server_ends_is_not_used(self):
+        # Guards against a request on it, whose outcome would be unknown, and against an event loop
+        # that spins on the end of its stream.
+        def answer_once(connection):
+            connection.recv(65536)
+            connection.sendall(self.RESPONSE)
+            connection.close()
+
+        self.serve(answer_once)
+        for _ in range(3):
+            self.assertEqual(self.request().status, 200)
+            eventlet.sleep(0.05)
+            (idle,) = self.client.idle_connections[self.address]
+            self.assertEqual((idle.sock, idle.listener), (None, None))
+
+    def test_response_before_the_request_was_sent_completely(self):
+        # Guards against a response that is taken for the end of an idle connection.
+        def answer_early(connection):
+            connection.sendall(self.RESPONSE)
+            received = 0
+            while received < len(body):
+                received += len(connection.recv(1 << 20))
+                eventlet.sleep(0)
+
+        body = b"x" * (16 << 20)
+        self.serve(answer_early)
+        self.assertEqual(self.request(body).status, 200)
--- a/rosedyke/gateways/http_connection.py
+++ b/rosedyke/gateways/http_connection.py
@@ -13,6 +13,8 @@
 import eventlet
 import eventlet.green.socket
 import eventlet.hubs
+import eventlet.hubs.hub
+import greenlet
 import httptools
 
 from rosedyke.overload import own_delay
@@ -51,6 +53,10 @@
         Account of the instance's link, to which the bytes are added.
     parser : ResponseParser or None
         Parser of its responses, None before the first one.
+    listener : FdListener or None
+        Its registration with the event loop, from the first response until it is closed.
+    reader : greenlet or None
+        The green thread that waits for data.
     """
 
     sock: eventlet.green.socket.socket | None
@@ -58,6 +64,8 @@
     last_used_at: float
     delay: own_delay.OwnDelay | None = None
     parser: "ResponseParser | None" = None
+    listener: eventlet.hubs.hub.FdListener | None = None
+    reader: greenlet.greenlet | None = None
 
     def is_dropped(self) -> bool:
         """Return whether the server has closed the connection or sent unsolicited data."""
@@ -82,6 +90,7 @@
         except BlockingIOError:
             sent_bytes = 0
         if sent_bytes < len(data):
+            self._remove_listener()  # nothing waits for a response that arrives meanwhile
             self.sock.sendall(data[sent_bytes:])
 
     def receive(self) -> bytes:
@@ -90,7 +99,7 @@
         while True:
             # The response is not there yet right after a request, so waiting first saves a system
             # call.
-            eventlet.hubs.trampoline(raw_socket.fileno(), read=True)
+            self._wait_for_data(raw_socket.fileno())
             try:
                 data = raw_socket.recv(RECEIVE_BUFFER_BYTES)
             except BlockingIOError:
@@ -99,13 +108,42 @@
                 self.delay.record_received(len(data))
             return data
 
+    def _wait_for_data(self, fileno):
+        # Registered once for all responses: eventlet's own wait adds and removes the socket, which
+        # takes two system calls each time.
+        hub = eventlet.hubs.get_hub()
+        if self.listener is None:
+            self.listener = hub.add(hub.READ, fileno, self._on_data, _ignore, _ignore)
+        self.reader = greenlet.getcurrent()
+        try:
+            hub.switch()
+        finally:
+            self.reader = None
+
+    def _on_data(self, fileno):
+        """Wake the reader, or close an idle connection, which can only have ended."""
+        if self.reader is not None:
+            self.reader.switch()
+        else:
+            self.close()
+
+    def _remove_listener(self):
+        if self.listener is not None:
+            eventlet.hubs.get_hub().remove(self.listener)
+            self.listener = None
+
     def close(self) -> None:
         """Close the connection; later calls have no effect."""
+        self._remove_listener()
         if self.sock is not None:
             self.sock.close()
             self.sock = None
 
 
+def _ignore(*arguments):
+    """Do nothing: a connection is unregistered before it is closed."""
+
+
 @attrs.frozen
 class Response:
     """A complete HTTP response.
