Responses that fit into the socket's buffer are sent without timeout and copy

Each response started and cancelled two timers and went through the file's buffer, although nearly all fit into the socket's buffer at once.

--- a/rosedyke/callers/connection.py
+++ b/rosedyke/callers/connection.py
@@ -51,7 +51,13 @@
     """Writes a response with a timeout on each write.
 
     A caller that stops reading would otherwise keep its response in memory indefinitely, because
-    the socket's timeout restarts with each byte sent.
+    the socket's timeout restarts with each byte sent.  Most responses fit into the socket's buffer
+    and need neither a timeout nor a copy in the file's buffer.
+
+    Attributes
+    ----------
+    has_pending : bool
+        The file's buffer holds bytes that were not sent at once.
     """
 
     def __init__(self, file, connection, timeout_s: float, delay: own_delay.OwnDelay | None):
@@ -59,25 +65,36 @@
         self.connection = connection
         self.timeout_s = timeout_s
         self.delay = delay
+        self.has_pending = False
 
     def __getattr__(self, name):
         return getattr(self.file, name)
 
     def writelines(self, chunks):
         """Write several chunks."""
-        if self.delay is not None:
-            self.delay.record_sent(sum(map(len, chunks)))
-        self._write_with_timeout(self.file.writelines, chunks)
+        self.write(b"".join(chunks))
 
     def write(self, chunk):
         """Write one chunk."""
         if self.delay is not None:
             self.delay.record_sent(len(chunk))
-        self._write_with_timeout(self.file.write, chunk)
+        rest = chunk if self.has_pending else self._send_at_once(chunk)
+        if rest:
+            self.has_pending = True
+            self._write_with_timeout(self.file.write, rest)
+
+    def _send_at_once(self, chunk):
+        """Send what the socket's buffer takes and return the rest."""
+        try:
+            return chunk[self.connection.fd.send(chunk) :]
+        except BlockingIOError:
+            return chunk
 
     def flush(self):
         """Flush the buffer."""
-        self._write_with_timeout(self.file.flush)
+        if self.has_pending:
+            self._write_with_timeout(self.file.flush)
+            self.has_pending = False
 
     def _write_with_timeout(self, function, *arguments):
         timeout = eventlet.Timeout(self.timeout_s)
