--- a/rosedyke/callers/connection.py
+++ b/rosedyke/callers/connection.py
@@ -12,7 +12,7 @@
 from eventlet import greenio, wsgi
 from eventlet.green import socket
 
-from rosedyke.callers import events, metrics, problem, settings
+from rosedyke.callers import events, metrics, problem, request_head, settings
 from rosedyke.job import answer, code
 from rosedyke.observe import event, metric
 from rosedyke.overload import own_delay
@@ -51,7 +51,13 @@
     """Writes a response with a timeout on each write.
 
     A caller that stops reading would otherwise keep its response in memory indefinitely, because
-    the socket's timeout restarts with each byte sent.
+    the socket's timeout restarts with each byte sent.  Most responses fit into the socket's buffer
+    and need neither a timeout nor a copy in the file's buffer.
+
+    Attributes
+    ----------
+    has_pending : bool
+        The file's buffer holds bytes that were not sent at once.
     """
 
     def __init__(self, file, connection, timeout_s: float, delay: own_delay.OwnDelay | None):
@@ -59,25 +65,36 @@
         self.connection = connection
         self.timeout_s = timeout_s
         self.delay = delay
+        self.has_pending = False
 
     def __getattr__(self, name):
         return getattr(self.file, name)
 
     def writelines(self, chunks):
         """Write several chunks."""
-        if self.delay is not None:
-            self.delay.record_sent(sum(map(len, chunks)))
-        self._write_with_timeout(self.file.writelines, chunks)
+        self.write(b"".join(chunks))
 
     def write(self, chunk):
         """Write one chunk."""
         if self.delay is not None:
             self.delay.record_sent(len(chunk))
-        self._write_with_timeout(self.file.write, chunk)
+        rest = chunk if self.has_pending else self._send_at_once(chunk)
+        if rest:
+            self.has_pending = True
+            self._write_with_timeout(self.file.write, rest)
+
+    def _send_at_once(self, chunk):
+        """Send what the socket's buffer takes and return the rest."""
+        try:
+            return chunk[self.connection.fd.send(chunk) :]
+        except BlockingIOError:
+            return chunk
 
     def flush(self):
         """Flush the buffer."""
-        self._write_with_timeout(self.file.flush)
+        if self.has_pending:
+            self._write_with_timeout(self.file.flush)
+            self.has_pending = False
 
     def _write_with_timeout(self, function, *arguments):
         timeout = eventlet.Timeout(self.timeout_s)
@@ -193,15 +210,33 @@
 
     def _read_headers(self):
         original_file = self.rfile
-        self.rfile = _LimitedLineReader(original_file, self.request_limits.max_header_bytes)
+        reader = _LimitedLineReader(original_file, self.request_limits.max_header_bytes)
+        self.rfile = reader
         try:
             self.raw_requestline = self.rfile.readline()
             self.is_readable = self.parse_request()
         finally:
-            header_bytes = self.request_limits.max_header_bytes - self.rfile.remaining_bytes
+            header_bytes = self.request_limits.max_header_bytes - reader.remaining_bytes
             self.rfile = original_file
             self._record_received(header_bytes)
 
+    def parse_request(self):
+        """Parse the head of a request; the standard library parses unusual ones."""
+        request_line = request_head.REQUEST_LINE.fullmatch(self.raw_requestline)
+        if request_line is None:
+            return super().parse_request()
+        lines = request_head.read_lines(self.rfile)
+        headers = request_head.parse(lines)
+        if headers is None or headers.get("expect") is not None:
+            self.rfile = request_head.ReplayedFile(lines, self.rfile)
+            return super().parse_request()
+        self.command, self.path = request_line[1].decode(), request_line[2].decode()
+        self.requestline = self.raw_requestline.decode().rstrip("\r\n")
+        self.request_version = "HTTP/1.1"
+        self.headers = headers
+        self.close_connection = headers.get("connection", "").lower() == "close"
+        return True
+
     def _record_received(self, size):
         if self.owner.delay is not None:
             self.owner.delay.record_received(size)
