--- a/rosedyke/callers/connection.py
+++ b/rosedyke/callers/connection.py
@@ -12,7 +12,7 @@
 from eventlet import greenio, wsgi
 from eventlet.green import socket
 
-from rosedyke.callers import events, metrics, problem, request_head, settings
+from rosedyke.callers import events, metrics, problem, settings
 from rosedyke.job import answer, code
 from rosedyke.observe import event, metric
 from rosedyke.overload import own_delay
@@ -210,33 +210,15 @@
 
     def _read_headers(self):
         original_file = self.rfile
-        reader = _LimitedLineReader(original_file, self.request_limits.max_header_bytes)
-        self.rfile = reader
+        self.rfile = _LimitedLineReader(original_file, self.request_limits.max_header_bytes)
         try:
             self.raw_requestline = self.rfile.readline()
             self.is_readable = self.parse_request()
         finally:
-            header_bytes = self.request_limits.max_header_bytes - reader.remaining_bytes
+            header_bytes = self.request_limits.max_header_bytes - self.rfile.remaining_bytes
             self.rfile = original_file
             self._record_received(header_bytes)
 
-    def parse_request(self):
-        """Parse the head of a request; the standard library parses unusual ones."""
-        request_line = request_head.REQUEST_LINE.fullmatch(self.raw_requestline)
-        if request_line is None:
-            return super().parse_request()
-        lines = request_head.read_lines(self.rfile)
-        headers = request_head.parse(lines)
-        if headers is None or headers.get("expect") is not None:
-            self.rfile = request_head.ReplayedFile(lines, self.rfile)
-            return super().parse_request()
-        self.command, self.path = request_line[1].decode(), request_line[2].decode()
-        self.requestline = self.raw_requestline.decode().rstrip("\r\n")
-        self.request_version = "HTTP/1.1"
-        self.headers = headers
-        self.close_connection = headers.get("connection", "").lower() == "close"
-        return True
-
     def _record_received(self, size):
         if self.owner.delay is not None:
             self.owner.delay.record_received(size)
