--- a/rosedyke/rerunnable_jobs/overload_failures_test.py
+++ b/rosedyke/rerunnable_jobs/overload_failures_test.py
@@ -399,7 +399,7 @@
         """Check the answers once the long runs are over, and the goodput during a failure."""
         overloaded.region.run(LONG_TIMEOUT_S)
         self.check_recovery(overloaded)
-        # The link of the other owner carries a sixth of the load, less what is lost by resubmission.
+        # The link of the other owner carries a sixth of the load, less what resubmissions lose.
         self.assertGreater(overloaded.goodput(during), 0.05)
 
     def restart_owner(self, pause_s):
