An instance that starts waits for the first answers before it takes a pool without an owner

Cause: the first renewals are sent up to 0.1 s after the start, but a pool without a known owner was taken 0.06 s after its servers were known. An instance that started took the pool of a live owner if that one's first answer took more than about 20 ms.

Change: for 0.3 s after servers are known, the pool is left alone while a listed instance of its data centre has not answered a renewal.

--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -140,6 +140,8 @@
         self.directory = directory
         self.last_contact: dict[str, float] = {}
         self.alive_since: dict[str, float] = {}
+        # Instances that have answered a renewal, and told the claims that they know.
+        self.answered: set[str] = set()
         self.contacted: dict[str, messages.Instance] = {}
         # Cached result of ``instances``, None after a change.
         self.cached_instances: dict[str, messages.Instance] | None = None
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -202,6 +202,7 @@
         for claim in reply.claims:
             self.node.fleet.record_claim(claim)
         self.known_claims[sender.name] = reply.claims_version
+        self.node.fleet.answered.add(sender.name)
         reported_pools = {pool_report.pool for pool_report in reply.pools}
         for pool, state in list(self.node.fleet.owners.items()):
             if state.claim.owner.name == sender.name and pool not in reported_pools:
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -30,6 +30,10 @@
 MAX_INTERVAL_FACTOR = 2.5
 # Time for peers to report the owner of a pool before it is considered unowned.
 NO_OWNER_DELAY_S = 0.06
+# After its start an instance waits this long for listed instances of a pool's data centre that have
+# not answered yet, because one of them may own the pool.  The first renewals are sent up to 0.1 s
+# after the start, and on a busy machine the connection and the answer take another 0.1 s.
+FIRST_ANSWERS_S = 0.3
 # If a peer had contact with the owner within this time, the owner is alive and only unreachable
 # from this instance.
 RECENT_CONTACT_S = 0.35
@@ -131,6 +135,8 @@
         if claim is None:
             elapsed_s = now - self.ownerless_since.setdefault(pool, now)
             required_s = NO_OWNER_DELAY_S
+            if self._awaits_first_answers(pool):
+                return
         else:
             self.ownerless_since.pop(pool, None)
             elapsed_s = self.fleet.owner_contact_age_s(pool)
@@ -148,6 +154,17 @@
         self.in_progress.add(pool)
         self.runtime.spawn(self._attempt, pool, claim)
 
+    def _awaits_first_answers(self, pool):
+        """Return whether a listed instance that may own a pool has not answered since the start.
+
+        Its own renewals do not count, since they do not contain its claims.
+        """
+        data_centre = ports.data_centre_of(pool)
+        return self.listed_s() < FIRST_ANSWERS_S and any(
+            instance.data_centre == data_centre and instance.name not in self.fleet.answered
+            for instance in self.fleet.instances().values()
+        )
+
     def _is_local(self, pool):
         return self.fleet.this_instance.data_centre == ports.data_centre_of(pool)
 
--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -17,6 +17,25 @@
         owners = sum(len(member.node.owned_pools) for member in region.members.values())
         self.assertEqual((owners, region.backend.violations), (2, []))
 
+    def test_instance_that_starts_leaves_the_pool_to_an_owner_that_answers_slowly(self):
+        # Guards against an instance that takes the pool of a live owner because the owner's first
+        # answer takes longer than the delay before a pool without an owner is taken.
+        region = rerun_region.Region({"a": 1})
+        region.run(STARTUP_S)
+        delay_messages(region, messages.RenewReply, 0.1)
+        region.add("a-2", "a", "10.0.0.2:7000")
+        region.run(STARTUP_S)
+        self.assertEqual(region.members["a-2"].node.fleet.claim_of("a/r1").owner.name, "a-1")
+        self.assertEqual(list(region.members["a-1"].node.owned_pools), ["a/r1"])
+        self.assertEqual(list(region.members["a-2"].node.owned_pools), [])
+
+    def test_instance_that_starts_takes_the_pool_although_a_listed_one_does_not_answer(self):
+        # Guards against a start after a loss of power that waits for instances which are gone.
+        region = rerun_region.Region({"a": 2})
+        region.network.partition(["a-1"], ["a-2"])
+        region.run(0.5)
+        self.assertEqual(region.owner("a")[:2], "a-")
+
     def test_job_held_by_the_owner_itself_is_renewed(self):
         # Guards against an owner that cancels its own jobs because only other instances renew.
         region = rerun_region.Region({"a": 2})
