Mend benchmarks.decision_cost and kind_scheduling, which no longer started

They imported a module that was replaced by refusals, and their pool had neither the delay nor the retry budget that the scheduler uses since.

--- a/benchmarks/kind_scheduling.py
+++ b/benchmarks/kind_scheduling.py
@@ -21,7 +21,7 @@
 
 from benchmarks import simulated_pool
 from rosedyke.observe import event
-from rosedyke.rerunnable_jobs import admission, job, messages, owned_job, settings
+from rosedyke.rerunnable_jobs import job, messages, owned_job, refusals, settings
 
 POOLS = 10
 # Priority: width of a job, median estimate of a task in seconds, jobs a second.
@@ -164,7 +164,7 @@
         for pool in self.pools.values():
             for owned in list(pool.jobs.values()):
                 fastest = pool.fastest_speed()
-                if admission.is_infeasible(owned, self.time_s, fastest, pool.timing):
+                if refusals.is_infeasible(owned, self.time_s, fastest, pool.timing):
                     self.end(self.callers[owned.work.id], None)
         self.at(CHECK_S, self.check)
 
--- a/benchmarks/simulated_pool.py
+++ b/benchmarks/simulated_pool.py
@@ -5,10 +5,12 @@
 
 # ruff: noqa: D102
 
+from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     capacity_offers,
     job,
     ports,
+    resubmissions,
     scheduler,
     server_speed,
     server_state,
@@ -43,6 +45,8 @@
             listed = ports.Server(name, "", "s", "a", self.name, capacity)
             self.server_states[name] = server_state.ServerState(listed)
             self.speeds.by_server[name] = speed / ESTIMATE_FACTOR
+        self.delay = own_delay.OwnDelay(region)
+        self.resubmissions = resubmissions.Resubmissions(timing, region)
         self.offers = capacity_offers.CapacityOffers(self)
         self.releaser = task_release.TaskReleaser(self)
         self.task_scheduler = scheduler.Scheduler(self)
