Header names of responses are not rewritten

eventlet splits and capitalises each name on each response, and all applications write them in that form already.

--- a/rosedyke/callers/server.py
+++ b/rosedyke/callers/server.py
@@ -70,6 +70,7 @@
             (self.host, self.port),
             application,
             max_http_version="HTTP/1.1",
+            capitalize_response_headers=False,  # the applications write them so already
             protocol=functools.partial(connection.Connection, self),
             log_output=False,
             debug=False,
