--- a/benchmarks/simulated_pool.py
+++ b/benchmarks/simulated_pool.py
@@ -47,6 +47,8 @@
             listed = ports.Server(name, "", "s", "a", self.name, capacity)
             self.server_states[name] = server_state.ServerState(listed)
             self.speeds.by_server[name] = speed / ESTIMATE_FACTOR
+        self.delay = own_delay.OwnDelay(region)
+        self.resubmissions = resubmissions.Resubmissions(timing, region)
         self.offers = capacity_offers.CapacityOffers(self)
         self.releaser = task_release.TaskReleaser(self)
         self.task_scheduler = scheduler.Scheduler(self)
