A full pool asks several owners for free capacity at once

Cause: a full pool asked one other owner at a time, chosen at random when none had reported free capacity, so waiting tasks missed the pool that got free capacity first.

The reported capacity of an owner counts for one request only, so an owner that does not answer is not asked alone again. Owners without a recent report come last. Metrics: requests, and owners asked. With the switch off, requests are as before.

A request that one owner can satisfy still goes to one.

--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -7,7 +7,7 @@
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event
 from rosedyke.overload import own_delay
-from rosedyke.rerunnable_jobs import events, messages, ports, settings
+from rosedyke.rerunnable_jobs import events, messages, ports, routing, settings
 
 # An instance is alive if a message from it came within this time; seven missed renewals.
 LIVENESS_TIMEOUT_S = 0.7
@@ -50,6 +50,10 @@
         The highest version of the servers that a report mentioned.
     servers_confirmed_at : float
         When a report last showed that ``servers`` had not changed.
+    reported_at : float
+        When the last report arrived.
+    asked_at : float
+        When this instance last asked the owner for free capacity of the pool.
     """
 
     claim: messages.Claim
@@ -63,6 +67,8 @@
     speeds_version: int = 0
     newest_servers_version: int = 0
     servers_confirmed_at: float = float("-inf")
+    reported_at: float = float("-inf")
+    asked_at: float = float("-inf")
 
     @property
     def submitted_millicores(self) -> int:
@@ -71,16 +77,22 @@
 
     def has_free_capacity(self, millicores: int) -> bool:
         """Return whether the last report shows free capacity for a task of this size."""
-        free = sum(
-            free * len(percents)
-            for free, percents in self.report.speeds_by_free.items()
-            if free >= millicores
-        )
+        free = routing.free_millicores(self.report, millicores)
         return free - self.submitted_millicores >= millicores
 
+    def offerable_millicores(self, smallest: int) -> int:
+        """Return the free capacity that the owner may offer for tasks of at least some size.
+
+        None if it was asked since its last report: it has offered what it had, or does not answer.
+        """
+        if self.report is None or self.asked_at >= self.reported_at:
+            return 0
+        free = routing.free_millicores(self.report, smallest)
+        return max(0, free - self.submitted_millicores)
+
     def record_report(self, report: messages.PoolReport, now: float) -> None:
         """Store a report that has just arrived."""
-        self.last_contact_at, self.report = now, report
+        self.last_contact_at, self.reported_at, self.report = now, now, report
         cutoff = now - REPORT_LAG_S
         self.submitted = [submission for submission in self.submitted if submission[0] > cutoff]
         version = report.servers_version
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -67,3 +67,13 @@
     "gauge",
     "Servers that this owner's pools keep for urgent tasks that fit on none now.",
 )
+CAPACITY_REQUESTS = metric.define(
+    "rerun.capacity_requests",
+    "counter",
+    "Times that a full pool of this owner asked others for free capacity.",
+)
+OWNERS_ASKED = metric.define(
+    "rerun.owners_asked",
+    "counter",
+    "Owners that these requests were sent to.",
+)
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -26,11 +26,9 @@
     settings,
     takeover,
 )
-from rosedyke.scheduling import run_times
+from rosedyke.scheduling import capacity_requests, run_times
 from rosedyke.wire import peer
 
-# Number of owners that a full pool asks for free capacity at a time.
-CAPACITY_REQUEST_FAN_OUT = 1
 # Instances of each data centre that read large lists from the store and pass changes on; with two
 # of them the loss of one goes unnoticed.
 STORE_READERS = 2
@@ -272,13 +270,16 @@
         request = messages.CapacityRequest(
             self.this_instance, pool, service, smallest_millicores, millicores
         )
-        for target in self._likely_owners(service, pool, smallest_millicores):
+        targets = self._likely_owners(service, pool, smallest_millicores, millicores)
+        metric.count(metrics.CAPACITY_REQUESTS)
+        metric.count(metrics.OWNERS_ASKED, len(targets))
+        for target in targets:
             if target.name == self.this_instance.name:
                 self._on_capacity_request(None, request)
             else:
                 self.holder.send(target, request)
 
-    def _likely_owners(self, service, pool, millicores):
+    def _likely_owners(self, service, pool, smallest, missing):
         """Return owners of other pools, preferring those whose last report shows free capacity."""
         of_service = self.pools.of_service(service)
         others = [
@@ -286,17 +287,40 @@
             for name, owner_state in self.fleet.owners.items()
             if name != pool and name in of_service and owner_state.report is not None
         ]
+        if self.timing.balances_data_centres:
+            return self._owners_to_ask(others, smallest, missing)
         others.sort(
             key=lambda state: (
-                not state.has_free_capacity(millicores),
+                not state.has_free_capacity(smallest),
                 state.report.backlog_s > 0,
                 self.runtime.random(),
             )
         )
-        targets = {
-            state.claim.owner.name: state.claim.owner for state in others[:CAPACITY_REQUEST_FAN_OUT]
-        }
-        return list(targets.values())
+        return [state.claim.owner for state in others[:1]]
+
+    def _owners_to_ask(self, others, smallest, missing):
+        """Return as many owners as the missing capacity needs, by their last reports."""
+        offerable = {state.claim.pool: state.offerable_millicores(smallest) for state in others}
+        others.sort(
+            key=lambda state: (
+                not self.fleet.has_recent_report(state.claim.pool),
+                not offerable[state.claim.pool],
+                state.report.backlog_s > 0,
+                self.runtime.random(),
+            )
+        )
+        owners, free = {}, {}
+        for state in others:
+            name = state.claim.owner.name
+            owners[name] = state.claim.owner
+            free[name] = free.get(name, 0) + offerable[state.claim.pool]
+        count = capacity_requests.owners_to_ask(missing, list(free.values()))
+        asked = list(owners.values())[:count]
+        now = self.runtime.now()
+        for state in others:
+            if state.claim.owner in asked:
+                state.asked_at = now
+        return asked
 
     def offer_capacity(self, target: messages.Instance, offer: messages.CapacityOffer) -> None:
         """Offer free capacity to the owner of a full pool."""
--- a/rosedyke/rerunnable_jobs/routing.py
+++ b/rosedyke/rerunnable_jobs/routing.py
@@ -160,6 +160,13 @@
     return max((step.demand.millicores for step in work.steps), default=0)
 
 
+def free_millicores(report: messages.PoolReport, smallest: int = 0) -> int:
+    """Return the free capacity of the servers that have room for a task of some size."""
+    return sum(
+        free * len(percents) for free, percents in report.speeds_by_free.items() if free >= smallest
+    )
+
+
 def free_slots(view: PoolView, millicores: int) -> int:
     """Return how many tasks of a size fit into a pool now, counted per server."""
     if not millicores:
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -91,6 +91,8 @@
         fit on none, and queues of one priority share the pool.
     predicts_completion : bool
         Jobs are refused by their predicted completion, and by a limit on the jobs held.
+    balances_data_centres : bool
+        A full pool asks several owners for free capacity at once.
     """
 
     resubmit_s: float = 1.3
@@ -119,6 +121,7 @@
     balances_pools: bool = False
     schedules_by_kind: bool = False
     predicts_completion: bool = False
+    balances_data_centres: bool = False
 
     @property
     def max_order_s(self) -> float:
