Jobs with slack use other data centres while local capacity is scarce

Cause: another data centre was accepted for a constant 20 ms less wait, by any job. Under a burst, long jobs took the last local servers, and short ones with little slack had to leave or wait.

Change: with ROSEDYKE_BALANCE_DATA_CENTRES on, and less than 30% of the local pools' capacity free, the penalty follows from the job's slack in the destination (scheduling/spill.py). A destination that the job itself makes scarce keeps the whole penalty, because it would send as many of its own jobs elsewhere. Metric of spilled jobs; events 8080 and 8081, at most one a second for each instance. With the switch off, routing is as before.

--- a/rosedyke/rerunnable_jobs/data_centre_balance_test.py
+++ b/rosedyke/rerunnable_jobs/data_centre_balance_test.py
@@ -1,9 +1,10 @@
-"""Requests of full pools for the capacity of others, on the virtual clock."""
+"""Balance between data centres and pools, on the virtual clock."""
 
+import logging
 import unittest
 
 from rosedyke.observe import metric
-from rosedyke.rerunnable_jobs import job, messages, metrics, settings
+from rosedyke.rerunnable_jobs import events, fleet_view, job, messages, metrics, settings
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
@@ -48,6 +49,92 @@
     ]
 
 
+class Spill(unittest.TestCase):
+    """Jobs arrive in a data centre of which little capacity is free."""
+
+    def play_burst(self, timing):
+        """Return the region and the long and urgent jobs of a burst in one data centre."""
+        region = start_region("abc", timing, instances=2)
+        # Far enough that an urgent job is late in another data centre.
+        region.network.delay_s = lambda source, target, message: (
+            0.0005 if source.data_centre == target.data_centre else 0.012
+        )
+        long_jobs, urgent = [], []
+        for number in range(40):
+            name = f"a-{1 + number % 2}"
+            long_jobs.append(region.submit(name, f"l{number}", 1, 0.6, 5.0, 2, 1.2))
+            if number % 2:
+                urgent.append(region.submit(name, f"u{number}", 3, 0.06, 5.0, 0, 0.08))
+            region.run(0.05)
+        region.run(3.0)
+        self.assertEqual(region.backend.violations, [])
+        self.assertEqual({each.outcome for each in long_jobs + urgent}, {DONE})
+        return region, long_jobs, urgent
+
+    def test_local_capacity_stays_free_for_jobs_without_slack(self):
+        # Guards against long jobs that take the last local servers, so that urgent ones wait or
+        # leave, and against a spill that goes on after the burst.
+        late, spilled = {}, {}
+        for timing in (settings.RerunSettings(), BALANCED):
+            metric.counts.clear()
+            is_on = timing.balances_data_centres
+            with self.assertLogs("rosedyke", logging.INFO) as logged:
+                region, _, urgent = self.play_burst(timing)
+            late[is_on] = sum(each.duration_s > 0.08 for each in urgent)
+            spilled[is_on] = metric.counts[metrics.JOBS_SPILLED.name]
+            numbers = [record.event for record in logged.records]
+            for spill_event in (events.SPILL_STARTED, events.SPILL_ENDED):
+                self.assertEqual(spill_event.number in numbers, is_on)
+                self.assertLessEqual(numbers.count(spill_event.number), 2 * 4)
+        self.assertEqual(spilled[False], 0)
+        self.assertGreater(spilled[True], 5)
+        self.assertLess(late[True], late[False])
+        since = region.runtime.now()
+        region.submit("a-1", "later", 1, 0.6, objective_s=1.2)
+        region.run(0.1)
+        self.assertEqual(starts_in(region, "a", since), {"later"})
+
+    def test_pools_out_of_reach_are_not_chosen(self):
+        # Guards against jobs with slack that are sent into a partition, and lost there.
+        region = start_region("ab")
+        fill(region, "a", 3.0, 11)
+        spilled = region.submit("a-1", "before", 1, 1.0)
+        region.run(0.1)
+        self.assertEqual(starts_in(region, "b", STARTUP_S), {"before"})
+        region.partition_instances(["a-1"], ["b-1"])
+        region.backend.partitioned = {
+            (f"{one}-1", server.listed.id)
+            for one, other in ("ab", "ba")
+            for server in region.backend.servers.values()
+            if server.listed.data_centre == other
+        }
+        region.run(fleet_view.REPORT_MAX_AGE_S)
+        cut_at = region.runtime.now()
+        stays = region.submit("a-1", "after", 1, 0.1)
+        region.run(2.0)
+        self.assertEqual(stays.outcome, DONE)
+        self.assertEqual(starts_in(region, "b", cut_at), set())
+        # Ended like the job of a lost owner, in time to be submitted again.
+        self.assertEqual(spilled.outcome.end, job.EndState.LOST)
+        self.assertLess(spilled.duration_s, region.timing.resubmit_s)
+        self.assertEqual(region.submit("a-1", "before", 1, 0.1).outcome, None)
+        region.run(1.0)
+        self.assertIn("before", starts_in(region, "a", cut_at))
+        self.assertEqual(region.backend.violations, [])
+
+    def test_evacuated_pools_are_not_chosen(self):
+        # Guards against jobs with slack that are sent to servers that must become empty.
+        region = start_region("abc")
+        region.evacuate("b")
+        fill(region, "a", 1.0, 11)
+        since = region.runtime.now()
+        submissions = [region.submit("a-1", f"j{number}", 1, 0.1) for number in range(8)]
+        region.run(1.0)
+        self.assertEqual({each.outcome for each in submissions}, {DONE})
+        self.assertGreater(len(starts_in(region, "c", since)), 4)
+        self.assertEqual(starts_in(region, "b", since), set())
+
+
 class SeveralOwners(unittest.TestCase):
     """Tasks wait in a full pool."""
 
--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -245,3 +245,16 @@
     logging.INFO,
     "A pool has not been under pressure for a second.",
 )
+SPILL_STARTED = event.define(
+    8080,
+    "spill_started",
+    logging.INFO,
+    "Little of the data centre's capacity is free, so this instance sends jobs with slack to other "
+    "data centres.",
+)
+SPILL_ENDED = event.define(
+    8081,
+    "spill_ended",
+    logging.INFO,
+    "For a second this instance has sent no job to another data centre because of its slack.",
+)
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -21,6 +21,7 @@
     resubmissions,
     routing,
     settings,
+    spill_log,
     withdrawal,
 )
 from rosedyke.scheduling import admission, retry_after
@@ -81,6 +82,7 @@
         # even by the instance's next incarnation.
         self.part_numbers = itertools.count(view.first_number)
         self.withdrawal = withdrawal.Withdrawal(self)
+        self.spilling = spill_log.SpillLog(view.this_instance, runtime)
         view.owner_callbacks.append(self._on_owner)
 
     def run(self, work: job.Job, disconnected: runtime_module.Signal) -> job.Outcome:
@@ -214,7 +216,13 @@
 
     def choose_pools(self, work: job.Job, count: int) -> dict[str, int]:
         """Return how many tasks of a job go to each pool, empty if no owner is reachable."""
-        return routing.split(work, count, self._pool_views(work), self.runtime.random())
+        views, random_value = self._pool_views(work), self.runtime.random()
+        if not self.timing.balances_data_centres:
+            return routing.split(work, count, views, random_value)
+        shares, is_spilled = routing.split_by_slack(work, count, views, random_value)
+        if is_spilled:
+            self.spilling.record_job()
+        return shares
 
     def _pool_views(self, work):
         return [
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -67,6 +67,11 @@
     "gauge",
     "Servers that this owner's pools keep for urgent tasks that fit on none now.",
 )
+JOBS_SPILLED = metric.define(
+    "rerun.jobs_spilled",
+    "counter",
+    "Jobs that this holder sent to another data centre because of their slack.",
+)
 CAPACITY_REQUESTS = metric.define(
     "rerun.capacity_requests",
     "counter",
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -76,6 +76,7 @@
             self.node.handover.return_remote_pools()
             self.node.handover.balance_pools()
             self.node.holder.end_jobs_of_lost_owners()
+            self.node.holder.spilling.check()
             self.node.fleet.expire_instances()
             self.node.runtime.sleep(self.period_s)
 
--- a/rosedyke/rerunnable_jobs/routing.py
+++ b/rosedyke/rerunnable_jobs/routing.py
@@ -10,7 +10,7 @@
 
 from rosedyke.overload import link
 from rosedyke.rerunnable_jobs import job, messages, server_commands
-from rosedyke.scheduling import admission
+from rosedyke.scheduling import admission, spill
 
 # Added to the expected wait in pools of other data centres, for the round trip and the risk of a
 # network partition.
@@ -51,21 +51,59 @@
     random_value : float
         A random number in [0, 1).
     """
-    return _choose_pool(work, count, views, _slots(work, views), random_value)
+    slots = _slots(work, views)
+    return _choose_pool(_waits(work, count, views, slots), slots, random_value)
 
 
-def _choose_pool(work, count, views, slots, random_value):
-    if not views:
+def _choose_pool(waits, slots, random_value):
+    if not waits:
         return ""
+    best = _best_pools(waits)
+    return _weighted_choice({pool: max(1, slots[pool]) for pool in best}, random_value)
+
+
+def _best_pools(waits):
+    """Return the pools whose expected waits count as equal to the shortest one."""
+    least_s = min(waits.values())
+    return [pool for pool, wait_s in waits.items() if wait_s <= least_s + WAIT_TOLERANCE_S]
+
+
+def _waits(work, count, views, slots):
+    """Return the expected wait in each pool, with the whole penalty of other data centres."""
     largest = _largest_millicores(work)
-    waits = {
+    return {
         view.pool: _wait_s(view, work, count - slots[view.pool], largest)
         + _link_wait_s(view, work, count)
         for view in views
     }
-    least_s = min(waits.values())
-    best = [pool for pool, wait_s in waits.items() if wait_s <= least_s + WAIT_TOLERANCE_S]
-    return _weighted_choice({pool: max(1, slots[pool]) for pool in best}, random_value)
+
+
+def _waits_by_slack(work, count, views, waits):
+    """Return the expected waits with a penalty of other data centres that depends on the slack."""
+    longest_s = max((step.estimate_s for step in work.steps), default=0.0)
+    demand, reduced = count * _largest_millicores(work), dict(waits)
+    for view in views:
+        if view.is_local:
+            continue
+        # A destination that the job makes scarce would only send as many of its own jobs elsewhere.
+        report = view.report
+        free = free_millicores(report) - view.submitted_millicores - demand
+        if spill.is_scarce(free, report.capacity_millicores):
+            continue
+        fastest = max(map(max, report.speeds_by_free.values()), default=100) / 100
+        wait_s = waits[view.pool] - REMOTE_PENALTY_S
+        slack_s = spill.slack_s(work.objective_s, longest_s / fastest, wait_s)
+        reduced[view.pool] = wait_s + spill.penalty_s(slack_s, REMOTE_PENALTY_S)
+    return reduced
+
+
+def _is_scarce(views):
+    """Return whether little of some pools' capacity is free."""
+    free = capacity = 0
+    for view in views:
+        free += free_millicores(view.report) - view.submitted_millicores
+        capacity += view.report.capacity_millicores
+    return spill.is_scarce(free, capacity)
 
 
 def split(
@@ -86,7 +124,30 @@
         A random number in [0, 1).
     """
     slots = _slots(work, views)
-    first = _choose_pool(work, count, views, slots, random_value)
+    first = _choose_pool(_waits(work, count, views, slots), slots, random_value)
+    return _split_from(first, work, count, views, slots)
+
+
+def split_by_slack(
+    work: job.Job, count: int, views: Sequence[PoolView], random_value: float
+) -> tuple[dict[str, int], bool]:
+    """Return the result of ``split``, and whether the job leaves the data centre for its slack.
+
+    While little local capacity is free, jobs with slack accept other data centres.
+    """
+    slots = _slots(work, views)
+    waits = _waits(work, count, views, slots)
+    local_pools = {view.pool: view for view in views if view.is_local}
+    if not _is_scarce(local_pools.values()):
+        first = _choose_pool(waits, slots, random_value)
+        return _split_from(first, work, count, views, slots), False
+    first = _choose_pool(_waits_by_slack(work, count, views, waits), slots, random_value)
+    is_spilled = first not in local_pools and first not in _best_pools(waits)
+    return _split_from(first, work, count, views, slots), is_spilled
+
+
+def _split_from(first, work, count, views, slots):
+    """Return each pool's share of a job whose first choice is a given pool."""
     if not first:
         return {}
     by_pool = {view.pool: view for view in views}
@@ -200,10 +261,16 @@
 
 
 def _wait_s(view, work, missing, millicores):
+    """Return the expected wait in a pool, with the whole penalty of other data centres."""
+    penalty_s = 0.0 if view.is_local else REMOTE_PENALTY_S
+    return _pool_wait_s(view, work, missing, millicores) + penalty_s
+
+
+def _pool_wait_s(view, work, missing, millicores):
     """Return the expected wait of a job's last task in a pool."""
     if not view.report.capacity_millicores:
         return NO_SERVER_WAIT_S
-    wait_s = view.report.backlog_s + (0.0 if view.is_local else REMOTE_PENALTY_S)
+    wait_s = view.report.backlog_s
     if missing > 0:
         longest_s = max(step.estimate_s for step in work.steps)
         parallel_tasks = max(1, view.report.capacity_millicores // max(1, millicores))
--- a/rosedyke/rerunnable_jobs/routing_test.py
+++ b/rosedyke/rerunnable_jobs/routing_test.py
@@ -59,6 +59,44 @@
         self.assertEqual(shares([empty, view("b/1", backlog_s=2.0)]), {"b/1": 1.0})
 
 
+class DataCentres(unittest.TestCase):
+    """Some of the local capacity of 256 cores is free, and all of that of another data centre."""
+
+    def spilled_share(self, free, objective_s, remote_free=18):
+        requested = attrs.evolve(work(1), objective_s=objective_s)
+        views = [view("a/1", *[14] * free), view("b/1", *[14] * remote_free, is_local=False)]
+        draws = [routing.split_by_slack(requested, 1, views, draw / 100) for draw in range(100)]
+        for shares, is_spilled in draws:
+            self.assertEqual(shares, {"b/1" if is_spilled else "a/1": 1})
+        return sum(is_spilled for _, is_spilled in draws) / 100
+
+    def test_jobs_with_slack_leave_while_local_capacity_is_scarce(self):
+        # Guards against jobs that could wait, and take the last servers from those that cannot.
+        self.assertAlmostEqual(self.spilled_share(2, 0.9), 0.9, delta=0.01)
+        self.assertEqual(self.spilled_share(2, 0.25), 0.0)
+
+    def test_no_job_leaves_from_thirty_percent_free_on(self):
+        self.assertEqual(self.spilled_share(6, 0.9), 0.0)
+
+    def test_full_data_centre_gets_no_more_jobs(self):
+        # Guards against two data centres that send their jobs to each other.
+        self.assertEqual(self.spilled_share(2, 0.9, remote_free=4), 0.0)
+
+    def test_own_submissions_end_the_spill_while_reports_are_lost(self):
+        # Guards against a holder that keeps sending jobs by an outdated report.
+        requested = attrs.evolve(work(1), objective_s=0.9)
+        sent = {"a/1": 0, "b/1": 0}
+        for number in range(100):
+            views = [
+                view("a/1", 14, submitted=14 * sent["a/1"]),
+                view("b/1", *[14] * 18, submitted=14 * sent["b/1"], is_local=False),
+            ]
+            shares, is_spilled = routing.split_by_slack(requested, 1, views, number % 10 / 10)
+            sent[next(iter(shares))] += is_spilled
+        # Another one would leave less than 30% of the 256 cores free.
+        self.assertEqual(sent["b/1"], 12)
+
+
 def without_servers(pool):
     report = messages.PoolReport(pool, 1, 0.0, {}, 0, {}, {})
     return routing.PoolView(pool, report, 0, True)
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -92,7 +92,8 @@
     predicts_completion : bool
         Jobs are refused by their predicted completion, and by a limit on the jobs held.
     balances_data_centres : bool
-        A full pool asks several owners for free capacity at once.
+        While little of the local capacity is free, jobs with slack accept other data centres, and
+        a full pool asks several owners for free capacity at once.
     """
 
     resubmit_s: float = 1.3
