--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -90,3 +90,18 @@
     "Tasks of the queue that wait in this owner's pools because the queue is at its limit.",
     "queue",
 )
+JOBS_SPILLED = metric.define(
+    "rerun.jobs_spilled",
+    "counter",
+    "Jobs that this holder sent to another data centre because of their slack.",
+)
+CAPACITY_REQUESTS = metric.define(
+    "rerun.capacity_requests",
+    "counter",
+    "Times that a full pool of this owner asked others for free capacity.",
+)
+OWNERS_ASKED = metric.define(
+    "rerun.owners_asked",
+    "counter",
+    "Owners that these requests were sent to.",
+)
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -97,6 +97,9 @@
     queue_shares : mapping of str to QueueShare
         Weights and limits of queues, for those that do not have the defaults.  They take effect
         with ``schedules_by_kind`` only.
+    balances_data_centres : bool
+        While little of the local capacity is free, jobs with slack accept other data centres, and
+        a full pool asks several owners for free capacity at once.
     """
 
     resubmit_s: float = 1.3
@@ -127,6 +130,7 @@
     predicts_completion: bool = False
     # Without hash, because mappings have none.
     queue_shares: Mapping[str, shares.QueueShare] = attrs.field(factory=dict, hash=False)
+    balances_data_centres: bool = False
 
     @property
     def max_order_s(self) -> float:
