--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -120,7 +120,7 @@
     Mechanism(
         "memory-of-failures",
         RERUN / "placement.py",
-        "            server.id in task.failed_on,\n",
+        "            server.id in failed_on,\n",
         "            False,\n",
     ),
     Mechanism(
