Tasks of a job that borrows above its limit are tried once

Cause: a job with one task at the limit of its queue and another one that fits on no server was placed twice in a pass once the queue could borrow. Its other task was then tried and reported as unplaced twice, so a second server was kept for it, and the capacity request counted it twice.

Change: only the tasks that waited at the limit are tried again.

--- a/rosedyke/rerunnable_jobs/pool_pressure.py
+++ b/rosedyke/rerunnable_jobs/pool_pressure.py
@@ -219,10 +219,11 @@
         usage = self.services.get(owned.work.service)
         return usage.limits if usage is not None else None
 
-    def lend(
-        self, unplaced: Iterable[tuple[owned_job.OwnedJob, owned_job.OwnedTask]]
-    ) -> tuple[list[owned_job.OwnedJob], list[tuple[owned_job.OwnedJob, owned_job.OwnedTask]]]:
-        """Return the jobs at limits that may use what is free, and the tasks that go on waiting.
+    def lend(self, unplaced: Iterable[tuple[owned_job.OwnedJob, owned_job.OwnedTask]]) -> tuple[
+        list[tuple[owned_job.OwnedJob, owned_job.OwnedTask]],
+        list[tuple[owned_job.OwnedJob, owned_job.OwnedTask]],
+    ]:
+        """Return the tasks at limits that may use what is free, and those that go on waiting.
 
         Parameters
         ----------
@@ -231,7 +232,7 @@
             becomes free, so a queue at its limit must not take any of it piece by piece.
         """
         wanted = self._wanted(unplaced)
-        borrowers, waiting = {}, []
+        lent, waiting = [], []
         for owned, task in self.at_limit:
             queue, limits = owned.work.queue, self._limits(owned)
             if wanted[owned.work.service] - {queue}:
@@ -239,9 +240,9 @@
                 waiting.append((owned, task))
             else:
                 limits.borrowing.add(queue)
-                borrowers[owned.key] = owned
+                lent.append((owned, task))
         self.at_limit = []
-        return list(borrowers.values()), waiting
+        return lent, waiting
 
     def _wanted(self, unplaced):
         """Return the queues that want capacity, by service.
--- a/rosedyke/rerunnable_jobs/queue_shares_test.py
+++ b/rosedyke/rerunnable_jobs/queue_shares_test.py
@@ -184,6 +184,42 @@
             scheduler = region.members["a-1"].node.owned_pools["a/r1"].task_scheduler
             self.assertEqual(scheduler.kept_servers(), expected, limit)
 
+    def submit_blocked(self, region, priority):
+        """Fill three of the four cores of each server, and submit a job that fits on none.
+
+        One of its tasks is below the limit of its queue, the other one is above it.
+        """
+        servers = len(region.backend.servers)
+        self.submit_sized(region, "other", 1, 3, servers, 0.9)
+        self.submit_sized(region, "bounded", 1, 1, 1, 0.9)
+        region.run(0.05)
+        steps = tuple(job.Step(1, job.Demand(cores * 1000, 64), 0.2) for cores in (2, 3))
+        region.backend.durations["blocked"] = 0.2
+        work = job.Job(
+            "blocked", "bounded", rerun_region.SERVICE, "", steps, priority, 3, 25.0, 28.0
+        )
+        region.runtime.spawn(region.members["a-1"].node.run, work, region.runtime.signal())
+        region.run(0.05)
+
+    def test_borrowing_job_requests_capacity_once_for_each_task(self):
+        # Guards against a task that counts twice because another task of its job borrows.
+        region = new_region({"bounded": shares.QueueShare(limit=0.25)})
+        requested = []
+        region.members["a-1"].node.request_capacity = lambda *request: requested.append(request)
+        self.submit_blocked(region, 1)
+        self.assertEqual({request[2:] for request in requested}, {(2000, 5000)})
+
+    def test_borrowing_job_keeps_one_server_for_each_task(self):
+        # Guards against servers that idle because a task has one kept for it twice.
+        timing = settings.RerunSettings(
+            schedules_by_kind=True, queue_shares={"bounded": shares.QueueShare(limit=0.1)}
+        )
+        region = rerun_region.Region({"a": 1}, 8, timing=timing)
+        region.run(STARTUP_S)
+        self.submit_blocked(region, 0)
+        scheduler = region.members["a-1"].node.owned_pools["a/r1"].task_scheduler
+        self.assertEqual(scheduler.kept_servers(), 2)
+
     def test_limit_of_the_urgent_queue_leaves_places_for_large_tasks(self):
         # Guards against a queue whose tasks never get a server: each one that becomes free while
         # priority 0 uses at most half of the pool goes to priority 0.
--- a/rosedyke/rerunnable_jobs/scheduler.py
+++ b/rosedyke/rerunnable_jobs/scheduler.py
@@ -7,6 +7,7 @@
 from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
     job,
+    messages,
     metrics,
     owned_job,
     placement,
@@ -79,15 +80,24 @@
     def _place_jobs(self, waiting, allocated, now):
         running_tasks = self.owner.running_tasks()
         unplaced = []
+        # By part: the tasks of borrowing jobs that waited at a limit.  The other tasks of these
+        # jobs have been tried already.
+        borrowing: dict[messages.PartKey, list[owned_job.OwnedTask]] = {}
         jobs = collections.deque(self.order_jobs(waiting, now))
         while jobs:
             if hold_s := self.owner.delay.hold_s(now):
                 self._hold(jobs, hold_s, now)
                 return
-            unplaced += self._place_job(jobs.popleft(), allocated, running_tasks, now)
+            owned = jobs.popleft()
+            tasks = borrowing.get(owned.key) or owned.waiting_tasks()
+            unplaced += self._place_job(owned, tasks, allocated, running_tasks, now)
             if not jobs and self.pressure.at_limit:
-                borrowers, blocked = self.pressure.lend(unplaced)
-                jobs += borrowers
+                lent, blocked = self.pressure.lend(unplaced)
+                for owned, task in lent:
+                    if owned.key not in borrowing:
+                        borrowing[owned.key] = []
+                        jobs.append(owned)
+                    borrowing[owned.key].append(task)
                 unplaced += blocked
         if unplaced:
             self.owner.releaser.request_capacity_for(unplaced, now)
@@ -147,10 +157,10 @@
         self.owner.delay.waiting_bytes.pop(self.owner.name, None)
         self.owner.wake_scheduler()
 
-    def _place_job(self, owned, allocated, running_tasks, now):
-        """Place the tasks of a job that fit and return the others."""
+    def _place_job(self, owned, tasks, allocated, running_tasks, now):
+        """Place those of a job's waiting tasks that fit and return the others."""
         unplaced = []
-        for task in owned.waiting_tasks():
+        for task in tasks:
             if task.name in running_tasks:
                 continue
             if self.pressure.waits_at_limit(owned, task):
