Pools without servers have the same assumed wait in every data centre

Cause: since jobs with slack use other data centres, the penalty of another data centre was also added to the assumed wait of 60 s in a pool without servers, also with ROSEDYKE_BALANCE_DATA_CENTRES off. With the switch on, the wait of such a pool was reduced for tasks that need no capacity.

Change: a pool without servers has no penalty and is no destination of spilled jobs.

--- a/rosedyke/rerunnable_jobs/routing.py
+++ b/rosedyke/rerunnable_jobs/routing.py
@@ -88,7 +88,8 @@
         # A destination that the job makes scarce would only send as many of its own jobs elsewhere.
         report = view.report
         free = free_millicores(report) - view.submitted_millicores - demand
-        if spill.is_scarce(free, report.capacity_millicores):
+        is_empty = not report.capacity_millicores
+        if is_empty or spill.is_scarce(free, report.capacity_millicores):
             continue
         fastest = max(map(max, report.speeds_by_free.values()), default=100) / 100
         wait_s = waits[view.pool] - REMOTE_PENALTY_S
@@ -261,16 +262,13 @@
 
 
 def _wait_s(view, work, missing, millicores):
-    """Return the expected wait in a pool, with the whole penalty of other data centres."""
-    penalty_s = 0.0 if view.is_local else REMOTE_PENALTY_S
-    return _pool_wait_s(view, work, missing, millicores) + penalty_s
+    """Return the expected wait of a job's last task in a pool.
 
-
-def _pool_wait_s(view, work, missing, millicores):
-    """Return the expected wait of a job's last task in a pool."""
+    Includes the whole penalty of other data centres, except for pools without servers.
+    """
     if not view.report.capacity_millicores:
         return NO_SERVER_WAIT_S
-    wait_s = view.report.backlog_s
+    wait_s = view.report.backlog_s + (0.0 if view.is_local else REMOTE_PENALTY_S)
     if missing > 0:
         longest_s = max(step.estimate_s for step in work.steps)
         parallel_tasks = max(1, view.report.capacity_millicores // max(1, millicores))
--- a/rosedyke/rerunnable_jobs/routing_test.py
+++ b/rosedyke/rerunnable_jobs/routing_test.py
@@ -58,6 +58,14 @@
         empty = without_servers("a/1")
         self.assertEqual(shares([empty, view("b/1", backlog_s=2.0)]), {"b/1": 1.0})
 
+    def test_data_centre_does_not_matter_between_pools_without_servers(self):
+        # Guards against routing that changes with ROSEDYKE_BALANCE_DATA_CENTRES off: the assumed
+        # wait in a pool without servers has no penalty of other data centres.
+        local, remote = without_servers("a/1"), without_servers("b/1", is_local=False)
+        self.assertEqual(shares([local, remote]), {"a/1": 0.5, "b/1": 0.5})
+        others = routing.after_refusal(work(), 2, [local, remote])
+        self.assertEqual([other.wait_s for other in others], [routing.NO_SERVER_WAIT_S] * 2)
+
 
 class DataCentres(unittest.TestCase):
     """Some of the local capacity of 256 cores is free, and all of that of another data centre."""
@@ -82,6 +90,18 @@
         # Guards against two data centres that send their jobs to each other.
         self.assertEqual(self.spilled_share(2, 0.9, remote_free=4), 0.0)
 
+    def test_pools_without_servers_are_no_destination(self):
+        # Guards against a shorter assumed wait in an evacuated pool of another data centre, for
+        # tasks that need no capacity.
+        local = attrs.evolve(without_servers("a/1"), submitted_millicores=1000)
+        remote = without_servers("b/1", is_local=False)
+        requested = attrs.evolve(work(1, cores=0), objective_s=90.0)
+        draws = [
+            routing.split_by_slack(requested, 1, [local, remote], draw / 10) for draw in range(10)
+        ]
+        self.assertEqual(sum("a/1" in shares for shares, _ in draws), 5)
+        self.assertFalse(any(is_spilled for _, is_spilled in draws))
+
     def test_own_submissions_end_the_spill_while_reports_are_lost(self):
         # Guards against a holder that keeps sending jobs by an outdated report.
         requested = attrs.evolve(work(1), objective_s=0.9)
@@ -97,9 +117,9 @@
         self.assertEqual(sent["b/1"], 12)
 
 
-def without_servers(pool):
+def without_servers(pool, is_local=True):
     report = messages.PoolReport(pool, 1, 0.0, {}, 0, {}, {})
-    return routing.PoolView(pool, report, 0, True)
+    return routing.PoolView(pool, report, 0, is_local)
 
 
 class Split(unittest.TestCase):
