Tests of six decisions that could be inverted unnoticed

Cause: the tests passed with a start that also waits for instances of other data centres, with claims answered only if they are newer, with suspensions taken over in the wrong order, with owners asked for capacity that reported none or sent no recent report, and with a slack by the wrong speed.

Change: a test of each.

--- a/rosedyke/rerunnable_jobs/data_centre_balance_test.py
+++ b/rosedyke/rerunnable_jobs/data_centre_balance_test.py
@@ -228,3 +228,30 @@
         self.assertLess(submission.duration_s, 0.3 + 0.1 + 0.05)
         self.assertEqual(starts_in(region, "b", since), set())
         self.assertEqual(region.backend.violations, [])
+
+
+class LikelyOwners(unittest.TestCase):
+    """A request that one owner can satisfy goes to the one that is most likely to."""
+
+    def setUp(self):
+        self.region = start_region("abcd")
+        self.node = self.region.members["a-1"].node
+
+    def asked(self):
+        """Return the owners that are asked for one core, once new reports have arrived."""
+        self.region.run(0.3)
+        return self.node._likely_owners(rerun_region.SERVICE, "a/r1", 1000, 1000)
+
+    def test_owner_that_has_reported_free_capacity_is_asked_first(self):
+        # Guards against requests to full pools while another one is idle.
+        for data_centre in "bc":
+            fill(self.region, data_centre, 5.0)
+        for _ in range(5):
+            self.assertEqual([target.name for target in self.asked()], ["d-1"])
+
+    def test_owner_without_recent_report_is_asked_last(self):
+        # Guards against requests to a lost owner, by the free capacity that it reported last.
+        usual = self.node.fleet.has_recent_report
+        self.node.fleet.has_recent_report = lambda pool: pool == "c/r1" and usual(pool)
+        for _ in range(5):
+            self.assertEqual([target.name for target in self.asked()], ["c-1"])
--- a/rosedyke/rerunnable_jobs/learned_state_test.py
+++ b/rosedyke/rerunnable_jobs/learned_state_test.py
@@ -118,6 +118,20 @@
         learned_state.take_over(pool, learned_state.ReceivedState({}, unknown))
         self.assertEqual(len(pool.server_states), 6)
 
+    def test_servers_that_were_suspended_last_stay_suspended(self):
+        # Guards against a successor that uses the servers whose failures are the most recent.
+        self.start()
+        now = self.region.runtime.now()
+        pool = self.owner.owned_pools[POOL]
+        until = {f"s-a-{number}": now + 0.2 * (1 + number) for number in range(6)}
+        self.region.runtime.call(
+            learned_state.take_over, pool, learned_state.ReceivedState({}, until)
+        )
+        suspended = {
+            server_id for server_id, state in pool.server_states.items() if state.failing_until
+        }
+        self.assertEqual(suspended, {"s-a-3", "s-a-4", "s-a-5"})
+
     def test_without_prediction_nothing_is_sent_or_taken_over(self):
         # Guards against another placement where no setting asks for it.
         self.start(settings.RerunSettings())
--- a/rosedyke/rerunnable_jobs/routing_test.py
+++ b/rosedyke/rerunnable_jobs/routing_test.py
@@ -70,9 +70,12 @@
 class DataCentres(unittest.TestCase):
     """Some of the local capacity of 256 cores is free, and all of that of another data centre."""
 
-    def spilled_share(self, free, objective_s, remote_free=18):
+    def spilled_share(self, free, objective_s, remote_free=18, remote_percent=100):
         requested = attrs.evolve(work(1), objective_s=objective_s)
-        views = [view("a/1", *[14] * free), view("b/1", *[14] * remote_free, is_local=False)]
+        remote = view("b/1", *[14] * remote_free, is_local=False)
+        speeds = {14_000: (remote_percent,) * remote_free}
+        report = attrs.evolve(remote.report, speeds_by_free=speeds)
+        views = [view("a/1", *[14] * free), attrs.evolve(remote, report=report)]
         draws = [routing.split_by_slack(requested, 1, views, draw / 100) for draw in range(100)]
         for shares, is_spilled in draws:
             self.assertEqual(shares, {"b/1" if is_spilled else "a/1": 1})
@@ -83,6 +86,12 @@
         self.assertAlmostEqual(self.spilled_share(2, 0.9), 0.9, delta=0.01)
         self.assertEqual(self.spilled_share(2, 0.25), 0.0)
 
+    def test_slack_depends_on_the_speed_of_the_destination(self):
+        # Guards against jobs that leave for slow servers, on which they have little slack.
+        self.assertEqual(self.spilled_share(2, 0.5, remote_percent=50), 0.0)
+        self.assertEqual(self.spilled_share(2, 0.32), 0.0)
+        self.assertAlmostEqual(self.spilled_share(2, 0.32, remote_percent=200), 0.9, delta=0.01)
+
     def test_no_job_leaves_from_thirty_percent_free_on(self):
         self.assertEqual(self.spilled_share(6, 0.9), 0.0)
 
--- a/rosedyke/rerunnable_jobs/takeover_test.py
+++ b/rosedyke/rerunnable_jobs/takeover_test.py
@@ -36,6 +36,30 @@
         region.run(0.5)
         self.assertEqual(region.owner("a")[:2], "a-")
 
+    def test_instance_that_starts_does_not_wait_for_another_data_centre(self):
+        # Guards against a data centre that is cut off and leaves its pools without an owner for
+        # longer, because of instances that do not own them.
+        region = rerun_region.Region({"a": 2, "b": 2})
+        region.network.partition(["a-1", "a-2"], ["b-1", "b-2"])
+        region.run(0.2)
+        self.assertEqual([region.owner(name)[:2] for name in "ab"], ["a-", "b-"])
+
+    def test_owner_answers_only_a_claim_that_is_older(self):
+        # Guards against a candidate that goes on owning a pool because the claim that replaced its
+        # own one was lost.
+        region = rerun_region.Region({"a": 2})
+        region.run(STARTUP_S)
+        node = region.members[region.owner("a")].node
+        other = region.members[region.non_owner("a")].own
+        token = node.owned_pools["a/r1"].token
+        sent = []
+        node.holder.send = lambda target, message: sent.append((target, message))
+        region.runtime.call(node._on_claim, None, messages.Claim("a/r1", other, token - 1))
+        answer = messages.Claim("a/r1", node.this_instance, token)
+        self.assertEqual(sent, [(other, answer)])
+        region.runtime.call(node._on_claim, None, messages.Claim("a/r1", other, token))
+        self.assertEqual(len(sent), 1)
+
     def test_job_held_by_the_owner_itself_is_renewed(self):
         # Guards against an owner that cancels its own jobs because only other instances renew.
         region = rerun_region.Region({"a": 2})
