Idle connections of the HTTP client do not keep their last response

The parser that a connection keeps since held the headers and the body until the next request on the connection: up to the size limit for each idle connection, 16 MiB in the HTTP client. The parser is now reset when the response is complete. Tests also cover that responses on one connection do not mix and that the size limit applies to each of them.

--- a/rosedyke/gateways/http_connection.py
+++ b/rosedyke/gateways/http_connection.py
@@ -174,7 +174,7 @@
 class ResponseParser:
     """Parses the responses on one connection; implements the callbacks of httptools.
 
-    ``begin`` is called before each response.
+    ``begin`` is called after each response.
 
     Attributes
     ----------
@@ -277,8 +277,6 @@
     response_parser = connection.parser
     if response_parser is None:
         response_parser = connection.parser = ResponseParser(max_bytes)
-    else:
-        response_parser.begin()
     while not response_parser.is_complete:
         data = connection.receive()
         if data:
@@ -287,9 +285,12 @@
             response_parser.feed_eof()
     if not response_parser.can_reuse:
         connection.close()
-    return Response(
+    response = Response(
         response_parser.status, response_parser.headers, b"".join(response_parser.body_chunks)
     )
+    # Now and not before the next request, so that an idle connection does not keep the body.
+    response_parser.begin()
+    return response
 
 
 def _encode_request(connection, method, path, body, headers) -> bytes:
--- a/rosedyke/gateways/http_connection_test.py
+++ b/rosedyke/gateways/http_connection_test.py
@@ -74,6 +74,32 @@
         self.assertIsNone(connection.sock)
 
 
+class SeveralResponses(unittest.TestCase):
+    """One parser reads all responses of a connection."""
+
+    def test_each_request_gets_its_own_response(self):
+        # Guards against headers, a body or a status that remain from the response before.
+        second = b"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nno"
+        connection = create_connection(COMPLETE_RESPONSE, second)
+        first_response = send_request(connection)
+        second_response = send_request(connection)
+        self.assertEqual((second_response.status, second_response.body), (409, b"no"))
+        self.assertFalse(second_response.has_flag("x-running"))
+        self.assertEqual((first_response.status, first_response.body), (200, b"hello"))
+        self.assertTrue(first_response.has_flag("x-running"))
+
+    def test_size_limit_applies_to_each_response(self):
+        connection = create_connection(COMPLETE_RESPONSE, COMPLETE_RESPONSE)
+        for _ in range(2):
+            self.assertEqual(send_request(connection, max_bytes=5).body, b"hello")
+
+    def test_idle_connection_keeps_no_response(self):
+        # Guards against memory of up to the size limit for each idle connection.
+        connection = create_connection(COMPLETE_RESPONSE)
+        send_request(connection)
+        self.assertEqual((connection.parser.body_chunks, connection.parser.headers), ([], []))
+
+
 class InvalidMessages(unittest.TestCase):
     def test_truncated_response(self):
         for length in range(len(COMPLETE_RESPONSE)):
