--- a/rosedyke/daemon/eventlet_runtime_test.py
+++ b/rosedyke/daemon/eventlet_runtime_test.py
@@ -24,3 +24,18 @@
         task.cancel()
         self.assertTrue(task.wait(60))
         self.assertEqual(reached, [])
+
+    def test_wait_for_a_running_task_ends_with_it(self):
+        # Guards against waiters that learn only by their timeout that the task has ended.
+        runtime = eventlet_runtime.GreenRuntime()
+        task = runtime.spawn(runtime.sleep, 0.01)
+        self.assertFalse(task.wait(0))
+        self.assertTrue(task.wait(5))
+
+    def test_task_that_is_cancelled_before_it_starts_has_ended(self):
+        # Guards against waiters for a function that never runs.
+        reached = []
+        task = eventlet_runtime.GreenRuntime().spawn(reached.append, 1)
+        task.cancel()
+        self.assertTrue(task.wait(0.05))
+        self.assertEqual(reached, [])
--- a/rosedyke/gateways/http_client_test.py
+++ b/rosedyke/gateways/http_client_test.py
@@ -1,3 +1,4 @@
+import re
 import unittest
 
 import eventlet
@@ -183,14 +184,37 @@
             self.assertEqual((idle.sock, idle.listener), (None, None))
 
     def test_response_before_the_request_was_sent_completely(self):
-        # Guards against a response that is taken for the end of an idle connection.
-        def answer_early(connection):
-            connection.sendall(self.RESPONSE)
-            received = 0
-            while received < len(body):
-                received += len(connection.recv(1 << 20))
+        # Guards against a response that is taken for the end of an idle connection, which only an
+        # open connection listens for, and against requests whose rest is lost or sent twice.
+        body = bytes(range(256)) * (1 << 16)
+        received = []
+
+        def read_request(connection):
+            data = bytearray()
+            while b"\r\n\r\n" not in data:
+                data += connection.recv(65536)
+            head, _, data = data.partition(b"\r\n\r\n")
+            length = int(re.search(rb"Content-Length: (\d+)", head)[1])
+            if length:
+                connection.sendall(self.RESPONSE)
+            while len(data) < length:
+                data += connection.recv(1 << 20)
                 eventlet.sleep(0)
+            received.append(bytes(data))
+            self.assertEqual(len(data), length)
+            if not length:
+                connection.sendall(self.RESPONSE)
+
+        def answer_early(connection):
+            for _ in range(4):
+                read_request(connection)
 
-        body = b"x" * (16 << 20)
         self.serve(answer_early)
-        self.assertEqual(self.request(body).status, 200)
+        for count, sent in enumerate((body, None, body, None), 1):
+            self.assertEqual(self.request(sent).status, 200)
+            (idle,) = self.client.idle_connections[self.address]
+            self.assertIsNotNone(idle.sock)
+            with eventlet.Timeout(10):
+                while len(received) < count:
+                    eventlet.sleep(0.01)
+        self.assertEqual(received, [body, b"", body, b""])
