--- a/benchmarks/job_cost.py
+++ b/benchmarks/job_cost.py
@@ -70,13 +70,11 @@
         eventlet.sleep(1.0)
         return sorted(self.instances, key=_owned_pools, reverse=True)
 
-    def submit(self, port: int, number: int) -> None:
+    def submit(self, address: str, number: int) -> None:
         """Submit a job on an open connection and check its answer."""
         job_id = f"{number:016x}"
         self.platform.backend.durations[job_id] = RUN_TIME_S
-        caller = (
-            self.callers.pop() if self.callers else http.client.HTTPConnection("127.0.0.1", port)
-        )
+        caller = self.callers.pop() if self.callers else http.client.HTTPConnection(address)
         headers = {"Host": "scales.example", "X-Rosedyke-Timeout-Ms": "5000"}
         caller.request("POST", f"/tags/{job_id}", process_test.job_body(2 + number % 7), headers)
         response = caller.getresponse()
@@ -84,11 +82,11 @@
             raise SystemExit(f"job {job_id} was answered with status {response.status}")
         self.callers.append(caller)
 
-    def run_jobs(self, port: int, first: int, count: int) -> None:
+    def run_jobs(self, address: str, first: int, count: int) -> None:
         """Submit jobs at a constant rate and wait for their answers."""
         threads = []
         for number in range(first, first + count):
-            threads.append(eventlet.spawn(self.submit, port, number))
+            threads.append(eventlet.spawn(self.submit, address, number))
             eventlet.sleep(1 / JOBS_PER_S)
         for thread in threads:
             thread.wait()
@@ -96,12 +94,12 @@
     def measure_ms(self) -> list[float]:
         """Return the processor time of a job on the owner and on the holder."""
         pair = self.owner_and_holder()
-        port = pair[1].ports[0]
-        self.run_jobs(port, 0, WARM_UP_JOBS)
+        address = pair[1].addresses[0]
+        self.run_jobs(address, 0, WARM_UP_JOBS)
         readings = [_readings(pair)]
         eventlet.sleep(IDLE_PERIOD_S)
         readings.append(_readings(pair))
-        self.run_jobs(port, WARM_UP_JOBS, JOBS)
+        self.run_jobs(address, WARM_UP_JOBS, JOBS)
         readings.append(_readings(pair))
         idle_s = JOBS / JOBS_PER_S + RUN_TIME_S
         return [
@@ -122,13 +120,15 @@
 
 def _is_ready(instance):
     try:
-        return process_test.send_request(instance.ports[1], "GET", "/")[0] == 200
+        return process_test.send_request(instance.addresses[1], "GET", "/")[0] == 200
     except OSError:
         return False
 
 
 def _owned_pools(instance):
-    lines = process_test.send_request(instance.ports[4], "GET", "/metrics")[2].decode().splitlines()
+    lines = (
+        process_test.send_request(instance.addresses[4], "GET", "/metrics")[2].decode().splitlines()
+    )
     return next(float(line.split()[1]) for line in lines if line.startswith("rosedyke_rerun_pools"))
 
 
