--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -236,7 +236,7 @@
     8062,
     "retry_budget_spent",
     logging.WARNING,
-    "More tasks than usual are moved, submitted again or repeated, so these wait where they are, "
+    "More tasks than usual are submitted again or repeated, so these wait where they are, "
     "or their jobs are refused; logged at most once a second. Look for failing servers or owners.",
 )
 POOL_UNDER_PRESSURE = event.define(
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -65,7 +65,7 @@
 RESUBMISSIONS_DENIED = metric.define(
     "rerun.resubmissions_denied",
     "counter",
-    "Moves, resubmissions and repeated runs that did not take place for lack of retry budget.",
+    "Resubmissions and repeated runs that did not take place for lack of retry budget.",
 )
 KEPT_SERVERS = metric.define(
     "rerun.kept_servers",
--- a/rosedyke/scheduling/retry_budget.py
+++ b/rosedyke/scheduling/retry_budget.py
@@ -1,7 +1,7 @@
 """A budget for resubmissions inside the fleet.
 
-Load: an overload in which moved, withdrawn and failed tasks are submitted again and again, so that
-the resubmissions themselves fill links and servers.
+Load: an overload in which refused, withdrawn and failed tasks are submitted again and again, so
+that the resubmissions themselves fill links and servers.
 """
 
 import collections
