--- a/rosedyke/callers/connection.py
+++ b/rosedyke/callers/connection.py
@@ -203,10 +203,13 @@
         except OSError:
             return False
         finally:
-            # Longer than the timeouts of a request, which send a response when they expire.
-            self.connection.settimeout(
-                self.request_limits.header_timeout_s + self.request_limits.body_timeout_s
-            )
+            self._set_request_timeout()
+
+    def _set_request_timeout(self):
+        # Longer than the timeouts of a request, which send a response when they expire.
+        self.connection.settimeout(
+            self.request_limits.header_timeout_s + self.request_limits.body_timeout_s
+        )
 
     def _read_headers(self):
         original_file = self.rfile
@@ -245,11 +248,24 @@
     def _call_application(self, environ, start_response):
         result = self.server.app(environ, start_response)
         # Checked after the request, in case the shutdown began in the meantime: the response must
-        # tell the caller not to reuse the connection.
-        if self.owner.is_draining:
+        # tell the caller not to reuse the connection.  Requests that it has sent already are
+        # served.
+        if self.owner.is_draining and not self._has_next_request():
             self.close_connection = True
         return result
 
+    def _has_next_request(self):
+        """Return whether a further request has arrived behind one that was read completely."""
+        if self._is_unread():
+            return False
+        self.connection.settimeout(0)
+        try:
+            return bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        finally:
+            self._set_request_timeout()
+
     def _find_framing_error(self):
         """Return why the length of the body is ambiguous, None if it isn't.
 
@@ -270,12 +286,15 @@
 
     def _close_if_unread(self):
         """Close the connection after a rejection if the request was not read completely."""
-        request = self.environ["eventlet.input"]
-        is_unread = request.position < (request.content_length or 0)
-        if is_unread or (request.chunked_input and request.chunk_length != 0):
+        if self._is_unread():
             self.close_connection = True
             self.must_linger = True
 
+    def _is_unread(self):
+        request = self.environ["eventlet.input"]
+        is_unread = request.position < (request.content_length or 0)
+        return is_unread or (request.chunked_input and request.chunk_length != 0)
+
     def send_error(self, status, message=None, explain=None):
         """Refuse a request that the standard library's parser rejects."""
         self.refuse(code.Code.MALFORMED, message or "the request is not HTTP")
--- a/rosedyke/callers/server.py
+++ b/rosedyke/callers/server.py
@@ -57,6 +57,7 @@
         self.delay = delay
         self.connections: set[connection.Connection] = set()
         self.is_draining = False
+        self.is_listening = True
         self.serving_pool = eventlet.GreenPool(limits.max_connections)
         self.refusal_pool = eventlet.GreenPool(MAX_CONCURRENT_REFUSALS)
         host, port = address.rsplit(":", 1)
@@ -93,16 +94,28 @@
 
     def stop(self, timeout_s: float) -> bool:
         """Stop accepting, finish requests in progress, and return whether all ended in time."""
+        self.stop_accepting()
+        return self.wait_until_closed(timeout_s)
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections, and close each one after its next response."""
         self.drain()
         if self.accept_thread is not None:
             self.accept_thread.kill()
+            self.accept_thread = None
+        if not self.is_listening:
+            return
+        self.is_listening = False
         self._accept_backlog()
         self.socket.close()
+
+    def wait_until_closed(self, timeout_s: float) -> bool:
+        """Close idle connections, and return whether all were closed in time."""
         deadline = time.monotonic() + timeout_s
         while self.serving_pool.running() or self.refusal_pool.running():
             if time.monotonic() > deadline:
                 return False
-            self._close_idle_connections()
+            self.close_idle_connections()
             eventlet.sleep(STOP_POLL_INTERVAL_S)
         return True
 
@@ -178,7 +191,8 @@
         finally:
             client_socket.close()
 
-    def _close_idle_connections(self):
+    def close_idle_connections(self) -> None:
+        """Close every connection without a request, unless its first one may still arrive."""
         for conn in list(self.connections):
             if not conn.awaits_first_request():
                 conn.close_if_idle()
--- a/rosedyke/callers/server_test.py
+++ b/rosedyke/callers/server_test.py
@@ -467,6 +467,37 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(response.headers["connection"], "close")
 
+    def test_requests_that_were_sent_ahead_are_answered(self):
+        # Guards against a cut request behind the one after whose answer the connection is closed.
+        for sends_body_in_chunks in (False, True):
+            connection = self.connect()
+            requests = [post(JOB.replace(b'"a"', b'"j%d"' % number)) for number in range(3)]
+            if sends_body_in_chunks:
+                head, _, body = requests[0].partition(b"\r\n\r\n")
+                lines = [line for line in head.split(b"\r\n") if b"Length" not in line]
+                head = b"\r\n".join([*lines, b"Transfer-Encoding: chunked"])
+                chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+                requests[0] = head + b"\r\n\r\n" + chunk
+            self.server.drain()
+            connection.sendall(b"".join(requests))
+            received = b"".join(iter(lambda read=connection.recv: read(65536), b""))
+            self.assertEqual(received.count(b"HTTP/1.1 200 OK"), 3, received)
+            self.assertEqual(received.lower().count(b"connection: close"), 1)
+            self.server.is_draining = False
+
+    def test_idle_connections_are_closed_and_others_are_served(self):
+        # Guards against callers that send on old connections although the balancer knows better.
+        idle, later = self.connect(), self.connect()
+        for connection in (idle, later):
+            connection.sendall(post(JOB))
+            self.assertEqual(Response(connection).status, 200)
+        self.server.drain()
+        later.sendall(post(JOB))
+        self.server.close_idle_connections()
+        self.assertEqual(idle.recv(1), b"")
+        self.assertEqual(Response(later).status, 200)
+        self.assertEqual(later.recv(1), b"")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -276,3 +276,10 @@
     logging.INFO,
     "For a second this instance has sent no job to another data centre because of its slack.",
 )
+REFUSED_AT_SHUTDOWN = event.define(
+    8082,
+    "rerunnable_job_refused_at_shutdown",
+    logging.INFO,
+    "A job arrived at an instance that shuts down and could not be answered before its end; "
+    "nothing of it started here.",
+)
--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -7,8 +7,8 @@
 from rosedyke.scheduling import pool_balance
 from rosedyke.wire import peer
 
-# Time for one pool's handover, and for one candidate's reply.  A candidate that shuts down as well
-# declines, and one that does not answer is skipped.
+# Time for the handover of all pools, and for one candidate's reply.  A candidate that shuts down
+# as well declines, and one that does not answer is skipped.
 HANDOVER_TIMEOUT_S = 0.5
 RESIGN_TIMEOUT_S = 0.1
 # How often an owner of several pools looks for a receiver, and how long an instance takes part in
@@ -209,7 +209,7 @@
         claim = self.node.fleet.claim_of(pool)
         return receiver is not None and claim is not None and claim.owner.name == receiver
 
-    def hand_pools_over(self, is_last: bool) -> None:
+    def hand_pools_over(self, is_last: bool, timeout_s: float = HANDOVER_TIMEOUT_S) -> None:
         """Hand every pool over to the best candidate that accepts it.
 
         Parameters
@@ -217,7 +217,10 @@
         is_last : bool
             The instance stops right after this call, so candidates in other data centres are asked
             too.  Otherwise a pool without a local candidate stays here.
+        timeout_s : float
+            Most time to wait for all pools together.
         """
+        until = self.node.runtime.now() + min(timeout_s, HANDOVER_TIMEOUT_S)
         self.node.takeovers.is_suspended = True
         tasks = [
             self.node.runtime.spawn(
@@ -226,7 +229,7 @@
             for owned_pool in list(self.node.owned_pools.values())
         ]
         for task in tasks:
-            task.wait(HANDOVER_TIMEOUT_S)
+            task.wait(max(0.0, until - self.node.runtime.now()))
 
     def _hand_pool_over(self, owned_pool, candidates):
         for candidate in candidates:
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -16,6 +16,7 @@
     job,
     job_claims,
     job_registrar,
+    last_answers,
     messages,
     metrics,
     pending_job,
@@ -94,6 +95,7 @@
         self.caller_numbers = itertools.count()
         self.withdrawal = withdrawal.Withdrawal(self)
         self.spilling = spill_log.SpillLog(view.this_instance, runtime)
+        self.last_answers = last_answers.LastAnswers(self)
         claims = job_claims.JobClaims(timing, runtime, peers, view, registrar, delay)
         self.single_holder = single_holder.SingleHolder(self, claims, runtime.now())
         view.owner_callbacks.append(self._on_owner)
@@ -113,8 +115,13 @@
         arrival : Arrival
             How the request arrived.
         """
+        refusal = self.last_answers.refuse(work, arrival)
+        if refusal is not None:
+            return refusal
+        deadline = self.last_answers.deadline(work.timeout_s)
         pending = self.jobs.get(work.id)
         if pending is None:
+            work = self.last_answers.limit(work)
             all_tasks = {name for name, _ in work.named_steps()}
             pending = pending_job.PendingJob(
                 work,
@@ -130,7 +137,7 @@
         caller = next(self.caller_numbers)
         pending.callers.add(caller)
         self.runtime.spawn(self._watch_caller, pending, caller, disconnected)
-        self._wait(pending, caller, self.runtime.now() + work.timeout_s)
+        self._wait(pending, caller, deadline)
         if not pending.ended.is_set():
             pending.callers.discard(caller)
             if self._has_callers(pending):
@@ -200,7 +207,8 @@
 
     def retry_after_s(self, priority: int) -> float:
         """Return when a caller should submit a job again that no pool's queue has refused."""
-        if not self.timing.predicts_completion:
+        # Other instances serve the callers of one that shuts down at once.
+        if self.last_answers.has_begun() or not self.timing.predicts_completion:
             return RETRY_AFTER_S
         return retry_after.delay_s(RETRY_AFTER_S, priority, self.runtime.random())
 
@@ -282,7 +290,7 @@
 
     def choose_pools(self, work: job.Job, count: int) -> dict[str, int]:
         """Return how many tasks of a job go to each pool, empty if no owner is reachable."""
-        views, random_value = self._pool_views(work), self.runtime.random()
+        views, random_value = self.pool_views(work), self.runtime.random()
         if not self.timing.balances_data_centres:
             return routing.split(work, count, views, random_value)
         shares, is_spilled = routing.split_by_slack(work, count, views, random_value)
@@ -290,7 +298,8 @@
             self.spilling.record_job()
         return shares
 
-    def _pool_views(self, work):
+    def pool_views(self, work: job.Job) -> list[routing.PoolView]:
+        """Return the pools of a job's service whose owners have reported lately."""
         return [
             routing.PoolView(
                 pool,
@@ -305,7 +314,7 @@
     def submit_elsewhere(self, pending: pending_job.PendingJob, part: pending_job.Part) -> bool:
         """Submit a refused part to another pool that can still serve it; return whether one can."""
         work, count = pending.work, len(part.tasks)
-        views = [view for view in self._pool_views(work) if view.pool not in pending.refused_by]
+        views = [view for view in self.pool_views(work) if view.pool not in pending.refused_by]
         until = admission.useful_until(
             pending.arrived_at, work.objective_s, work.timeout_s, self.timing.late_factor, False
         )
--- a/rosedyke/rerunnable_jobs/withdrawal.py
+++ b/rosedyke/rerunnable_jobs/withdrawal.py
@@ -48,10 +48,16 @@
         pending.begin_withdrawal()
         self.holder.runtime.spawn(self._withdraw, pending, outcome)
 
-    def end(self, pending, reason: str) -> None:
-        """End a job: as refused if every owner confirms that nothing has started, else as lost."""
+    def end(self, pending, reason: str, timeout_s: float = WITHDRAW_TIMEOUT_S) -> None:
+        """End a job: as refused if every owner confirms that nothing has started, else as lost.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time for the owners' confirmations; up to twice as much passes.
+        """
         pending.begin_withdrawal()
-        self.withdraw_parts(pending, WITHDRAW_TIMEOUT_S)
+        self.withdraw_parts(pending, timeout_s)
         if not pending.ended.is_set():
             self.holder.finish(pending, self.holder.unfinished_outcome(pending, reason))
 
