--- a/rosedyke/callers/server.py
+++ b/rosedyke/callers/server.py
@@ -143,10 +143,11 @@
         self.socket.settimeout(0)
         while True:
             try:
-                accepted = self.socket.accept()
+                client_socket, address = self.socket.accept()
             except OSError:
                 return
-            self._serve_or_refuse(*accepted)
+            # Without a timeout, ``accept`` returns a socket that is not green.
+            self._serve_or_refuse(greenio.GreenSocket(client_socket), address)
 
     def _serve_or_refuse(self, client_socket, address):
         """Serve a connection, or refuse it at the connection limit.
--- a/rosedyke/callers/server_test.py
+++ b/rosedyke/callers/server_test.py
@@ -2,6 +2,7 @@
 import unittest
 
 import eventlet
+import eventlet.patcher
 from eventlet.green import socket
 
 from rosedyke.callers import application, server, settings
@@ -453,6 +454,22 @@
         self.assertTrue(self.server.stop(TEST_TIMEOUT_S))
         self.assertEqual(Response(connection).status, 200)
 
+    def test_requests_on_several_connections_in_the_backlog_are_answered(self):
+        # Guards against connections that are accepted at the stop and closed without an answer, as
+        # after a pause of the process.
+        connections = []
+        for _ in range(3):
+            # Not a green socket, so that the server does not run meanwhile.
+            connection = eventlet.patcher.original("socket").create_connection(
+                (self.server.host, self.server.port)
+            )
+            self.addCleanup(connection.close)
+            connection.sendall(post(JOB))
+            connections.append(connection)
+        self.assertTrue(self.server.stop(TEST_TIMEOUT_S))
+        for connection in connections:
+            self.assertEqual(Response(connection).status, 200)
+
     def test_connection_without_a_request_does_not_delay_the_stop(self):
         self.connect()
         self.assertTrue(self.server.stop(TEST_TIMEOUT_S))
