--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
 from rosedyke.overload import metrics as overload_metrics
@@ -121,14 +123,15 @@
         deadline = self.last_answers.deadline(work.timeout_s)
         pending = self.jobs.get(work.id)
         if pending is None:
-            work = self.last_answers.limit(work)
+            limited = self.last_answers.limit(work)
             all_tasks = {name for name, _ in work.named_steps()}
             pending = pending_job.PendingJob(
-                work,
+                limited,
                 self.runtime.now(),
                 self.runtime.signal(),
                 set(all_tasks),
                 arrival=arrival,
+                is_limited=limited is not work,
                 stall_s=self.delay.loop.maximum_s(self.runtime.now()),
             )
             self.jobs[work.id] = pending
@@ -216,6 +219,9 @@
         """End a job, and cancel it at its owners unless it succeeded."""
         if pending.ended.is_set():
             return
+        if pending.is_limited and outcome.end is job.EndState.REFUSED:
+            # Other instances have the time that is missing here.
+            outcome = attrs.evolve(outcome, retry_after_s=RETRY_AFTER_S)
         self.jobs.pop(pending.work.id, None)
         metric.count(metrics.JOBS[outcome.end.value])
         elapsed_ms = (self.runtime.now() - pending.arrived_at) * 1000
--- a/rosedyke/rerunnable_jobs/last_answers.py
+++ b/rosedyke/rerunnable_jobs/last_answers.py
@@ -85,9 +85,9 @@
 
         Estimates may be too long, so this is only certain if the error is in the caller's favour.
         """
-        views = self.holder.pool_views(work)
+        views = [view for view in self.holder.pool_views(work) if view.report.rooms]
         if not views:
-            return False
+            return False  # the speed of the servers is not known
         longest_s = max(step.estimate_s for step in work.steps) / admission.ESTIMATE_ERROR
         return admission.is_infeasible(
             longest_s, self.runtime.now(), routing.fastest_speed(views), self.due_at
--- a/rosedyke/rerunnable_jobs/last_answers_test.py
+++ b/rosedyke/rerunnable_jobs/last_answers_test.py
@@ -88,6 +88,7 @@
         submission = self.submit("waiting")
         self.region.run(GRACE_S / 4)
         self.assertEqual(submission.outcome.end, REFUSED)
+        self.assertEqual(submission.outcome.retry_after_s, 1.0)
         self.region.run(GRACE_S)
         self.assertEqual(self.starts_of("waiting"), [])
 
--- a/rosedyke/rerunnable_jobs/pending_job.py
+++ b/rosedyke/rerunnable_jobs/pending_job.py
@@ -98,6 +98,8 @@
         Pools that refused a part of it.
     arrival : Arrival
         How its first request arrived.
+    is_limited : bool
+        It has less time than its caller gave it, because the instance shuts down.
     stall_s : float
         Longest delay of the event loop in the second before that.
     is_claimed : bool
@@ -127,6 +129,7 @@
     withdrawals: int = 0
     refused_by: set[str] = attrs.Factory(set)
     arrival: Arrival = UNKNOWN_ARRIVAL
+    is_limited: bool = False
     stall_s: float = 0.0
     is_claimed: bool = False
     claim_number: int = 0
