--- a/rosedyke/daemon/shutdown.py
+++ b/rosedyke/daemon/shutdown.py
@@ -10,6 +10,8 @@
 
 # Time to send the remaining responses after the last job has ended.
 CLOSE_TIMEOUT_S = 5.0
+# What is still in progress is answered this long before connections are closed.
+LAST_ANSWER_S = 0.5
 
 
 class DrainableJobs(Protocol):
@@ -86,7 +88,7 @@
             http_server.drain()
         self.forced.wait(self.notice_s)
         self._drain_jobs()
-        is_closed = all([http_server.stop(CLOSE_TIMEOUT_S) for http_server in self.servers])
+        is_closed = self._close_servers()
         is_graceful = is_closed and self.count_stopped_jobs() == stopped_before
         if not is_graceful:
             event.log(events.SHUTDOWN_FORCED, jobs=self.count_stopped_jobs() - stopped_before)
@@ -105,6 +107,19 @@
         elif not drained.value:
             event.log(events.HANDOVER_INCOMPLETE)
 
+    def _close_servers(self):
+        """Close all connections; return whether every request was answered in time."""
+        closed = self.clock.signal()
+        self.clock.spawn(self._send_last_answers, closed)
+        is_closed = all([http_server.stop(CLOSE_TIMEOUT_S) for http_server in self.servers])
+        closed.set()
+        return is_closed
+
+    def _send_last_answers(self, closed):
+        """End the jobs of requests that were read after the drain, unless all are answered."""
+        if not closed.wait(CLOSE_TIMEOUT_S - LAST_ANSWER_S):
+            self.jobs.stop()
+
     @staticmethod
     def _forward(source: runtime.Signal, target: runtime.Signal) -> None:
         source.wait()
--- a/rosedyke/job/drain_test.py
+++ b/rosedyke/job/drain_test.py
@@ -1,6 +1,6 @@
 import unittest
 
-from rosedyke.job import answer, code
+from rosedyke.job import answer, code, manager
 from rosedyke.job.claiming_test import job_with
 from rosedyke.membership import member
 from rosedyke.standins import explore_region as region
@@ -42,6 +42,33 @@
         self.assertEqual((refused.answer.code, refused.answer.ran), (code.Code.DRAINING, NO))
         self.assertIs(retried.answer.code, code.Code.COMPLETE)
 
+    def test_attempt_that_is_read_after_the_drain_is_answered_at_once(self):
+        # A caller of a drained instance attached to a job of another instance, and waited for its
+        # end, which may be after the end of the process.
+        cluster = settled_cluster({"dc1": 3, "dc2": 1})
+        cluster.nodes["dc1b"].dispatcher.task_s = 8.0
+        running = cluster.submit("dc1b", region.request_of(timeout_s=20))
+        cluster.settle(0.1)
+        self.assertTrue(cluster.clock.call(cluster.nodes["dc1a"].jobs.drain, 5.0))
+        attached = cluster.submit("dc1a", region.request_of(attempt=2, age_s=1, timeout_s=20))
+        first = cluster.submit("dc1a", region.request_of("late", timeout_s=20))
+        cluster.settle(manager.REFUSAL_TIMEOUT_S + 0.05)
+        self.assertEqual((attached.answer.code, attached.answer.ran), (code.Code.DRAINING, UNKNOWN))
+        self.assertEqual((first.answer.code, first.answer.ran), (code.Code.DRAINING, NO))
+        cluster.settle(18)
+        self.assertIs(running.answer.code, code.Code.COMPLETE)
+        self.assertEqual(cluster.violations(), [])
+
+    def test_jobs_that_are_stopped_are_named_in_the_log(self):
+        # Guards against callers' reports of a stopped job that no line of the log confirms.
+        cluster = settled_cluster({"dc1": 2, "dc2": 1})
+        cluster.nodes["dc1a"].dispatcher.task_s = 60.0
+        cluster.submit("dc1a", region.request_of(timeout_s=100))
+        cluster.settle(0.1)
+        with self.assertLogs("rosedyke", "WARNING") as logged:
+            cluster.clock.call(cluster.nodes["dc1a"].jobs.drain, 3.0)
+        self.assertIn("job_stopped job=job-1 attempt=1 started=True ran=unknown", logged.output[0])
+
     def test_cached_answers_survive_the_replacement_of_every_instance(self):
         # Every instance of a data centre is replaced in turn. A resubmission still gets the
         # answer of the first run.
--- a/rosedyke/job/events.py
+++ b/rosedyke/job/events.py
@@ -53,3 +53,10 @@
     "The instance was drained. `whole` is false if a job had to be failed, or if claims or answers "
     "could not be handed over in time.",
 )
+JOB_STOPPED = event.define(
+    3007,
+    "job_stopped",
+    logging.WARNING,
+    "A job was failed because the instance stops; its caller was answered 'stopped'. `started` is "
+    "false for an attempt that was still being claimed or that waited for another instance's run.",
+)
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -38,6 +38,10 @@
 HANDOVER_RESERVE_S = 2.0
 RETRY_AFTER_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.005
+# Once the jobs have ended, an attempt is closed at its registrars within this time, or its caller is
+# answered that it is not known whether the job ran.  Several round trips within a region.
+REFUSAL_TIMEOUT_S = 0.25
+TAKES_NO_JOBS = "This instance takes no more jobs."
 
 
 class JobManager:
@@ -66,6 +70,7 @@
         dispatcher: ports.Dispatcher,
     ):
         self.is_draining = False
+        self.has_drained = False
         self.node = instance.Instance(
             job_settings,
             clock,
@@ -110,8 +115,7 @@
         """Fail the jobs in progress and stop, without a handover."""
         self.node.is_stopped = True
         self.fence.is_stopped = True
-        for tracked in list(self.node.tracked_jobs.values()):
-            tracked.job.fail(code.Code.STOPPED, "The instance stopped.")
+        self._stop_jobs("The instance stopped.")
 
     def drain(self, timeout_s: float) -> bool:
         """Refuse new jobs, wait for those in progress, and hand over claims and answers.
@@ -132,8 +136,9 @@
             # loop meanwhile.
             node.runtime.sleep(DRAIN_POLL_INTERVAL_S)
         is_complete = not node.tracked_jobs
-        for tracked in list(node.tracked_jobs.values()):
-            tracked.job.fail(code.Code.STOPPED, "The instance was drained.")
+        # A job of another instance may outlast this one, so no caller is attached to it any more.
+        self.has_drained = True
+        self._stop_jobs("The instance was drained.")
         node.runtime.sleep(0)
         # From here on, other instances no longer use this one as a registrar.
         node.membership.leave(max(0.0, min(LEAVE_TIMEOUT_S, deadline - node.now())))
@@ -147,6 +152,23 @@
         """Fence the instance after a process pause, until it has rejoined."""
         self.fence.close()
 
+    def _is_ending(self) -> bool:
+        """Return whether the instance only refuses jobs until it exits."""
+        return self.has_drained or self.node.is_stopped
+
+    def _stop_jobs(self, detail: str) -> None:
+        for tracked in list(self.node.tracked_jobs.values()):
+            if tracked.job.is_closed:
+                continue
+            tracked.job.fail(code.Code.STOPPED, detail)
+            event.log(
+                events.JOB_STOPPED,
+                job=tracked.job.request.job_id,
+                attempt=tracked.job.request.attempt,
+                started=tracked.is_started,
+                ran=tracked.job.answer.ran.value,
+            )
+
     # Caller operations
 
     def submit(self, request: submission.Submission) -> answer.Answer:
@@ -165,7 +187,10 @@
         node.tracked_jobs[request.job_id] = tracked
         node.runtime.spawn(self.runner.serve, tracked)
         if not tracked.ended.wait(max(0.0, deadline - node.now())):
-            tracked.job.fail(code.Code.DEADLINE, "The answer was not there in time.")
+            if self._is_ending():
+                tracked.job.fail(code.Code.DRAINING, TAKES_NO_JOBS, RETRY_AFTER_S)
+            else:
+                tracked.job.fail(code.Code.DEADLINE, "The answer was not there in time.")
         self._count_unknown(tracked.job.answer)
         return tracked.job.answer
 
@@ -181,7 +206,10 @@
 
     def _deadline(self, request: submission.Submission) -> float:
         margin_s = min(self.node.settings.answer_margin_s, MAX_MARGIN_FRACTION * request.timeout_s)
-        return self.node.now() + request.timeout_s - margin_s
+        timeout_s = request.timeout_s - margin_s
+        if self._is_ending():
+            timeout_s = min(timeout_s, REFUSAL_TIMEOUT_S)
+        return self.node.now() + timeout_s
 
     def _find_local_answer(self, request: submission.Submission) -> answer.Answer | None:
         node = self.node
@@ -223,7 +251,7 @@
         if self.is_draining or self.node.is_stopped:
             return ports.Refusal(
                 code.Code.DRAINING,
-                "This instance takes no more jobs.",
+                TAKES_NO_JOBS,
                 RETRY_AFTER_S,
             )
         if self.node.membership.own.state is member.State.JOINING or self.fence.is_closed:
