--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -38,8 +38,8 @@
 HANDOVER_RESERVE_S = 2.0
 RETRY_AFTER_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.005
-# Once the jobs have ended, an attempt is closed at its registrars within this time, or its caller is
-# answered that it is not known whether the job ran.  Several round trips within a region.
+# Once the jobs have ended, an attempt is closed at its registrars within this time, or it is not
+# known whether its job ran.  Several round trips within a region.
 REFUSAL_TIMEOUT_S = 0.25
 TAKES_NO_JOBS = "This instance takes no more jobs."
 
