--- a/rosedyke/daemon/argument.py
+++ b/rosedyke/daemon/argument.py
@@ -49,7 +49,8 @@
         Seconds between reporting "not ready" and refusing jobs, so that the load balancer can
         react.
     shutdown_timeout_s : str
-        Maximum seconds of a graceful shutdown; jobs that still run are then failed.
+        Maximum seconds of a graceful shutdown after the notice; jobs that still run about 3 s
+        before its end are failed.
     max_connections : str
         Maximum number of open connections from callers.
     max_header_bytes : str
--- a/rosedyke/daemon/instance.py
+++ b/rosedyke/daemon/instance.py
@@ -29,6 +29,8 @@
 from rosedyke.wire import transport
 
 SEED_REFRESH_PERIOD_S = 10.0
+# For a forced shutdown; otherwise the members have acknowledged it during the drain.
+LEAVE_TIMEOUT_S = 0.3
 
 
 class Instance:
@@ -163,7 +165,7 @@
     def run(self) -> bool:
         """Serve until a shutdown is requested; return whether all requests were completed."""
         is_graceful = self.shutdown.run()
-        self.membership.leave()
+        self.membership.leave(LEAVE_TIMEOUT_S)
         self.current.stop()
         self.dispatcher.stop()
         self.membership.stop()
--- a/rosedyke/daemon/shutdown.py
+++ b/rosedyke/daemon/shutdown.py
@@ -8,10 +8,14 @@
 from rosedyke.daemon import events, readiness
 from rosedyke.observe import event
 
-# Time to send the remaining responses after the last job has ended.
+# Longest time to receive and answer the remaining requests after the last job has ended.
 CLOSE_TIMEOUT_S = 5.0
-# What is still in progress is answered this long before connections are closed.
-LAST_ANSWER_S = 0.5
+# Part of the timeout, and at most this fraction of it, reserved for that.
+CLOSE_RESERVE_S = 1.0
+MAX_RESERVE_FRACTION = 0.25
+# What is still in progress is answered when this part of the time to close is left.
+LAST_ANSWER_FRACTION = 0.5
+MAX_LAST_ANSWER_S = 0.5
 
 
 class DrainableJobs(Protocol):
@@ -32,7 +36,7 @@
     notice_s : float
         Seconds between reporting "not ready" and refusing jobs.
     timeout_s : float
-        Maximum seconds to wait for jobs in progress.
+        Maximum seconds from then on until all connections are closed.
     clock : Runtime
         Provides time, tasks and signals.
     readiness_check : ReadinessCheck
@@ -87,8 +91,9 @@
         for http_server in self.servers:
             http_server.drain()
         self.forced.wait(self.notice_s)
+        deadline = self.clock.now() + self.timeout_s
         self._drain_jobs()
-        is_closed = self._close_servers()
+        is_closed = self._close_servers(deadline)
         is_graceful = is_closed and self.count_stopped_jobs() == stopped_before
         if not is_graceful:
             event.log(events.SHUTDOWN_FORCED, jobs=self.count_stopped_jobs() - stopped_before)
@@ -97,27 +102,44 @@
     def _drain_jobs(self):
         drained = self.clock.signal()
         drained_or_forced = self.clock.signal()
-        self.clock.spawn(lambda: drained.set(self.jobs.drain(self.timeout_s)))
+        reserve_s = self._reserve_s()
+        drain_timeout_s = self.timeout_s - reserve_s
+        self.clock.spawn(lambda: drained.set(self.jobs.drain(drain_timeout_s)))
         for source in (drained, self.forced):
             self.clock.spawn(self._forward, source, drained_or_forced)
-        # drain() has the same timeout; the margin lets it send its last messages.
-        drained_or_forced.wait(self.timeout_s + CLOSE_TIMEOUT_S)
+        # The margin lets drain() send its last messages.
+        drained_or_forced.wait(drain_timeout_s + reserve_s / 2)
         if not drained.is_set():
             self.jobs.stop()
         elif not drained.value:
             event.log(events.HANDOVER_INCOMPLETE)
 
-    def _close_servers(self):
+    def _reserve_s(self):
+        return min(CLOSE_RESERVE_S, MAX_RESERVE_FRACTION * self.timeout_s)
+
+    def _close_servers(self, deadline):
         """Close all connections; return whether every request was answered in time."""
+        reserve_s = self._reserve_s()
+        timeout_s = min(CLOSE_TIMEOUT_S, max(reserve_s / 2, deadline - self.clock.now()))
+        if self.forced.is_set():
+            timeout_s = min(timeout_s, reserve_s)
         closed = self.clock.signal()
-        self.clock.spawn(self._send_last_answers, closed)
-        is_closed = all([http_server.stop(CLOSE_TIMEOUT_S) for http_server in self.servers])
+        self.clock.spawn(self._send_last_answers, closed, timeout_s)
+        results = []
+        # Together, because each may need the whole time.
+        tasks = [
+            self.clock.spawn(lambda stopping: results.append(stopping.stop(timeout_s)), http_server)
+            for http_server in self.servers
+        ]
+        for task in tasks:
+            task.wait()
         closed.set()
-        return is_closed
+        return len(results) == len(self.servers) and all(results)
 
-    def _send_last_answers(self, closed):
+    def _send_last_answers(self, closed, timeout_s):
         """End the jobs of requests that were read after the drain, unless all are answered."""
-        if not closed.wait(CLOSE_TIMEOUT_S - LAST_ANSWER_S):
+        last_answer_s = min(MAX_LAST_ANSWER_S, LAST_ANSWER_FRACTION * timeout_s)
+        if not closed.wait(timeout_s - last_answer_s):
             self.jobs.stop()
 
     @staticmethod
--- a/rosedyke/job/instance.py
+++ b/rosedyke/job/instance.py
@@ -51,6 +51,8 @@
         Last round number assigned.
     is_leaving : bool
         Whether claims are being handed over, so that this registrar grants no more.
+    has_drained : bool
+        Whether the jobs have ended, so that the instance only refuses further ones until it exits.
     is_stopped : bool
         Whether the instance is stopping, which ends its background tasks.
     """
@@ -67,8 +69,14 @@
     under_replicated: set[str] = attrs.Factory(set)
     last_round: int = 0
     is_leaving: bool = False
+    has_drained: bool = False
     is_stopped: bool = False
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether a job of another instance may outlast this one."""
+        return self.has_drained or self.is_stopped
+
     @property
     def own(self) -> peer.Peer:
         """Identity of this instance in its present incarnation."""
--- a/rosedyke/job/job_runner.py
+++ b/rosedyke/job/job_runner.py
@@ -24,6 +24,7 @@
 NO = answer.Ran.NO
 UNKNOWN = answer.Ran.UNKNOWN
 RETRY_AFTER_S = 1.0
+TAKES_NO_JOBS = "This instance takes no more jobs."
 
 
 class Runner:
@@ -143,7 +144,7 @@
     def _refuse_first_attempt(self, tracked: instance.TrackedJob, refusal: ports.Refusal) -> None:
         tracked.round = self.node.next_round()
         result = claiming.close_attempt(self.node, tracked)
-        if result.outcome is claim.Outcome.HELD:
+        if result.outcome is claim.Outcome.HELD and not self.node.is_ending:
             final = attaching.attach(self.node, tracked, result.holder)
             if final is not None:
                 return self._adopt_answer(tracked, final)
@@ -156,13 +157,15 @@
         """Close the job according to a result without a grant; return false to retry."""
         outcome = result.outcome
         job_id = tracked.job.request.job_id
-        if outcome is claim.Outcome.HELD:
+        if outcome is claim.Outcome.HELD and self.node.is_ending:
+            tracked.job.fail(code.Code.DRAINING, TAKES_NO_JOBS, RETRY_AFTER_S, ran=UNKNOWN)
+        elif outcome is claim.Outcome.HELD:
             metric.count(metrics.ATTACHED)
             final = attaching.attach(self.node, tracked, result.holder)
             if final is not None:
                 self._adopt_answer(tracked, final)
             return final is not None
-        if outcome is claim.Outcome.OTHER_BODY:
+        elif outcome is claim.Outcome.OTHER_BODY:
             self._adopt_answer(tracked, attaching.other_body_refusal(job_id))
         elif outcome is claim.Outcome.CLOSED:
             detail = "This attempt was refused before. Nothing of it ran; use a higher attempt."
