--- a/rosedyke/daemon/main.py
+++ b/rosedyke/daemon/main.py
@@ -25,7 +25,8 @@
 HELP = """Run one entry instance of rosedyke.
 
 Every setting is a flag and an environment variable ROSEDYKE_*. SIGTERM or SIGINT shuts the
-instance down gracefully; a second signal stops it immediately and fails the jobs in progress.
+instance down gracefully; a second one stops it immediately and fails the jobs in progress. SIGHUP
+begins a graceful shutdown too, but never ends one.
 docs/SETTINGS.md explains each setting.
 """
 
@@ -68,10 +69,13 @@
     except fault.RosedykeError as error:
         event.log(events.START_FAILED, error=error)
         return START_FAILED
-    request_shutdown = entry_instance.shutdown.request
-    eventlet.spawn_n(
-        signals.watch, {signal.SIGTERM: request_shutdown, signal.SIGINT: request_shutdown}
-    )
+    shutdown = entry_instance.shutdown
+    actions = {
+        signal.SIGTERM: shutdown.request,
+        signal.SIGINT: shutdown.request,
+        signal.SIGHUP: shutdown.begin,
+    }
+    eventlet.spawn_n(signals.watch, actions)
     entry_instance.start()
     return OK if entry_instance.run() else FORCED
 
--- a/rosedyke/daemon/shutdown.py
+++ b/rosedyke/daemon/shutdown.py
@@ -69,6 +69,10 @@
         self.requested = clock.signal()
         self.forced = clock.signal()
 
+    def begin(self) -> None:
+        """Begin the shutdown unless it has begun.  Does not block."""
+        self.requested.set()
+
     def request(self) -> None:
         """Begin the shutdown, or force it if it has begun.  Does not block."""
         if self.requested.is_set():
--- a/rosedyke/daemon/shutdown_test.py
+++ b/rosedyke/daemon/shutdown_test.py
@@ -108,6 +108,16 @@
         self.assertEqual(self.log[-2:], ["jobs stop", "server stops"])
         self.assertLess(self.runtime.now(), 4.0)
 
+    def test_begin_never_forces_a_shutdown(self):
+        """A SIGHUP, also a second one, must not fail jobs in progress."""
+        jobs = FakeJobs(self.runtime, self.log, 5.0)
+        graceful_shutdown = self.build(jobs)
+        graceful_shutdown.request()
+        graceful_shutdown.begin()
+        graceful_shutdown.begin()
+        self.assertTrue(self.runtime.call(graceful_shutdown.run))
+        self.assertNotIn("jobs stop", self.log)
+
     def test_hanging_drain_is_ended_by_the_timeout(self):
         jobs = FakeJobs(self.runtime, self.log, 1000.0)
         graceful_shutdown = self.build(jobs, timeout_s=10.0)
