--- a/rosedyke/wire/settings.py
+++ b/rosedyke/wire/settings.py
@@ -45,6 +45,9 @@
         the address.
     protocol_version : int
         The protocol version to use; None is the version of the codec.
+    advertised_address : str
+        ``ip:port`` that peers connect to if it is not the bound one, as behind address translation;
+        empty for the bound one.
     """
 
     name: str
@@ -61,6 +64,7 @@
     connect_timeout_s: float = 0.0
     is_network_trusted: bool = False
     protocol_version: int | None = None
+    advertised_address: str = ""
 
     @property
     def host(self) -> ipaddress.IPv4Address | ipaddress.IPv6Address:
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -146,7 +146,7 @@
         TransportError
             No key is set for an address off loopback, or the address can't be bound.
         """
-        if self.options.is_unspecified:
+        if self.options.is_unspecified and not self.options.advertised_address:
             raise AddressUnusable(
                 f"{self.options.address}: peers can't connect to an unspecified address"
             )
@@ -166,7 +166,8 @@
             self.stop()
             raise AddressUnusable(f"{self.options.address}: {error}") from error
         bound = self.router.getsockopt(zmq.LAST_ENDPOINT).decode().removeprefix("tcp://")
-        self.own = attrs.evolve(self.own, address=bound.rstrip("\0"))
+        address = self.options.advertised_address or bound.rstrip("\0")
+        self.own = attrs.evolve(self.own, address=address)
         self.tasks.append(self.runtime.spawn(self._read))
         self.tasks.append(self.runtime.spawn(self._run_housekeeping))
         event.log(events.TRANSPORT_STARTED, name=self.own.name, address=self.own.address)
--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -175,6 +175,17 @@
         with self.assertRaises(transport.AddressUnusable):
             transport.Transport(options, eventlet_runtime.GreenRuntime()).start()
 
+    def test_peers_are_told_the_advertised_address(self):
+        # Guards against answers and requests to an address behind a translation.
+        target = start(self, "b", advertised_address="127.0.0.1:9")
+        target.handle(Question, lambda sender, question: Question(sender.address))
+        client = start(self, "a", advertised_address="127.0.0.1:8")
+        self.assertEqual(target.own.address, "127.0.0.1:9")
+        bound = target.router.getsockopt(zmq.LAST_ENDPOINT).decode().removeprefix("tcp://")
+        answer = client.request(peer.at_address(bound.rstrip("\0")), Question("x"), LONG_S)
+        self.assertEqual(answer.text, "127.0.0.1:8")
+        start(self, "c", address="0.0.0.0:0", advertised_address="127.0.0.1:9")
+
     def test_repr_does_not_contain_the_key(self):
         options = settings.TransportSettings("a", "dc1", "127.0.0.1:0", "very secret")
         self.assertNotIn("very secret", repr(options))
