--- a/benchmarks/platform_cost.py
+++ b/benchmarks/platform_cost.py
@@ -6,7 +6,6 @@
 
 import os
 import pathlib
-import signal
 import sys
 import time
 
@@ -36,7 +35,7 @@
     """Block until an instance is ready."""
     while True:
         try:
-            if process_test.send_request(instance.ports[1], "GET", "/")[0] == 200:
+            if process_test.send_request(instance.addresses[1], "GET", "/")[0] == 200:
                 return
         except OSError:
             pass  # not listening yet
@@ -49,7 +48,7 @@
     cpu_before_s = read_cpu_s(instance.process.pid)
     eventlet.sleep(IDLE_PERIOD_S)
     cpu_used_s = read_cpu_s(instance.process.pid) - cpu_before_s
-    terminate(instance)
+    instance.clean_up()
     return cpu_used_s / IDLE_PERIOD_S
 
 
@@ -72,7 +71,7 @@
         - cpu_before_s
         - idle_share_of_core * (time.monotonic() - started)
     )
-    terminate(instance)
+    instance.clean_up()
     return cpu_used_s / JOBS
 
 
@@ -80,7 +79,7 @@
     """Submit a job and wait for its answer."""
     platform.backend.durations[job_id] = 0.05
     process_test.send_request(
-        instance.ports[0], "POST", f"/tags/{job_id}", process_test.job_body(tasks)
+        instance.addresses[0], "POST", f"/tags/{job_id}", process_test.job_body(tasks)
     )
 
 
@@ -95,13 +94,6 @@
     return platform, instance
 
 
-def terminate(instance: process_test.InstanceProcess) -> None:
-    """Terminate an instance and remove its files."""
-    os.kill(instance.process.pid, signal.SIGTERM)
-    instance.wait()
-    instance.clean_up()
-
-
 def main() -> None:
     """Run the measurements and print the results."""
     idle_2, idle_18 = measure_idle_share(2), measure_idle_share(18)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,6 +19,7 @@
     ("platform/adapter", ROOT / "platform"),
     ("platform/soak", ROOT / "platform"),
     ("tools", ROOT / "tools"),
+    ("benchmarks", ROOT),
 )
 
 
