benchmarks/claims_cost.py: a bound of steps at one instant that fits 10,000 resubmissions

The virtual clock takes more than 100,000 steps at one instant for a livelock. measure_mass_resubmission submits 10,000 jobs at one instant, which takes 123,144 steps, 12 a job, since holders claim jobs. The bound is an attribute of the clock now, 30 steps a job in this measurement; the check stays, and all other users keep the bound.

--- a/benchmarks/claims_cost.py
+++ b/benchmarks/claims_cost.py
@@ -45,6 +45,8 @@
 CLAIM_COUNT = 100_000
 RESUBMITTED_JOBS = 10_000
 RESUBMITTED_JOB_TASKS = 2
+# Bound of the steps at the instant at which all jobs are submitted; a job takes 12.
+STEPS_PER_RESUBMITTED_JOB = 30
 DETECTION_S = 1.5
 JOB_TIMEOUT_S = 4.0
 DEADLINE_JOBS = 1000
@@ -259,8 +261,11 @@
 
 
 def measure_mass_resubmission() -> dict:
-    """Return the outcomes of 10,000 resubmissions right after one of six instances crashed."""
+    """Return the outcomes of many resubmissions right after one of six instances crashed."""
     region = build_region(SHAPES["weighbridge, 3 data centres of 2"])
+    region.clock.max_steps_per_instant = max(
+        region.clock.max_steps_per_instant, STEPS_PER_RESUBMITTED_JOB * RESUBMITTED_JOBS
+    )
     names = list(region.nodes)
     for node in region.nodes.values():
         node.dispatcher.task_s = 0.5
--- a/benchmarks/short_runs_test.py
+++ b/benchmarks/short_runs_test.py
@@ -50,3 +50,16 @@
         )
         self.assertIn("idle: ", output)
         self.assertIn("job: ", output)
+
+    def test_claims_cost(self):
+        constants = {
+            "RESULTS": self.result("claims_cost.json"),
+            "MESSAGE_COUNT_JOBS": 4,
+            "LATENCY_JOBS": 20,
+            "CLAIM_COUNT": 500,
+            "RESUBMITTED_JOBS": 30,
+            "DEADLINE_JOBS": 4,
+            "JOB_TIMEOUT_S": 0.5,
+            "SHAPES": {"weighbridge, 3 data centres of 2": {"dc1": 2, "dc2": 2, "dc3": 2}},
+        }
+        self.assertIn('"promises_broken": 0', run_benchmark("claims_cost", constants))
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -97,10 +97,13 @@
     ----------
     spawn_delay_s : float
         How long a spawned task waits for its first step, as in a busy process.
+    max_steps_per_instant : int
+        Steps at the same virtual time after which ``LivelockFound`` is raised.
     """
 
     def __init__(self, seed: int = 0, shuffle: bool = False):
         self.spawn_delay_s = 0.0
+        self.max_steps_per_instant = MAX_STEPS_PER_INSTANT
         self.generator = random_module.Random(seed)
         self.shuffle = shuffle
         self.time = 0.0
@@ -206,7 +209,7 @@
             self.last_step_time = self.time
             self.steps_at_time = 0
         self.steps_at_time += 1
-        if self.steps_at_time > MAX_STEPS_PER_INSTANT:
+        if self.steps_at_time > self.max_steps_per_instant:
             task = self.queue[0] if self.queue else None
             frame = getattr(task, "gr_frame", None)
             stack = "".join(traceback.format_stack(frame)) if frame else "no task"
