--- a/benchmarks/short_runs_test.py
+++ b/benchmarks/short_runs_test.py
@@ -16,8 +16,8 @@
 import importlib, pathlib, sys
 module = importlib.import_module("benchmarks." + sys.argv[1])
 for name, value in eval(sys.argv[2]).items():
-    getattr(module, name)  # fails if the benchmark has no such constant any more
-    setattr(module, name, pathlib.Path(value) if name.startswith("RESULT") else value)
+    previous = getattr(module, name)  # fails if the benchmark has no such constant any more
+    setattr(module, name, pathlib.Path(value) if isinstance(previous, pathlib.Path) else value)
 sys.argv[1:] = sys.argv[3:]
 sys.exit(module.main())
 """
@@ -63,3 +63,58 @@
             "SHAPES": {"weighbridge, 3 data centres of 2": {"dc1": 2, "dc2": 2, "dc3": 2}},
         }
         self.assertIn('"promises_broken": 0', run_benchmark("claims_cost", constants))
+
+    def test_job_cost(self):
+        constants = {"WARM_UP_JOBS": 2, "JOBS": 4, "IDLE_PERIOD_S": 0.3}
+        output = run_benchmark("job_cost", constants, "--case", str(ROOT), "off")
+        self.assertEqual(len(output.split()), 2)
+
+    def test_decision_costs(self):
+        self.assertIn(
+            "us per task", run_benchmark("admission_cost", {"REPEATS": 1, "BOUND_US": 1e6})
+        )
+        self.assertIn("10  ", run_benchmark("decision_cost", {"PASSES": 1}))
+        self.assertIn("24  ", run_benchmark("routing_cost", {"PASSES": 1, "REPEATS": 2}))
+
+    def test_simulations(self):
+        self.assertIn(
+            "off | 1", run_benchmark("data_centre_balance", {"END_S": 5.0}, "--seeds", "1")
+        )
+        arguments = ("--seeds", "1", "--pools", "3", "--load", "0.1")
+        self.assertIn("on   1", run_benchmark("kind_scheduling", {}, *arguments))
+
+    def test_capacity(self):
+        output = run_benchmark("capacity", {"PAGE": self.result("CAPACITY.md")})
+        self.assertIn("written", output)
+
+    def test_control_cost(self):
+        constants = {
+            "RESULT": self.result("control_cost.json"),
+            "SETTLE_S": 0.5,
+            "SAMPLE_PERIOD_S": 0.5,
+        }
+        self.assertIn("MeanCost", run_benchmark("control_cost", constants, "3"))
+
+    def test_configuration_costs(self):
+        result = self.result("configuration.json")
+        arguments = ("--sizes", "3", "--rounds", "1", "--idle-s", "0.3", "--late", "1")
+        run_benchmark("configuration_spread", {"TEAMS": 1}, *arguments, "--output", result)
+        constants = {"REPEATS": 1, "SERVER_COUNTS": (24,), "TEAM_COUNTS": (2,)}
+        constants["MEMBER_COUNTS"] = (50,)
+        run_benchmark("configuration_size", constants, "--output", result)
+
+    def test_entry_cost(self):
+        constants = {
+            "RESULTS": self.result("entry_cost.json"),
+            "LARGE_JOBS": 2,
+            "SMALL_JOBS": 20,
+            "IDLE_PERIOD_S": 0.3,
+            "ROUND_TRIP_COUNT": 5,
+        }
+        self.assertIn("jobs_of_1", run_benchmark("entry_cost", constants))
+
+    def test_fleet_cost(self):
+        constants = {"RACKS": 1, "SERVERS_PER_RACK": 2, "SETTLE_S": 0.5, "IDLE_PERIOD_S": 0.5}
+        constants |= {"JOBS": 5, "DATA_CENTRES": "ab"}
+        output = run_benchmark("fleet_cost", constants, "--case", str(ROOT), "2")
+        self.assertEqual(len(output.split()), 5)
