Messages between instances: readers are switched to directly, without a timer and an exception

eventlet's ZeroMQ sockets wake a reader by a timer, and it finds out by an exception that nothing is left; each message took two rounds of the event loop more than it needs. GreenSocket looks at the events of the socket before it waits, and the loop switches to its reader. Idle instances spend about half of their processor time on messages.

--- a/benchmarks/short_runs_test.py
+++ b/benchmarks/short_runs_test.py
@@ -69,6 +69,10 @@
         output = run_benchmark("job_cost", constants, "--case", str(ROOT), "off")
         self.assertEqual(len(output.split()), 2)
 
+    def test_message_cost(self):
+        output = run_benchmark("message_cost", {"REQUESTS": 20}, "--case", str(ROOT))
+        self.assertGreater(float(output.split()[-1]), 0.0)
+
     def test_decision_costs(self):
         self.assertIn(
             "us per task", run_benchmark("admission_cost", {"REPEATS": 1, "BOUND_US": 1e6})
--- a/rosedyke/wire/green_socket_test.py
+++ b/rosedyke/wire/green_socket_test.py
@@ -17,7 +17,7 @@
     def setUp(self):
         context = zmq.Context()
         self.addCleanup(context.term)
-        self.socket = context.socket(zmq.DEALER)
+        self.socket = green_socket.GreenSocket(context, zmq.DEALER)
         self.peer = plain_zmq.Socket(context, plain_zmq.DEALER)
         for socket in (self.socket, self.peer):
             self.addCleanup(socket.close, 0)
@@ -51,3 +51,20 @@
             while True:
                 green_socket.send(self.socket, b"x")
         self.assertEqual(self.read_after(send_failing), [b"first", b"second"])
+
+    def test_reader_of_a_closed_socket(self):
+        # Guards against green threads that wait forever for a connection that was replaced.
+        reading = eventlet.spawn(green_socket.receive, self.socket)
+        eventlet.sleep(0.01)
+        self.socket.close(0)
+        with eventlet.Timeout(1), self.assertRaises(zmq.ZMQError):
+            reading.wait()
+
+    def test_idle_socket_does_not_keep_the_event_loop_busy(self):
+        # Guards against a message without a reader, for which the loop would not sleep.
+        self.peer.send(b"unread")
+        eventlet.sleep(0.01)
+        used_s = time.process_time()
+        eventlet.sleep(0.2)
+        self.assertLess(time.process_time() - used_s, 0.1)
+        self.assertEqual(green_socket.receive(self.socket), [b"unread"])
--- a/rosedyke/wire/peer_connection.py
+++ b/rosedyke/wire/peer_connection.py
@@ -53,7 +53,7 @@
         self.unresponsive_after_s = options.silence_s
         self.last_used_at = runtime.now()
         self.unanswered_since: float | None = None
-        self.socket = context.socket(zmq.DEALER)
+        self.socket = green_socket.GreenSocket(context, zmq.DEALER)
         set_socket_options(self.socket, options)
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, int(options.reconnect_limit_s * MS_PER_S))
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -134,7 +134,7 @@
         self.handler_ended: runtime_module.Signal | None = None
         self.is_stopped = False
         self.context: zmq.Context | None = None
-        self.router: zmq.Socket | None = None
+        self.router: green_socket.GreenSocket | None = None
         self.monitor: handshake_monitor.HandshakeMonitor | None = None
         self.tasks: list[runtime_module.Task] = []
 
@@ -152,7 +152,7 @@
             )
         self._check_key()
         self.context = zmq.Context()
-        self.router = self.context.socket(zmq.ROUTER)
+        self.router = green_socket.GreenSocket(self.context, zmq.ROUTER)
         peer_connection.set_socket_options(self.router, self.options)
         self.router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         curve_keys.protect_server(self.router, self.keys)
