--- a/rosedyke/wire/handshake_monitor.py
+++ b/rosedyke/wire/handshake_monitor.py
@@ -1,7 +1,6 @@
 """Counts and logs failed CURVE handshakes, which ZeroMQ itself drops silently."""
 
 from eventlet.green import zmq
-from zmq.utils.monitor import parse_monitor_message
 
 from rosedyke.observe import metric
 from rosedyke.wire import events, metrics, rate_limited_log
@@ -34,6 +33,9 @@
         self.socket.close(0)
 
     def _read(self):
+        # Only transports with a key get here, and the module imports asyncio.
+        from zmq.utils.monitor import parse_monitor_message
+
         while True:
             try:
                 failure = parse_monitor_message(self.socket.recv_multipart())
