Test: idle instances probe owners of other data centres that are alive (known failure)

They rank themselves among the instances that they had contact with lately, which are few, so they become candidates now and then, and take the time without renewals for silence.

--- a/rosedyke/rerunnable_jobs/renewal_test.py
+++ b/rosedyke/rerunnable_jobs/renewal_test.py
@@ -80,6 +80,20 @@
         region.run(5.0)
         self.assertEqual(queries, [])
 
+    def test_alive_owners_of_other_data_centres_are_not_suspected(self):
+        # Guards against idle instances that have not renewed with an owner of another data centre
+        # and take that for its silence: they probe its servers and all candidates.
+        region = rerun_region.Region(dict.fromkeys("abcde", 4))
+        region.run(4.0)
+        begin = len(region.network.log)
+        region.run(6.0)
+        queries = [
+            entry
+            for entry in region.network.log[begin:]
+            if isinstance(entry[3], messages.ContactAgeQuery)
+        ]
+        self.assertEqual(len(queries), 0)
+
     def test_few_instances_of_other_data_centres_renew_with_an_owner(self):
         # Guards against idle instances that renew with owners they will never need.
         region = rerun_region.Region({"a": 15, "b": 15, "c": 15})
