--- a/rosedyke/rerunnable_jobs/renewal_test.py
+++ b/rosedyke/rerunnable_jobs/renewal_test.py
@@ -83,7 +83,7 @@
     def test_alive_owners_of_other_data_centres_are_not_suspected(self):
         # Guards against idle instances that have not renewed with an owner of another data centre
         # and take that for its silence: they probe its servers and all candidates.
-        region = rerun_region.Region(dict.fromkeys("abcde", 4))
+        region = rerun_region.Region(dict.fromkeys("abcde", 5))
         region.run(4.0)
         begin = len(region.network.log)
         region.run(6.0)
