Owners of other data centres are suspected only if a renewal was not answered

An instance that became a candidate for a pool of another data centre, because it had no recent contact with those before it, took the time in which it had sent no renewals for silence of the owner. It then sent a command to a server of the pool and queries to the owner and the candidates there, several times a second. It now waits for 0.3 s for the answer to a renewal first; renewals at intervals of 0.5 s have that behind them when the former limit of 0.95 s is reached, so the takeover takes as long as before.

--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -99,7 +99,14 @@
             self.registrar,
         )
         self.takeovers = takeover.Takeover(
-            timing, runtime, peers, self.fleet, self.pools, gateway, self.claim_pool
+            timing,
+            runtime,
+            peers,
+            self.fleet,
+            self.pools,
+            gateway,
+            self.claim_pool,
+            lambda name: self.renewal.unanswered_s(name),
         )
         self.fleet.claim_callbacks.append(self._on_remote_claim)
         self.fleet.claim_callbacks.append(self._request_first_report)
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -27,6 +27,8 @@
         Owners that run jobs of this instance.
     loop_ran_at : float
         When the loop last ran.
+    unanswered_since : dict of str to float
+        When the first renewal was sent to each instance that has not answered since.
     known_claims : dict of str to int
         Up to which version the claims of each instance are known here.
     clock_offsets : dict of str to float
@@ -40,6 +42,7 @@
         self.last_sent: dict[str, float] = {}
         self.owners_with_jobs: set[str] = set()
         self.loop_ran_at = node.runtime.now()
+        self.unanswered_since: dict[str, float] = {}
         self.known_claims: dict[str, int] = {}
         self.clock_offsets: dict[str, float] = {}
         node.fleet.removal_callbacks.append(self.known_claims.clear)
@@ -173,6 +176,7 @@
     def renew(self, instance) -> bool:
         """Renew with one instance and process its reply; return whether it answered."""
         sent_at = self.last_sent[instance.name] = self.node.runtime.now()
+        self.unanswered_since.setdefault(instance.name, sent_at)
         message = messages.Renew(
             self.node.this_instance,
             self.node.holder.parts_at(instance.name),
@@ -199,7 +203,13 @@
         self._on_reply(reply, reply.sender or instance, sent_at)
         return True
 
+    def unanswered_s(self, name: str) -> float:
+        """Return for how long an instance has not answered, 0 if it answered the last renewal."""
+        since = self.unanswered_since.get(name)
+        return 0.0 if since is None else self.node.runtime.now() - since
+
     def _on_reply(self, reply, sender, sent_at):
+        self.unanswered_since.pop(sender.name, None)
         self.node.fleet.record_contact(sender)
         self.clock_offsets[sender.name] = reply.clock_s - self.node.runtime.now()
         for claim in reply.claims:
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -48,6 +48,9 @@
 # Candidates in other data centres that renew with an owner and may take the pool if its data centre
 # has no instance left.
 REMOTE_WATCHERS = 3
+# How long a candidate in another data centre must have waited for the answer to a renewal before it
+# suspects the owner.
+UNANSWERED_S = 0.3
 # Instances of a data centre that are asked before it is considered lost, best candidates first.
 MAX_PROBED_INSTANCES = 12
 # A candidate in another data centre probes the pool's servers once and then its instances this many
@@ -66,6 +69,9 @@
     ----------
     claim_pool : callable
         ``claim_pool(pool, reason)`` makes this instance the owner.
+    unanswered_s : callable
+        ``unanswered_s(name)`` returns for how many seconds an instance has not answered a renewal,
+        0 if it has answered the last one.
 
     Attributes
     ----------
@@ -82,7 +88,9 @@
         indexed_pools: pool_index.PoolIndex,
         gateway: ports.ServerGateway,
         claim_pool: Callable[[str, str], None],
+        unanswered_s: Callable[[str], float] = lambda name: float("inf"),
     ):
+        self.unanswered_s = unanswered_s
         self.timing = timing
         self.runtime = runtime
         self.peers = peers
@@ -145,6 +153,9 @@
             required_s += min(
                 self.fleet.delay.allowance_s(now), self.timing.owner_allowance_s(added_s)
             )
+            if not self._is_local(pool) and self.unanswered_s(claim.owner.name) < UNANSWERED_S:
+                # Without renewals, which only the first candidates send, silence means nothing.
+                return
         # Computing the rank is expensive, so the minimum delay is checked first.
         required_s += self._location_delay_s(pool)
         if elapsed_s < required_s or now < self.retry_at.get(pool, 0.0) or pool in self.in_progress:
