Candidate pools are computed once for each change of the fleet

The loop of takeovers, ten times a second, and the one of renewals asked for every pool whether this instance is a candidate, and looked for a change of the fleet each time: 366 times a second at 100 instances with 25 pools, 7 to 11% of the processor time of an idle instance (profiles of 48 and 20 processes).

--- a/rosedyke/rerunnable_jobs/candidate_rank.py
+++ b/rosedyke/rerunnable_jobs/candidate_rank.py
@@ -59,7 +59,7 @@
     candidates : dict of str to CandidateList
         By pool: the instances that this one is ranked among.
     ranks : dict of (str, str) to int
-        By pool and the name of the excluded instance.
+        By pool and the name of the excluded instance.  A new object after each change of the fleet.
     """
 
     def __init__(self, view: fleet_view.FleetView):
@@ -80,21 +80,23 @@
         excluded : str
             Name of an instance to leave out even if it is alive.
         """
-        self._refresh()
+        ranks = self.current_ranks()
         key = (pool, excluded)
-        rank = self.ranks.get(key)
+        rank = ranks.get(key)
         if rank is None:
-            rank = self.ranks[key] = self._compute(pool, excluded)
+            rank = ranks[key] = self._compute(pool, excluded)
         return rank
 
-    def _refresh(self):
+    def current_ranks(self) -> dict[tuple[str, str], int]:
+        """Return the cached ranks, the same object until the fleet changes."""
         instances, alive = self.fleet.instances(), self.fleet.alive()
         if instances is not self.instances:
             self._update_candidates(instances)
-            self.ranks.clear()
+            self.ranks = {}
         if alive is not self.alive:
             self.alive = alive
-            self.ranks.clear()
+            self.ranks = {}
+        return self.ranks
 
     def _update_candidates(self, instances):
         """Apply the difference only: hashing all instances for all pools takes long."""
--- a/rosedyke/rerunnable_jobs/pool_index.py
+++ b/rosedyke/rerunnable_jobs/pool_index.py
@@ -27,6 +27,7 @@
         self.indexed_servers: tuple[ports.Server, ...] | None = None
         self.splits = pool_split.NO_SPLITS
         self.by_pool: dict[str, list[ports.Server]] = {}
+        self.pool_names: frozenset[str] = frozenset()
         self.by_service: dict[str, frozenset[str]] = {}
         self.evacuated_services: frozenset[str] = frozenset()
 
@@ -45,9 +46,9 @@
         return pool == other or (is_same_rack and not self.is_current(other))
 
     def names(self) -> frozenset[str]:
-        """Return all pools that have servers."""
+        """Return all pools that have servers; the same object until the list changes."""
         self._refresh()
-        return frozenset(self.by_pool)
+        return self.pool_names
 
     def servers(self, pool: str) -> list[ports.Server]:
         """Return the servers of a pool."""
@@ -76,6 +77,7 @@
             self.by_pool.setdefault(pool, []).append(server)
             if not server.is_draining and not server.is_evacuated:
                 pools_by_service.setdefault(server.service, set()).add(pool)
+        self.pool_names = frozenset(self.by_pool)
         self.by_service = {name: frozenset(pools) for name, pools in pools_by_service.items()}
         self.evacuated_services = frozenset(
             server.service for server in servers if server.is_evacuated
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -146,8 +146,7 @@
 
         Includes pools that it may take over, and all pools of services of which it may take none.
         """
-        is_candidate = self.node.takeovers.is_candidate
-        wanted = {pool for pool in self.node.pools.names() if is_candidate(pool)}
+        wanted = set(self.node.takeovers.candidate_pools())
         for names in self.node.pools.by_service.values():
             if names.isdisjoint(wanted):
                 wanted |= names
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -102,6 +102,9 @@
         self.retry_at: dict[str, float] = {}
         self.in_progress: set[str] = set()
         self.ranks = candidate_rank.RankCache(view)
+        # Cached result of ``candidate_pools``, and the objects that it was computed from.
+        self.cached_candidacies: tuple[str, ...] = ()
+        self.candidacy_basis: tuple = (None, None, None)
         self.is_running = True
         # Set while the instance starts or shuts down; it then takes no pool.
         self.is_suspended = False
@@ -114,9 +117,8 @@
             if self.listed_since is None and names:
                 self.listed_since = self.runtime.now()
             if not self.is_suspended and self.may_claim():
-                for pool in names:
-                    if self.is_candidate(pool):
-                        self._check_pool(pool)
+                for pool in self.candidate_pools():
+                    self._check_pool(pool)
             self.runtime.sleep(
                 CHECK_INTERVAL_S * min(self.fleet.interval_factor, MAX_INTERVAL_FACTOR)
             )
@@ -203,6 +205,14 @@
         limit = LOCAL_CANDIDATES if self._is_local(pool) else REMOTE_WATCHERS
         return self.ranks.rank_for(pool) < limit
 
+    def candidate_pools(self) -> tuple[str, ...]:
+        """Return the pools that this instance may take."""
+        basis = (self.pools.names(), self.ranks.current_ranks(), self.fleet.interval_factor <= 1)
+        if any(new is not known for new, known in zip(basis, self.candidacy_basis, strict=True)):
+            self.candidacy_basis = basis
+            self.cached_candidacies = tuple(pool for pool in basis[0] if self.is_candidate(pool))
+        return self.cached_candidacies
+
     def is_watcher(self, pool: str, claim: messages.Claim | None) -> bool:
         """Return whether this instance monitors a pool's owner at the short interval."""
         return self._is_local(pool) and self.rank(pool, claim) < LOCAL_WATCHERS
