--- a/rosedyke/rerunnable_jobs/withdrawal.py
+++ b/rosedyke/rerunnable_jobs/withdrawal.py
@@ -12,6 +12,7 @@
 # Time for two messages within a region.  An owner that does not answer in time may have started its
 # part.
 WITHDRAW_TIMEOUT_S = 0.15
+CLAIM_POLL_INTERVAL_S = 0.02
 
 
 class Withdrawal:
@@ -51,15 +52,31 @@
     def end(self, pending, reason: str, timeout_s: float = WITHDRAW_TIMEOUT_S) -> None:
         """End a job: as refused if every owner confirms that nothing has started, else as lost.
 
+        Without a claim another instance may run it for an earlier request, so it is lost, too.
+
         Parameters
         ----------
         timeout_s : float
-            Time for the owners' confirmations; up to twice as much passes.
+            Time for the answer to its claim, and for the owners' confirmations; up to twice as much
+            passes.
         """
         pending.begin_withdrawal()
+        self._wait_for_claim(pending, timeout_s)
         self.withdraw_parts(pending, timeout_s)
-        if not pending.ended.is_set():
-            self.holder.finish(pending, self.holder.unfinished_outcome(pending, reason))
+        if pending.ended.is_set():
+            return
+        outcome = job.Outcome(job.EndState.LOST, reason)
+        if pending.is_claimed:
+            outcome = self.holder.unfinished_outcome(pending, reason)
+        self.holder.finish(pending, outcome)
+
+    def _wait_for_claim(self, pending, timeout_s):
+        """Wait until a job is claimed, may have run, or has ended."""
+        until = self.holder.runtime.now() + timeout_s
+        while not (pending.is_claimed or pending.may_have_run()):
+            remaining_s = until - self.holder.runtime.now()
+            if remaining_s <= 0.0 or pending.ended.wait(min(CLAIM_POLL_INTERVAL_S, remaining_s)):
+                return
 
     def withdraw_parts(self, pending, timeout_s: float) -> None:
         """Withdraw the parts of a job that has not started, as far as is known here."""
