--- a/rosedyke/rerunnable_jobs/last_answers_failures_test.py
+++ b/rosedyke/rerunnable_jobs/last_answers_failures_test.py
@@ -10,6 +10,8 @@
 RUN_S = 5.0
 # Less than a message between two instances takes.
 JUST_BEFORE_S = 0.0001
+# A process ends so long after its last answers.
+PROCESS_ENDS_S = 0.3
 
 
 class EarlierRequest(unittest.TestCase):
@@ -89,5 +91,38 @@
             self.assertEqual(self.region.backend.starts, [])
 
 
+class RefusedJob(unittest.TestCase):
+    """A job that the last answers refused is sent again after the process has ended."""
+
+    def test_it_starts_at_once_at_another_instance(self):
+        # Guards against a caller that waits for the runs of a holder that has told it that there
+        # are none.
+        for timing in TIMINGS:
+            region = rerun_region.Region({"a": 3, "b": 2}, timing=timing)
+            region.run(STARTUP_S)
+            stopping = region.non_owner("a")
+            last_answers = region.members[stopping].node.holder.last_answers
+            for data_centre in "ab":
+                for number in range(12):
+                    job_id = f"full{data_centre}{number}"
+                    region.submit(region.owner(data_centre), job_id, 1, 1.5, timeout_s=30)
+            region.run(0.3)
+            refused = region.submit(stopping, "j1", 1, 0.1, timeout_s=30, objective_s=20.0)
+            region.run(0.1)
+            last_answers.begin(region.runtime.now() + GRACE_S)
+            region.run(GRACE_S)
+            region.runtime.call(last_answers.give)
+            region.run(PROCESS_ENDS_S)
+            self.assertEqual(refused.outcome.end, job.EndState.REFUSED)
+            region.kill(stopping)
+            region.run(refused.outcome.retry_after_s - PROCESS_ENDS_S)
+            again = region.submit("b-1", "j1", 1, 0.1, timeout_s=30, objective_s=20.0)
+            other = region.submit("b-1", "j2", 1, 0.1, timeout_s=30, objective_s=20.0)
+            region.run(3.0)
+            for submission in (other, again):
+                self.assertEqual(submission.outcome, SUCCEEDED)
+                self.assertLess(submission.duration_s, 0.2)
+
+
 if __name__ == "__main__":
     unittest.main()
