--- a/rosedyke/rerunnable_jobs/refusals.py
+++ b/rosedyke/rerunnable_jobs/refusals.py
@@ -6,7 +6,7 @@
 import heapq
 
 from rosedyke.observe import event, metric
-from rosedyke.rerunnable_jobs import events, job, metrics, owned_job, settings
+from rosedyke.rerunnable_jobs import events, job, metrics, owned_job, server_commands, settings
 from rosedyke.scheduling import admission, prediction, retry_after
 
 # Without prediction.
@@ -100,17 +100,17 @@
     def to_refuse(self, ordered, service, now):
         """Return the refusals among the waiting jobs of a service."""
         fastest = self.owner.fastest_speed()
-        records = [self._record(owned, fastest) for owned in ordered]
+        records = [self._record(owned, fastest, now) for owned in ordered]
         return admission.jobs_to_refuse(records, self._capacity(service, now), fastest, now)
 
-    def _record(self, owned, fastest):
+    def _record(self, owned, fastest, now):
         ratio = self.owner.run_times.ratio(owned.work.queue, QUANTILE)
         return prediction.WaitingJob(
             owned.key,
             owned.work.priority,
             owned.has_started,
             owned.queued(fastest).latest_start,
-            useful_until(owned, self.owner.timing),
+            useful_until(owned, self.owner.timing) - self._link_delay_s(owned, now),
             tuple(
                 (task.step.demand.millicores, task.step.estimate_s * ratio)
                 for task in owned.waiting_tasks()
@@ -167,6 +167,18 @@
             metric.timing(metrics.RETRY_AFTER, retry_after_s * 1000)
         self.owner.finish(owned, job.Outcome(job.EndState.REFUSED, REASON, retry_after_s))
 
+    def _link_delay_s(self, owned, now):
+        """Return how long a job's start commands take on this instance's link, 0 if unlimited.
+
+        Without it, a job on a saturated link starts just in time and is answered too late.  The
+        incoming direction is not added: it also delays the news of the servers that become free.
+        """
+        delay = self.owner.delay
+        if not delay.is_limited:
+            return 0.0
+        start_bytes = len(owned.waiting_tasks()) * server_commands.start_bytes(owned.work)
+        return delay.outgoing.backlog_s(now) + delay.outgoing.transmission_s(start_bytes)
+
     def _capacity_cores(self):
         """Return how many core-seconds of servers of speed 1 the pool completes in a second."""
         servers = self.owner.available_servers(self.owner.runtime.now())
@@ -201,7 +213,8 @@
         """
         fastest = self.owner.fastest_speed()
         for owned in list(self.owner.jobs.values()):
-            if not is_infeasible(owned, now, fastest, self.owner.timing):
+            delay_s = 0.0 if owned.has_started else self._link_delay_s(owned, now)
+            if not is_infeasible(owned, now + delay_s, fastest, self.owner.timing):
                 continue
             if owned.has_started:
                 self.owner.finish(owned, job.Outcome(job.EndState.LOST, REASON))
--- a/rosedyke/rerunnable_jobs/refusals_test.py
+++ b/rosedyke/rerunnable_jobs/refusals_test.py
@@ -18,8 +18,10 @@
 class FullPool(unittest.TestCase):
     """The pool of data centre a runs tasks of 2 s on all of its twelve cores."""
 
-    def start(self, timing, sizes=(("a", 2),)):
-        self.region = rerun_region.Region(dict(sizes), timing=timing)
+    def start(self, timing, sizes=(("a", 2),), link_bytes_per_s=0.0):
+        self.region = rerun_region.Region(
+            dict(sizes), timing=timing, link_bytes_per_s=link_bytes_per_s
+        )
         self.region.run(STARTUP_S)
         owner = self.region.members[self.region.owner("a")].node
         owner.request_capacity = lambda *request: None
@@ -48,6 +50,23 @@
         self.assertEqual(submission.outcome, DONE)
         self.assertGreater(submission.duration_s, 1.9)
 
+    def test_job_whose_start_commands_take_too_long_on_the_link_is_refused(self):
+        # Guards against starts for a job that is answered too late since its commands take longer
+        # than the time that is left, and against refusals for smaller ones.
+        for payload_bytes, is_refused in ((100, False), (5_000, False), (30_000, True)):
+            with self.subTest(payload_bytes):
+                self.start(PREDICTING, link_bytes_per_s=1e6)
+                # Servers are free after 2 s, and an answer is useful until 2.4 s.
+                submission = self.submit_late(count=12, payload="x" * payload_bytes)
+                self.region.run(4.0)
+                self.assertIs(submission.outcome.end is REFUSED, is_refused)
+                self.assertIs("late" in started(self.region), not is_refused)
+
+    def submit_late(self, **options):
+        return self.region.submit(
+            self.region.non_owner("a"), "late", objective_s=0.8, duration_s=0.1, **options
+        )
+
     def test_queue_that_grows_ahead_of_a_job_leads_to_its_refusal(self):
         # Guards against checking a job only on its arrival.  Twelve tasks of 1.5 s that must start
         # earlier arrive after it.
