Test of an earlier incarnation's message waits for the handler of the first one

It failed in 1 of 5 runs at load 25 (0 calls, 1 expected): the handler runs in a task of its own, which may begin after the refusal of the second message was sent.

--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -331,6 +331,8 @@
         repeated.wait_for(1)
         prefix = envelope.decode_prefix(self.raw_client.socket.recv_multipart()[0])
         self.assertEqual((prefix.kind, prefix.number), (envelope.Kind.OUTDATED, 2))
+        # The first message's handler runs in a task of its own.
+        self.assertTrue(self.called.wait(LONG_S))
         self.assertEqual(len(self.calls), 1)
 
 
