--- a/rosedyke/wire/green_socket_test.py
+++ b/rosedyke/wire/green_socket_test.py
@@ -54,10 +54,14 @@
 
     def test_reader_of_a_closed_socket(self):
         # Guards against green threads that wait forever for a connection that was replaced.
-        reading = eventlet.spawn(green_socket.receive, self.socket)
+        def read():
+            with self.assertRaises(zmq.ZMQError):
+                green_socket.receive(self.socket)
+
+        reading = eventlet.spawn(read)
         eventlet.sleep(0.01)
         self.socket.close(0)
-        with eventlet.Timeout(1), self.assertRaises(zmq.ZMQError):
+        with eventlet.Timeout(1):
             reading.wait()
 
     def test_idle_socket_does_not_keep_the_event_loop_busy(self):
