--- a/rosedyke/daemon/shutdown.py
+++ b/rosedyke/daemon/shutdown.py
@@ -10,7 +10,7 @@
 
 # Longest time to receive and answer the remaining requests after the last job has ended.
 CLOSE_TIMEOUT_S = 5.0
-# Part of the timeout, and at most this fraction of it, reserved for that.
+# Part of the timeout that is reserved for that, and the largest share that it may be.
 CLOSE_RESERVE_S = 1.0
 MAX_RESERVE_FRACTION = 0.25
 # What is still in progress is answered when this part of the time to close is left.
--- a/rosedyke/rerunnable_jobs/last_answers.py
+++ b/rosedyke/rerunnable_jobs/last_answers.py
@@ -15,7 +15,7 @@
 TOO_LONG = "the instance shuts down before the job can end"
 # Time for the owners' confirmations that a job has not started.
 WITHDRAW_TIMEOUT_S = 0.1
-# Longest time that the last answers take: two of these timeouts, and a margin.
+# Longest time that the last answers take: twice ``WITHDRAW_TIMEOUT_S`` and a margin.
 LAST_ANSWERS_S = 0.25
 # A request for a job that has ended here waits so long for its outcome.
 KNOWN_OUTCOME_WAIT_S = 0.05
@@ -83,7 +83,8 @@
     def _is_too_long(self, work):
         """Return whether the longest task ends too late even if it starts now.
 
-        Estimates may be too long, so this is only certain if the error is in the caller's favour.
+        The estimate is shortened by its possible error, so that a job which can end in time is not
+        refused.
         """
         views = [view for view in self.holder.pool_views(work) if view.report.rooms]
         if not views:
@@ -103,7 +104,7 @@
     def deadline(self, timeout_s: float) -> float:
         """Return until when a request that arrives now waits for its outcome."""
         now = self.runtime.now()
-        # Jobs that are held are ended by ``give``; its answers are better than a timeout here.
+        # Longer than ``give`` takes, which knows better than a timeout whether a job has started.
         last = max(self.due_at + LAST_ANSWERS_S, now + KNOWN_OUTCOME_WAIT_S)
         return min(now + timeout_s, last)
 
