--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,10 @@
-"""The open channels to the store go silent just before a change of the configuration."""
+"""All processes are killed right after the cancelling of a job was acknowledged.
+
+The job's submitter, whose channel breaks, sends the job again, as the page says.
+"""
 
 import pathlib
+import signal
 import sys
 
 import eventlet
@@ -19,57 +23,71 @@
     "edge-print-bay-1": "print-bay",
     "edge-dispatch-1": "dispatch",
 }
-DROPPED = {**harness.ROUTE, "name": "r-2", "pathPrefix": "/pufi791/"}
-ADDED = {**harness.ROUTE, "name": "r-3", "pathPrefix": "/pule252/"}
-# Requests are sent so long after a machine is in touch again.
-MARGIN_S = 0.1
-ROUNDS, ROUND_S = 3, 0.12
+JOB_ID = "5c0e7a21d94b36f8"
+PATH = harness.PREFIX + JOB_ID
+TASKS, TASK_S = 100, 0.5
+# ``retryMs``, and how long the submitter goes on.
+RETRY_S, PATIENCE_S = 1.3, 40.0
+DOWN_S, MARGIN_S, JUDGED_S = 1.0, 0.3, 5.0
 
 
 def run(deployment, has_trouble):
-    """Return the requests that were handled as only the older version allows."""
+    """Return the starts that the rule forbids."""
     for number, zone in enumerate(sorted(set(ZONES.values()))):
         deployment.platform.add_server(f"i-{number}", zone, harness.SERVICE)
-    deployment.platform.configure(3, [harness.ROUTE, DROPPED])
+    deployment.platform.configure(3, [harness.ROUTE])
     deployment.add_instances(ZONES)
     deployment.start()
-    eventlet.sleep(6.0)
-    deployment.platform.configure(5, [{**harness.ROUTE, "timeoutMs": 30000}, DROPPED])
-    deployment.record("version 5 is acknowledged: another timeout")
-    eventlet.sleep(0.3)
-    if has_trouble:
-        deployment.record("the open channels to the store go silent; new ones work")
-        for instance in deployment.instances.values():
-            instance.store_link.silence()
-    silent_at = deployment.now()
-    eventlet.sleep(0.3)
-    deployment.platform.configure(9, [harness.ROUTE, ADDED])
+    eventlet.sleep(3.0)
+    harness.set_duration(deployment, JOB_ID, TASK_S)
+    submitter = eventlet.spawn(submit, deployment)
+    eventlet.sleep(2.0)
+    if not deployment.starts:
+        raise harness.CannotRun("the job has not begun")
+    holder = next(iter(deployment.instances.values()))
+    status = deployment.send(holder, "DELETE", PATH)
     acknowledged_at = deployment.now()
-    deployment.record("version 9 is acknowledged: one route dropped, one added")
-    judged_from = max(silent_at + harness.CONTACT_S, acknowledged_at + harness.CONFIG_APPLY_S)
-    eventlet.sleep(judged_from + MARGIN_S - deployment.now())
-    pile = eventlet.GreenPile()
-    for round_number in range(ROUNDS):
-        for number, instance in enumerate(deployment.instances.values()):
-            job_id = f"{round_number:04x}{number:04x}a94b36f8"
-            pile.spawn(ask, deployment, instance, job_id, acknowledged_at)
-        eventlet.sleep(ROUND_S)
-    return [violation for violations in pile for violation in violations]
+    if status not in (200, 410):
+        deployment.record("the cancelling was not acknowledged")
+        return []
+    back_at = acknowledged_at
+    if has_trouble:
+        back_at = kill_and_start_all(deployment)
+    judged_from = max(acknowledged_at + harness.CANCEL_S, back_at + harness.CONTACT_S) + MARGIN_S
+    eventlet.sleep(judged_from + JUDGED_S - deployment.now())
+    submitter.kill()
+    return [
+        f"UNASKED: {task} run {number} begins on {server} {at - acknowledged_at:.1f} s after"
+        f" the cancelling of its job was acknowledged with {status}"
+        for at, task, number, server in deployment.starts
+        if at > judged_from
+    ]
+
+
+def kill_and_start_all(deployment):
+    """Kill all processes at once, start them again, and return when the last one was started."""
+    instances = list(deployment.instances.values())
+    for instance in instances:
+        deployment.signal(instance, signal.SIGKILL)
+    for instance in instances:
+        instance.process.wait()
+    eventlet.sleep(DOWN_S)
+    for instance in instances:
+        deployment.start_instance(instance)
+    return deployment.now()
 
 
-def ask(deployment, instance, job_id, acknowledged_at):
-    """Submit a job to the dropped route and one to the added route of an instance."""
-    age_s = deployment.now() - acknowledged_at
-    where = f"at {instance.name}, {age_s:.2f} s after the acknowledgement"
-    violations = []
-    body = harness.job_body(1, cpu=1000, estimated_ms=100)
-    status = deployment.send(instance, "POST", DROPPED["pathPrefix"] + job_id, body)
-    if status == 200:
-        violations.append(f"CONFIG: a job was run by the dropped route {where}")
-    status = deployment.send(instance, "POST", ADDED["pathPrefix"] + job_id, body)
-    if status == 404:
-        violations.append(f"CONFIG: the added route was answered 404 {where}")
-    return violations
+def submit(deployment):
+    """Submit the job, first to the first instance, and again while no answer says how it ended."""
+    instances = list(deployment.instances.values())
+    body = harness.job_body(TASKS, estimated_ms=TASK_S * 1000)
+    attempt, give_up_at = 0, deployment.now() + PATIENCE_S
+    while deployment.now() < give_up_at:
+        status = deployment.send(instances[attempt % len(instances)], "POST", PATH, body)
+        if status in (200, 429, 503, 404):
+            return
+        attempt += 1
+        eventlet.sleep(RETRY_S)
 
 
 if __name__ == "__main__":
--- a/review/2/cut.py
+++ b/review/3/cut.py
@@ -49,7 +49,7 @@
     if not deployment.starts:
         raise harness.CannotRun("the job has not begun")
     if has_trouble:
-        cut(deployment, other, True)
+        deployment.cut(other, True)
     eventlet.sleep(0.5)
     status = deployment.send(other, "DELETE", PATH)
     acknowledged_at = deployment.now()
@@ -58,7 +58,7 @@
         return []
     eventlet.sleep(CUT_S - 0.5)
     if has_trouble:
-        cut(deployment, other, False)
+        deployment.cut(other, False)
     in_touch_from = deployment.now() + harness.CONTACT_S
     forbidden_from = max(acknowledged_at + harness.CANCEL_S, in_touch_from) + MARGIN_S
     eventlet.sleep(forbidden_from + 4.0 - deployment.now())
@@ -71,16 +71,5 @@
     ]
 
 
-def cut(deployment, instance, is_cut):
-    """Cut an instance off from the others, or end that; it keeps its callers and the store."""
-    deployment.record(f"{instance.name} is {'cut off' if is_cut else 'in reach again'}")
-    instance.peers_link.is_cut = is_cut
-    for other in deployment.instances.values():
-        if is_cut:
-            other.peers_link.cut_from.add(instance.name)
-        else:
-            other.peers_link.cut_from.discard(instance.name)
-
-
 if __name__ == "__main__":
     sys.exit(harness.run_case(run, FOLDER))
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# HOW=cut runs the second way to lose a cancelling, with one machine cut off.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:platform:. exec timeout -k 3 115 python3 -W ignore review/3/case.py
+case "$HOW" in cut) file=cut.py ;; *) file=case.py ;; esac
+PYTHONPATH=target/deps:platform:. exec timeout -k 3 115 python3 -W ignore "review/3/$file"
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 PYTHONPATH=target/deps:platform:. exec python3 -W ignore -c "
 import py_compile, sys
 sys.dont_write_bytecode = True
-for name in ('deployment', '1/case', '2/case', '3/case'):
+for name in ('deployment', '1/case', '2/case', '3/case', '3/cut'):
     compile(open(f'review/{name}.py').read(), name, 'exec')
 import adapter.fake_platform, rosedyke.standins.leased_servers
 print('the stand-ins are built')
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -116,7 +116,6 @@
         self.target = target
         self.names = [name.encode() for name in names]
         self.cut_from: set[str] = set()
-        self.is_cut = False
         self.connections: set[_Connection] = set()
         self.listener = eventlet.listen((ip, 0))
         self.address = "{}:{}".format(*self.listener.getsockname())
@@ -127,6 +126,12 @@
         for connection in list(self.connections):
             connection.is_silent = True
 
+    def break_callers_side(self):
+        """Reset the open connections on the side of their callers; the other side goes silent."""
+        for connection in list(self.connections):
+            connection.is_silent = True
+            _reset(connection.client)
+
     def _accept(self):
         while True:
             client, _ = self.listener.accept()
@@ -144,12 +149,10 @@
 
     def is_held(self):
         """Return whether its bytes have to wait."""
-        return self.link.is_cut or self.source in self.link.cut_from
+        return self.source in self.link.cut_from
 
     def run(self):
         """Connect to the target and forward in both directions."""
-        while self.link.is_cut:
-            eventlet.sleep(POLL_S)
         try:
             host, port = self.link.target.rsplit(":", 1)
             self.target = eventlet.connect((host, int(port)))
@@ -356,11 +359,25 @@
         """Return the output of an instance."""
         return (self.folder / f"{instance.name}.log").read_text(errors="replace")
 
-    def send(self, instance, method, path, body=None, timeout_ms=30000):
+    def cut(self, instance, is_cut):
+        """Cut an instance off from the others, or end that; it keeps its callers and the store."""
+        self.record(f"{instance.name} is {'cut off' if is_cut else 'in reach again'}")
+        for other in self.instances.values():
+            if other is instance:
+                continue  # it still reaches itself
+            if is_cut:
+                other.peers_link.cut_from.add(instance.name)
+                instance.peers_link.cut_from.add(other.name)
+            else:
+                other.peers_link.cut_from.discard(instance.name)
+                instance.peers_link.cut_from.discard(other.name)
+
+    def send(self, instance, method, path, body=None, timeout_ms=30000, address=None):
         """Send a caller's request, record it, and return the status or the error's name."""
         self.record(f"sent {method} {path} to {instance.name}")
+        address = address or instance.address("front")
         try:
-            status, text = call(instance.address("front"), method, path, body, timeout_ms)
+            status, text = call(address, method, path, body, timeout_ms)
         except (OSError, http.client.HTTPException, eventlet.Timeout) as error:
             status, text = type(error).__name__, ""
         self.record(f"answer to {method} {path} from {instance.name}: {status} {text}")
