--- a/review/deployment.py
+++ b/review/deployment.py
@@ -390,10 +390,11 @@
 
     def __exit__(self, *exception):
         """End all processes."""
-        for instance in self.instances.values():
-            if instance.process is not None and instance.process.poll() is None:
-                instance.process.kill()
-                instance.process.wait()
+        processes = [instance.process for instance in self.instances.values() if instance.process]
+        for process in processes:
+            process.kill()  # without effect on one that has ended
+        for process in processes:
+            process.wait()
         if os.environ.get("KEEP_LOGS"):
             for instance in self.instances.values():
                 pathlib.Path(os.environ["KEEP_LOGS"], f"{instance.name}.log").write_text(
