Services: what has to run as long as the process is started again after an unexpected error

Runtime.spawn logs an escaping exception and the thread is gone. On the virtual clock an error of a service still fails the test.

--- a/benchmarks/kind_scheduling.py
+++ b/benchmarks/kind_scheduling.py
@@ -72,6 +72,8 @@
         if function == self.start:
             function(*arguments)
 
+    spawn_service = spawn
+
     def start(self, owned, state, run):
         pool = self.pools[state.server.rack]
         speed = pool.speeds.speed_of(state.server.id) * simulated_pool.ESTIMATE_FACTOR
--- a/rosedyke/configuration/distribution.py
+++ b/rosedyke/configuration/distribution.py
@@ -98,6 +98,6 @@
     def _run(self) -> None:
         self.puller.pull_at_start()
         self.local_config.publish()
-        self.tasks.append(self.runtime.spawn(self.reader.run))
-        self.tasks.append(self.runtime.spawn(self.reader.run_watch))
-        self.puller.run()
+        self.tasks.append(self.runtime.spawn_service(self.reader.run))
+        self.tasks.append(self.runtime.spawn_service(self.reader.run_watch))
+        self.tasks.append(self.runtime.spawn_service(self.puller.run))
--- a/rosedyke/daemon/eventlet_runtime.py
+++ b/rosedyke/daemon/eventlet_runtime.py
@@ -1,7 +1,9 @@
 """Implementation of the runtime on eventlet: green threads, monotonic time, one-shot signals."""
 
 import logging
+import os
 import random
+import signal
 import time
 from collections.abc import Callable
 from typing import Any
@@ -10,6 +12,8 @@
 import eventlet.event
 import greenlet
 
+from rosedyke.observe import event, events, service
+
 _logger = logging.getLogger("rosedyke")
 
 
@@ -94,6 +98,15 @@
         """Run a function in a green thread; an unhandled exception is logged."""
         return GreenTask(function, arguments)
 
+    def spawn_service(self, function: Callable[..., Any], *arguments: Any) -> GreenTask:
+        """Run a function in a green thread, again after each unhandled exception."""
+        return GreenTask(service.run, (self, function, arguments))
+
+    def end_process(self, reason: str) -> None:
+        """Send SIGTERM to this process, whose handler begins the shutdown."""
+        event.log(events.PROCESS_ENDS, reason=reason)
+        os.kill(os.getpid(), signal.SIGTERM)
+
     def signal(self) -> GreenSignal:
         """Return a new signal."""
         return GreenSignal()
--- a/rosedyke/daemon/instance.py
+++ b/rosedyke/daemon/instance.py
@@ -158,7 +158,7 @@
         self.membership.subscribe(lambda old, new: self._log_readiness_change())
         self.current.subscribe(lambda new: self._log_readiness_change())
         self._log_readiness_change()
-        self.runtime.spawn(self._refresh_seeds)
+        self.runtime.spawn_service(self._refresh_seeds)
         self.operators_server.start()
         self.callers_server.start()
 
@@ -187,7 +187,7 @@
         )
         reporter = statsd_reporter.StatsdReporter(pipeline, self.runtime)
         metric.set_sink(reporter)
-        self.runtime.spawn(reporter.run)
+        self.runtime.spawn_service(reporter.run)
 
     def _log_readiness_change(self):
         """Log changes of readiness and of the reason for not being ready."""
--- a/rosedyke/dispatch/pool_owner.py
+++ b/rosedyke/dispatch/pool_owner.py
@@ -87,7 +87,7 @@
         self.membership.subscribe(self._on_view)
         self.current.subscribe(lambda _: self.update_ownership())
         self.update_ownership()
-        self.runtime.spawn(self._tick)
+        self.runtime.spawn_service(self._tick)
 
     def stop(self) -> None:
         """Stop the scheduling loop."""
--- a/rosedyke/job/manager.py
+++ b/rosedyke/job/manager.py
@@ -105,8 +105,8 @@
         for message_type, handler in handlers.items():
             node.peers.handle(message_type, self._bind(handler))
         node.membership.subscribe(self._on_view)
-        node.runtime.spawn(self.fence.run)
-        node.runtime.spawn(self._expire_records)
+        node.runtime.spawn_service(self.fence.run)
+        node.runtime.spawn_service(self._expire_records)
         node.runtime.spawn(handover.rebalance_claims, node)
 
     def stop(self) -> None:
--- a/rosedyke/membership/swim.py
+++ b/rosedyke/membership/swim.py
@@ -79,7 +79,7 @@
             self.synchroniser.run_reconnect,
             self.relay.run,
         ):
-            self.tasks.append(self.protocol.runtime.spawn(run))
+            self.tasks.append(self.protocol.runtime.spawn_service(run))
 
     def leave(self, timeout_s: float = 2.0) -> bool:
         """Enter LEAVING and return whether every member has acknowledged it in time."""
--- a/rosedyke/overload/own_delay.py
+++ b/rosedyke/overload/own_delay.py
@@ -89,7 +89,7 @@
 
     def run(self) -> None:
         """Measure the event loop's delay and report the metrics until cancelled."""
-        self.runtime.spawn(self.loop.run)
+        self.runtime.spawn_service(self.loop.run)
         while True:
             self.runtime.sleep(REPORT_INTERVAL_S)
             self.report(self.runtime.now())
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -147,9 +147,9 @@
         ):
             self.peers.handle(message_type, handler, may_block=False)
         self.registry.subscribe(self._on_servers)
-        self.runtime.spawn(self.renewal.run)
-        self.runtime.spawn(self.takeovers.run)
-        self.runtime.spawn(self.registrar.run)
+        self.runtime.spawn_service(self.renewal.run)
+        self.runtime.spawn_service(self.takeovers.run)
+        self.runtime.spawn_service(self.registrar.run)
 
     def stop(self) -> None:
         """Stop; pools that were not handed over are left to their candidates."""
--- a/rosedyke/rerunnable_jobs/pool_owner.py
+++ b/rosedyke/rerunnable_jobs/pool_owner.py
@@ -154,7 +154,7 @@
         self.on_servers()
         if learned is not None:
             learned_state.take_over(self, learned)
-        self.runtime.spawn(self._run)
+        self.runtime.spawn_service(self._run)
 
     def step_down(self, reason: str) -> None:
         """Give the pool up: send no more commands and leave its jobs to a successor."""
@@ -191,7 +191,7 @@
         state.has_lease_lapsed = bool(state.runs)
         self.server_states[server.id] = state
         self.commands.resume_stops(state)
-        self.runtime.spawn(self.commands.poll_server, state)
+        self.runtime.spawn_service(self.commands.poll_server, state)
 
     def _remove_server(self, state):
         """Remove a server whose runs are over, and keep its unresolved starts for its return."""
--- a/rosedyke/runtime.py
+++ b/rosedyke/runtime.py
@@ -48,6 +48,16 @@
     def spawn(self, function: Callable[..., Any], *arguments: Any) -> Task:
         """Run ``function`` as a task of its own.  An escaping exception is logged."""
 
+    def spawn_service(self, function: Callable[..., Any], *arguments: Any) -> Task:
+        """Run a function that has to run as long as the process.
+
+        An escaping exception is logged as an event and counted, and the function is started again
+        with backoff.
+        """
+
+    def end_process(self, reason: str) -> None:
+        """Shut the process down because a part of it failed that can't be started again."""
+
     def signal(self) -> Signal:
         """Return a new signal."""
 
--- a/rosedyke/standins/fleet.py
+++ b/rosedyke/standins/fleet.py
@@ -143,6 +143,8 @@
 
         return self.shared.spawn(body)
 
+    spawn_service = spawn
+
     def signal(self):
         """Return a new signal."""
         return PausableSignal(self)
--- a/rosedyke/standins/instances.py
+++ b/rosedyke/standins/instances.py
@@ -71,6 +71,8 @@
 
         return self.shared.spawn(body)
 
+    spawn_service = spawn
+
 
 class Instances:
     """Starts, crashes and pauses membership instances by name.
--- a/rosedyke/standins/pausable_node.py
+++ b/rosedyke/standins/pausable_node.py
@@ -72,6 +72,8 @@
 
         return self.clock.spawn(body)
 
+    spawn_service = spawn
+
 
 class NodePeers(virtual.VirtualPeers):
     """Peers that neither handle messages nor return replies while the instance is paused."""
--- a/rosedyke/standins/simulated_region.py
+++ b/rosedyke/standins/simulated_region.py
@@ -58,6 +58,8 @@
 
         return self.shared.spawn(body)
 
+    spawn_service = spawn
+
     def check(self) -> None:
         """Block the calling task while the instance is paused; end it if the instance crashed."""
         while self.shared.now() < self.resumes_at and not self.is_crashed:
--- a/rosedyke/standins/virtual.py
+++ b/rosedyke/standins/virtual.py
@@ -14,6 +14,7 @@
 import attrs
 import greenlet
 
+from rosedyke.observe import service
 from rosedyke.overload import own_delay
 from rosedyke.wire import codec, peer
 
@@ -97,12 +98,15 @@
     ----------
     spawn_delay_s : float
         How long a spawned task waits for its first step, as in a busy process.
+    restarts_services : bool
+        Start services again after an error, as a process does; else ``run`` raises the error.
     max_steps_per_instant : int
         Steps at the same virtual time after which ``LivelockFound`` is raised.
     """
 
     def __init__(self, seed: int = 0, shuffle: bool = False):
         self.spawn_delay_s = 0.0
+        self.restarts_services = False
         self.max_steps_per_instant = MAX_STEPS_PER_INSTANT
         self.generator = random_module.Random(seed)
         self.shuffle = shuffle
@@ -157,6 +161,16 @@
             self.ready(task.greenlet)
         return task
 
+    def spawn_service(self, function: Callable[..., Any], *arguments: Any) -> VirtualTask:
+        """Run a function as a service."""
+        if self.restarts_services:
+            return self.spawn(service.run, self, function, arguments)
+        return self.spawn(function, *arguments)
+
+    def end_process(self, reason: str) -> None:
+        """Fail the run."""
+        self.errors.append(RuntimeError(reason))
+
     def at(self, seconds: float, waiter: greenlet.greenlet) -> None:
         """Schedule a wake-up after virtual seconds; an earlier wake-up cancels it."""
         entry = (self.time + max(0.0, seconds), next(self.order), waiter)
--- a/tools/update_catalogues.py
+++ b/tools/update_catalogues.py
@@ -9,7 +9,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
-from adapter import events  # noqa: E402, F401  (registers its events in the catalogue)
+from adapter import events, metrics  # noqa: E402, F401  (registers them in the catalogue)
 from rosedyke.daemon import settings_page  # noqa: E402
 from rosedyke.observe import catalogue  # noqa: E402
 
