Signals: an action that fails does not disable later signals

What operators saw: after a SIGHUP whose reload raised an unexpected error, SIGTERM had no effect and the process was killed at the end of the grace period, with its requests. The error ended the thread of all signals. The test failed before (the second signal had no effect within 5 s).

--- a/rosedyke/callers/server.py
+++ b/rosedyke/callers/server.py
@@ -14,7 +14,7 @@
 from rosedyke import fault
 from rosedyke.callers import connection, events, metrics, settings
 from rosedyke.job import answer, code
-from rosedyke.observe import event, metric
+from rosedyke.observe import event, metric, service
 from rosedyke.overload import own_delay
 
 LISTEN_BACKLOG = 1024
@@ -133,7 +133,10 @@
                 event.log(events.ACCEPT_FAILED, error=error)
                 eventlet.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            self._serve_or_refuse(*accepted)
+            try:
+                self._serve_or_refuse(*accepted)
+            except Exception as error:
+                service.record_failure(self._accept_connections, error)
 
     def _accept_backlog(self):
         """Accept the connections in the listen backlog.
--- a/rosedyke/daemon/signals.py
+++ b/rosedyke/daemon/signals.py
@@ -6,6 +6,8 @@
 
 import eventlet.hubs
 
+from rosedyke.observe import service
+
 
 def watch(
     actions: Mapping[int, Callable[[], None]], on_arrival: Callable[[int], None] = lambda _: None
@@ -31,4 +33,12 @@
         eventlet.hubs.trampoline(read_fd, read=True)
         for signal_number in os.read(read_fd, 16):
             if signal_number in actions:
-                actions[signal_number]()
+                _act(actions[signal_number])
+
+
+def _act(action):
+    """Call an action; its error must not keep later signals from having an effect."""
+    try:
+        action()
+    except Exception as error:
+        service.record_failure(action, error)
--- a/rosedyke/daemon/signals_test.py
+++ b/rosedyke/daemon/signals_test.py
@@ -12,18 +12,23 @@
 
 class Watch(unittest.TestCase):
     def setUp(self):
-        self.arrivals, self.calls = [], []
+        self.arrivals, self.calls, self.fails = [], [], False
         former = signal.getsignal(signal.SIGUSR1)
         self.addCleanup(signal.set_wakeup_fd, signal.set_wakeup_fd(-1))
         self.addCleanup(signal.signal, signal.SIGUSR1, former)
         watching = eventlet.spawn(
             signals.watch,
-            {signal.SIGUSR1: lambda: self.calls.append(time.monotonic())},
+            {signal.SIGUSR1: self.act},
             lambda number: self.arrivals.append((number, time.monotonic())),
         )
         self.addCleanup(watching.kill)
         eventlet.sleep(0)
 
+    def act(self):
+        self.calls.append(time.monotonic())
+        if self.fails:
+            raise RecursionError("unexpected")
+
     def test_arrival_is_noticed_while_the_loop_is_busy(self):
         # Guards against a grace period that is counted from too late, and ends after SIGKILL.
         sent_at = time.monotonic()
@@ -39,6 +44,20 @@
         self.assertLess(arrived_at, sent_at + LOOP_BUSY_S)
         self.assertGreaterEqual(self.calls[0], sent_at + LOOP_BUSY_S)
 
+    def test_failed_action_does_not_disable_later_signals(self):
+        # Guards against a SIGTERM without effect after a SIGHUP whose reload has failed.
+        self.fails = True
+        with self.assertLogs("rosedyke", "ERROR"):
+            self.send_and_wait(1)
+        self.fails = False
+        self.send_and_wait(2)
+
+    def send_and_wait(self, count):
+        os.kill(os.getpid(), signal.SIGUSR1)
+        with eventlet.Timeout(5.0):
+            while len(self.calls) < count:
+                eventlet.sleep(0.005)
+
 
 if __name__ == "__main__":
     unittest.main()
