Transport: no frame ends the task that reads the messages of all peers

Deep nesting in a field without a type raised RecursionError, and a reply with an incarnation that is no number ValueError; the reading task expects CodecError only and ended, which left the instance deaf. The decoders raise CodecError for any bytes, an unexpected error costs its frame and is logged (1006), and an error of the socket itself ends the process.

--- a/rosedyke/wire/codec.py
+++ b/rosedyke/wire/codec.py
@@ -84,5 +84,6 @@
         decoder = _decoders[name] = msgspec.msgpack.Decoder(message_type)
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, ValueError, TypeError) as error:
+    # Fields without a type in the message are decoded by recursion.
+    except (msgspec.MsgspecError, ValueError, TypeError, OverflowError, RecursionError) as error:
         raise CodecError(f"{name}: {error}") from error
--- a/rosedyke/wire/envelope.py
+++ b/rosedyke/wire/envelope.py
@@ -104,6 +104,6 @@
         raise codec.CodecError("header: truncated")
     try:
         header = Header(*_HEADER_DECODER.decode(frame[start:end]))
-    except msgspec.DecodeError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise codec.CodecError(f"header: {error}") from error
     return header, frame[end:]
--- a/rosedyke/wire/events.py
+++ b/rosedyke/wire/events.py
@@ -37,6 +37,13 @@
     "A client failed the handshake because it lacks the shared key. If it is an instance of this "
     "system, its key differs. Logged at most once a minute.",
 )
+FRAME_FAILED = event.define(
+    1006,
+    "frame_failed",
+    logging.ERROR,
+    "A received frame raised an unexpected error and was dropped. Report the traceback. Logged at "
+    "most once a minute; the metric wire.dropped_malformed counts every case.",
+)
 VERSION_REFUSED = event.define(
     1005,
     "version_refused",
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -169,7 +169,7 @@
         address = self.options.advertised_address or bound.rstrip("\0")
         self.own = attrs.evolve(self.own, address=address)
         self.tasks.append(self.runtime.spawn(self._read))
-        self.tasks.append(self.runtime.spawn(self._run_housekeeping))
+        self.tasks.append(self.runtime.spawn_service(self._run_housekeeping))
         event.log(events.TRANSPORT_STARTED, name=self.own.name, address=self.own.address)
 
     def stop(self) -> None:
@@ -326,16 +326,24 @@
         while True:
             try:
                 parts = green_socket.receive(self.router)
-            except zmq.ZMQError:
-                if self.is_stopped:
-                    return
-                raise
-            try:
-                self._on_frame(parts)
-            except codec.CodecError:
-                metric.count(metrics.DROPPED_MALFORMED)
+            except zmq.ZMQError as error:
+                if not self.is_stopped:
+                    # Without the socket, this instance would be deaf to its peers for good.
+                    self.runtime.end_process(f"socket for peers: {error}")
+                return
+            self._guard(self._on_frame, parts)
             self._wait_for_handlers()
 
+    def _guard(self, action, *arguments):
+        """Handle a received frame; no frame may end the task that reads them."""
+        try:
+            action(*arguments)
+        except codec.CodecError:
+            metric.count(metrics.DROPPED_MALFORMED)
+        except Exception as error:
+            metric.count(metrics.DROPPED_MALFORMED)
+            self.rate_limited_log.log(events.FRAME_FAILED, exc_info=True, error=repr(error))
+
     def _wait_for_handlers(self):
         # Backpressure: unread messages stay in the bounded queues of the senders, which get an
         # error when these are full.
@@ -461,14 +469,12 @@
 
     def _on_response(self, connection, parts):
         self._count_received(parts[0])
-        try:
-            if len(parts) != 1:
-                raise codec.CodecError(f"expected 1 message part, got {len(parts)}")
-            self._complete_request(connection, parts[0])
-        except codec.CodecError:
-            metric.count(metrics.DROPPED_MALFORMED)
+        self._guard(self._complete_request, connection, parts)
 
-    def _complete_request(self, connection, frame):
+    def _complete_request(self, connection, parts):
+        if len(parts) != 1:
+            raise codec.CodecError(f"expected 1 message part, got {len(parts)}")
+        frame = parts[0]
         prefix = envelope.decode_prefix(frame)
         pending = self.pending.get(prefix.number)
         if pending is None or pending.target.address != connection.address:
@@ -501,12 +507,19 @@
         if prefix.kind == envelope.Kind.GONE:
             return peer.PeerGone(detail)
         if prefix.kind == envelope.Kind.OUTDATED:
-            return peer.PeerOutdated(detail, int(body))
+            return peer.PeerOutdated(detail, _incarnation(body))
         if prefix.kind == envelope.Kind.REFUSED:
             return peer.PeerRefused(detail)
         return peer.PeerError(detail)
 
 
+def _incarnation(body: bytes) -> int:
+    try:
+        return int(body)
+    except ValueError as error:
+        raise codec.CodecError(f"incarnation {body[:40]!r}: expected an integer") from error
+
+
 @attrs.frozen
 class IncomingMessage:
     """A received request or one-way message.
--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -1,5 +1,6 @@
 import contextlib
 import unittest
+from unittest import mock
 
 import attrs
 from eventlet.green import zmq
@@ -312,6 +313,19 @@
         versions.wait_for(2)
         self.assertEqual(self.calls, [])
 
+    def test_frame_with_an_unexpected_effect_is_counted_and_dropped(self):
+        # Guards against an instance that is deaf to all peers after one frame.
+        malformed = CounterIncrease(metrics.DROPPED_MALFORMED)
+        with (
+            self.assertLogs("rosedyke", "ERROR") as logs,
+            mock.patch.object(self.b, "_dispatch", side_effect=ZeroDivisionError),
+        ):
+            self.raw_client.send(self.raw_client.frame(self.b, 1))
+            malformed.wait_for(1)
+        self.assertIn("frame_failed", logs.output[0])
+        self.raw_client.send(self.raw_client.frame(self.b, 2, kind=envelope.Kind.ONE_WAY))
+        self.assertTrue(self.called.wait(LONG_S))
+
     def test_replayed_frame_is_handled_once(self):
         frame = self.raw_client.frame(self.b, 1, kind=envelope.Kind.ONE_WAY)
         repeated = CounterIncrease(metrics.DROPPED_REPEATED)
