--- /dev/null
+++ b/rosedyke/rerunnable_jobs/cancellations.py
@@ -0,0 +1,217 @@
+"""Keeps the cancellations that callers are told of where they outlive every instance.
+
+A cancellation stops its job at once, wherever the job is.  It is acknowledged once it is stored,
+because a caller may send the job again after all instances have restarted.
+"""
+
+import attrs
+
+from rosedyke import runtime as runtime_module
+from rosedyke.observe import event, metric
+from rosedyke.rerunnable_jobs import events, fan_out, messages, metrics, ports
+
+# Only a few of very many instances are told of cancellations at a time.
+MAX_WRITE_INTERVAL_S = 0.2
+INITIAL_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.5
+# Instances that are asked to store cancellations if the store rejects this one.
+HELPERS = 2
+HELP_TIMEOUT_S = 1.0
+# A cancellation is stored again at most this often while its job is submitted again.
+PROLONG_INTERVAL_S = 60.0
+
+
+@attrs.frozen
+class Cancelled:
+    """The result of a cancellation.
+
+    Attributes
+    ----------
+    was_held : bool
+        The job was held at this instance.
+    is_stored : bool
+        It outlives the processes of all instances.
+    """
+
+    was_held: bool
+    is_stored: bool
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A cancellation that is to be stored.
+
+    Attributes
+    ----------
+    stored : Signal
+        Set once it is stored.
+    expires_at : float
+        It is needed until then.
+    """
+
+    stored: runtime_module.Signal
+    expires_at: float
+
+
+class Cancellations:
+    """Stores the cancellations of one instance's callers, and applies those of all instances.
+
+    Parameters
+    ----------
+    node : Node
+        The instance.
+    store : CancellationStore
+        Where they are kept.
+
+    Attributes
+    ----------
+    waiting : dict of str to Waiting
+        Cancellations that are not stored yet, in the order of their arrival, by job id.
+    written_at : dict of str to float
+        When this instance has stored a cancellation last, by job id.
+    known : frozenset of str or None
+        The stored cancellations, as last read; None until the store was read.
+    started_at : float
+        When this instance began to read them.
+    """
+
+    def __init__(self, node, store: ports.CancellationStore):
+        self.node = node
+        self.runtime: runtime_module.Runtime = node.runtime
+        self.store = store
+        self.waiting: dict[str, Waiting] = {}
+        self.written_at: dict[str, float] = {}
+        self.known: frozenset[str] | None = None
+        self.started_at = self.runtime.now()
+        self.is_failing = False
+        self.wake = self.runtime.signal()
+        store.subscribe(self.on_stored)
+
+    def are_known(self) -> bool:
+        """Return whether jobs may be accepted.
+
+        An instance that can't reach the store accepts jobs after a while nevertheless, so that a
+        data centre that is cut off goes on serving; it is in touch with the platform no sooner
+        than with the store.
+        """
+        waited_s = self.runtime.now() - self.started_at
+        return self.known is not None or waited_s >= self.node.timing.cancellations_wait_s
+
+    def keep(self, job_id: str, timeout_s: float) -> bool:
+        """Block until a cancellation is stored, and return whether it is.
+
+        If not, this instance goes on trying.
+        """
+        waiting = self._enqueue(job_id)
+        return waiting.stored.wait(timeout_s)
+
+    def prolong(self, job_id: str) -> None:
+        """Keep a cancellation for longer, because its job was submitted again."""
+        now = self.runtime.now()
+        if now - self.written_at.get(job_id, float("-inf")) >= PROLONG_INTERVAL_S:
+            self._record_written(job_id, now)
+            self._enqueue(job_id)
+
+    def _enqueue(self, job_id):
+        waiting = self.waiting.get(job_id)
+        if waiting is None:
+            expires_at = self.runtime.now() + self.node.timing.cancellations_kept_s
+            waiting = self.waiting[job_id] = Waiting(self.runtime.signal(), expires_at)
+            self.wake.set()
+        return waiting
+
+    def run(self) -> None:
+        """Store what is waiting, many at a time, until the task is cancelled."""
+        backoff_s, next_write_at = INITIAL_BACKOFF_S, float("-inf")
+        while True:
+            if not self.waiting:
+                self.wake.wait()
+            self.wake = self.runtime.signal()
+            # Those that arrive meanwhile share the write.
+            self.runtime.sleep(max(0.0, next_write_at - self.runtime.now()))
+            next_write_at = self.runtime.now() + self._write_interval_s()
+            batch = tuple(self.waiting)[: self.store.batch_size]
+            if not batch:
+                continue
+            if self._write(batch) or self._let_others_write(batch):
+                backoff_s = INITIAL_BACKOFF_S
+                self._on_written(batch)
+                continue
+            self._remove_expired()
+            self.runtime.sleep(backoff_s * (0.5 + self.runtime.random()))
+            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+
+    def _write_interval_s(self):
+        """Return this instance's share of the rate at which all may write."""
+        instances = 1 + len(self.node.fleet.instances())
+        return min(MAX_WRITE_INTERVAL_S, instances / self.node.timing.cancellation_writes_per_s)
+
+    def _write(self, job_ids):
+        """Store cancellations; return whether they are stored."""
+        try:
+            self.store.write(job_ids)
+        except ports.CancellationsNotStored as error:
+            metric.count(metrics.CANCELLATIONS_NOT_STORED, len(job_ids))
+            if not self.is_failing:
+                self.is_failing = True
+                event.log(events.CANCELLATIONS_NOT_STORED, jobs=len(job_ids), error=error)
+            return False
+        if self.is_failing:
+            self.is_failing = False
+            event.log(events.CANCELLATIONS_STORED_AGAIN)
+        return True
+
+    def _let_others_write(self, job_ids):
+        """Let other instances store cancellations, as the store may reject only this one."""
+        fleet = self.node.fleet
+        helpers = sorted(
+            fleet.instances().values(),
+            key=lambda instance: (not fleet.is_alive(instance.name), self.runtime.random()),
+        )[:HELPERS]
+        message = messages.StoreCancellations(job_ids)
+        replies = fan_out.request_all(
+            self.runtime, self.node.peers, helpers, message, HELP_TIMEOUT_S
+        )
+        return any(reply.are_stored for reply in replies)
+
+    def on_help(self, message: messages.StoreCancellations) -> messages.CancellationsStored:
+        """Store cancellations for an instance that the store rejects."""
+        return messages.CancellationsStored(self._write(message.job_ids))
+
+    def _on_written(self, job_ids):
+        now = self.runtime.now()
+        for job_id in job_ids:
+            self._record_written(job_id, now)
+            self.waiting.pop(job_id).stored.set()
+        self._forget_written(now)
+
+    def _record_written(self, job_id, now):
+        self.written_at.pop(job_id, None)  # the dictionary is in the order of the times
+        self.written_at[job_id] = now
+
+    def _forget_written(self, now):
+        kept_s = self.node.timing.cancellations_kept_s
+        while self.written_at:
+            job_id, written_at = next(iter(self.written_at.items()))
+            if now - written_at < kept_s:
+                return
+            del self.written_at[job_id]
+
+    def _remove_expired(self):
+        now = self.runtime.now()
+        for job_id, waiting in list(self.waiting.items()):
+            if waiting.expires_at <= now:
+                del self.waiting[job_id]
+
+    def on_stored(self, job_ids: frozenset[str]) -> None:
+        """Apply the stored cancellations; called with all of them after each change."""
+        known = self.known or frozenset()
+        self.known = self.node.registrar.stored = job_ids
+        for job_id in job_ids - known:
+            self.node.apply_cancellation(job_id)
+        now = self.runtime.now()
+        self._forget_written(now)
+        for job_id in known - job_ids:
+            # Its lease has ended early, as leases may while the store is down.
+            if job_id in self.written_at:
+                self._enqueue(job_id)
--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -276,6 +276,19 @@
     logging.INFO,
     "For a second this instance has sent no job to another data centre because of its slack.",
 )
+CANCELLATIONS_NOT_STORED = event.define(
+    8083,
+    "cancellations_not_stored",
+    logging.WARNING,
+    "Cancellations of callers could not be stored. Their jobs are stopped; the callers get no "
+    "acknowledgement until this or another instance has stored them.",
+)
+CANCELLATIONS_STORED_AGAIN = event.define(
+    8084,
+    "cancellations_stored_again",
+    logging.INFO,
+    "Cancellations are stored again.",
+)
 REFUSED_AT_SHUTDOWN = event.define(
     8082,
     "rerunnable_job_refused_at_shutdown",
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -89,6 +89,7 @@
         self.pools = indexed_pools
         self.submit = submit
         self.resubmissions = retry_budget
+        self.registrar = registrar
         self.jobs: dict[str, pending_job.PendingJob] = {}
         # A network partition can delay a message until its job has ended and was resubmitted.  If
         # it then matched the new part, tasks could run twice, so part numbers are never reused, not
@@ -280,7 +281,7 @@
         pending = self.jobs.get(job_id)
         if pending is None:
             return False
-        self.finish(pending, job.Outcome(job.EndState.CANCELLED, "the caller cancelled it"))
+        self.finish(pending, job.CANCELLED_BY_CALLER)
         return True
 
     def queued_jobs(self, queue: str) -> int:
--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -142,6 +142,19 @@
             if owned.holder.name == holder:
                 self.owner.cancel_job(owned)
 
+    def cancel_by_caller(self, job_id: str) -> None:
+        """Cancel a job that a caller has cancelled, and tell its holder."""
+        for owned in self._parts_of(job_id):
+            self.owner.finish(owned, job.CANCELLED_BY_CALLER)
+
+    def report_cancelled(self, message: messages.Submit) -> None:
+        """Answer the submission of a job that a caller has cancelled."""
+        finished = owned_job.FinishedJob(
+            job.CANCELLED_BY_CALLER, message.tasks, self.owner.runtime.now()
+        )
+        key = (message.work.id, message.part)
+        self.owner.report_outcome(message.holder, key, finished)
+
     def withdraw(self, key: messages.PartKey) -> messages.Withdrawn:
         """Cancel a part of a job unless it has started.
 
--- a/rosedyke/rerunnable_jobs/job.py
+++ b/rosedyke/rerunnable_jobs/job.py
@@ -136,3 +136,6 @@
     end: EndState
     reason: str = ""
     retry_after_s: float = 0.0
+
+
+CANCELLED_BY_CALLER = Outcome(EndState.CANCELLED, "a caller cancelled it")
--- a/rosedyke/rerunnable_jobs/job_registrar.py
+++ b/rosedyke/rerunnable_jobs/job_registrar.py
@@ -3,10 +3,8 @@
 import attrs
 
 from rosedyke import runtime as runtime_module
-from rosedyke.rerunnable_jobs import messages
+from rosedyke.rerunnable_jobs import messages, settings
 
-# How long the id of a cancelled job is kept, for a request that arrives after its cancellation.
-CANCELLED_KEPT_S = 60.0
 EXPIRY_INTERVAL_S = 1.0
 # Claims last this long.  They are sent again while the job is held, also to registrars that have
 # restarted.
@@ -31,12 +29,16 @@
         By job id.
     cancelled : dict of str to float
         When the cancellation of a job is forgotten, by job id.
+    stored : frozenset of str
+        The cancellations that the store keeps.
     """
 
-    def __init__(self, runtime: runtime_module.Runtime):
+    def __init__(self, timing: settings.RerunSettings, runtime: runtime_module.Runtime):
+        self.timing = timing
         self.runtime = runtime
         self.claims: dict[str, StoredClaim] = {}
         self.cancelled: dict[str, float] = {}
+        self.stored: frozenset[str] = frozenset()
 
     def run(self) -> None:
         """Remove expired claims until the task is cancelled."""
@@ -48,7 +50,7 @@
         """Store a claim, unless another instance has claimed the job or it was cancelled."""
         claimant = messages.Claimant(sender, message.incarnation)
         now = self.runtime.now()
-        if self.cancelled.get(message.job_id, now) > now:
+        if self.is_cancelled(message.job_id):
             return messages.ClaimReply(None, True)
         stored = self.claims.get(message.job_id)
         number = message.number
@@ -66,7 +68,11 @@
 
     def cancel(self, job_id: str) -> None:
         """Record that a job's caller has cancelled it."""
-        self.cancelled[job_id] = self.runtime.now() + CANCELLED_KEPT_S
+        self.cancelled[job_id] = self.runtime.now() + self.timing.cancellations_kept_s
+
+    def is_cancelled(self, job_id: str) -> bool:
+        """Return whether a caller has cancelled a job."""
+        return job_id in self.stored or self.cancelled.get(job_id, 0.0) > self.runtime.now()
 
     def remove_expired(self) -> None:
         """Remove the claims and cancellations that have ended."""
--- a/rosedyke/rerunnable_jobs/job_registrar_test.py
+++ b/rosedyke/rerunnable_jobs/job_registrar_test.py
@@ -1,10 +1,11 @@
 import unittest
 
-from rosedyke.rerunnable_jobs import job_registrar, messages
+from rosedyke.rerunnable_jobs import job_registrar, messages, settings
 from rosedyke.standins import virtual
 
 GRANTED = messages.ClaimReply(None, False)
 CANCELLED = messages.ClaimReply(None, True)
+TIMING = settings.RerunSettings()
 DURATION_S = job_registrar.CLAIM_S
 
 
@@ -22,7 +23,7 @@
 class RegistrarTest(unittest.TestCase):
     def setUp(self):
         self.runtime = virtual.VirtualRuntime()
-        self.registrar = job_registrar.JobRegistrar(self.runtime)
+        self.registrar = job_registrar.JobRegistrar(TIMING, self.runtime)
 
     def claim(self, of, replaces=0, job_id="j1", number=None):
         """Claim a job; the incarnation is also the number of the claim unless one is given."""
@@ -99,7 +100,7 @@
         # Guards against a run of a job whose cancellation has overtaken its request.
         self.registrar.cancel("j1")
         self.assertEqual(self.claim(FIRST), CANCELLED)
-        self.runtime.run(job_registrar.CANCELLED_KEPT_S - 0.1)
+        self.runtime.run(TIMING.cancellations_kept_s - 0.1)
         self.assertEqual(self.claim(FIRST), CANCELLED)
 
     def test_holder_that_confirms_its_claim_learns_of_the_cancellation(self):
@@ -121,7 +122,7 @@
         )
         self.runtime.run(DURATION_S + 2 * job_registrar.EXPIRY_INTERVAL_S)
         self.assertEqual(self.registrar.claims, {})
-        self.runtime.run(job_registrar.CANCELLED_KEPT_S + 2 * job_registrar.EXPIRY_INTERVAL_S)
+        self.runtime.run(TIMING.cancellations_kept_s + 2 * job_registrar.EXPIRY_INTERVAL_S)
         self.assertEqual(self.registrar.cancelled, {})
 
 
--- a/rosedyke/rerunnable_jobs/last_answers.py
+++ b/rosedyke/rerunnable_jobs/last_answers.py
@@ -52,7 +52,7 @@
     def refusal_reason(self, job_id: str) -> str:
         """Return why a job is not taken any more, empty if it is.
 
-        A job that is or was held here may have started, so it is not refused.
+        A job that is or was held here, or was cancelled, may have started, so it is not refused.
         """
         if self.runtime.now() < self.due_at or self._is_known(job_id):
             return ""
@@ -78,7 +78,11 @@
         return job.Outcome(job.EndState.REFUSED, reason, self.holder.retry_after_s(work.priority))
 
     def _is_known(self, job_id):
-        return job_id in self.holder.jobs or job_id in self.holder.single_holder.ended
+        return (
+            job_id in self.holder.jobs
+            or job_id in self.holder.single_holder.ended
+            or self.holder.registrar.is_cancelled(job_id)
+        )
 
     def _is_too_long(self, work):
         """Return whether the longest task ends too late even if it starts now.
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -577,6 +577,22 @@
     job_id: str
 
 
+@codec.message("rerun.store_cancellations")
+@attrs.frozen
+class StoreCancellations:
+    """Asks the receiver to store cancellations, because the store rejects the sender."""
+
+    job_ids: tuple[str, ...]
+
+
+@codec.message("rerun.cancellations_stored")
+@attrs.frozen
+class CancellationsStored:
+    """The reply to ``StoreCancellations``."""
+
+    are_stored: bool
+
+
 @codec.message("rerun.query")
 @attrs.frozen
 class ContactAgeQuery:
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -39,6 +39,11 @@
 CLAIMS_UNANSWERED = metric.define(
     "rerun.claims_unanswered", "counter", "Claims on jobs that no other instance answered."
 )
+CANCELLATIONS_NOT_STORED = metric.define(
+    "rerun.cancellations_not_stored",
+    "counter",
+    "Cancellations that this instance could not store at an attempt; it tries again.",
+)
 JOBS_JOINED = metric.define(
     "rerun.jobs_joined", "counter", "Jobs of this holder that another instance had claimed."
 )
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -6,6 +6,7 @@
 from rosedyke.observe import event, metric
 from rosedyke.overload import own_delay
 from rosedyke.rerunnable_jobs import (
+    cancellations,
     document_sync,
     documents,
     events,
@@ -63,6 +64,7 @@
         directory: ports.InstanceDirectory,
         gateway: ports.ServerGateway,
         shared_documents: documents.Documents,
+        cancellation_store: ports.CancellationStore,
         wall_clock_s: Callable[[], float],
         seeds: tuple[str, ...] = (),
         delay: own_delay.OwnDelay | None = None,
@@ -86,7 +88,7 @@
         self.fleet = fleet_view.FleetView(this_instance, timing, runtime, directory, self.delay)
         self.pools = pool_index.PoolIndex(registry)
         self.resubmissions = resubmissions.Resubmissions(timing, runtime)
-        self.registrar = job_registrar.JobRegistrar(runtime)
+        self.registrar = job_registrar.JobRegistrar(timing, runtime)
         self.holder = holder.Holder(
             timing,
             runtime,
@@ -114,12 +116,13 @@
         self.handover = handover.Handover(self)
         self.synchroniser = document_sync.DocumentSync(self)
         self.renewal = renewal.Renewal(self)
+        self.cancellations = cancellations.Cancellations(self, cancellation_store)
         self.is_running = True
 
     def start(self) -> None:
         """Register the message handlers and start the loops."""
         single = self.holder.single_holder
-        # None of the handlers blocks; blocking work is spawned.
+        # None of these handlers blocks; blocking work is spawned.
         for message_type, handler in (
             (messages.Renew, self.renewal.on_renew),
             (messages.Submit, self._on_submit),
@@ -146,10 +149,15 @@
             (messages.FetchDocument, self.synchroniser.on_fetch),
         ):
             self.peers.handle(message_type, handler, may_block=False)
+        self.peers.handle(
+            messages.StoreCancellations,
+            lambda sender, message: self.cancellations.on_help(message),
+        )
         self.registry.subscribe(self._on_servers)
         self.runtime.spawn_service(self.renewal.run)
         self.runtime.spawn_service(self.takeovers.run)
         self.runtime.spawn_service(self.registrar.run)
+        self.runtime.spawn_service(self.cancellations.run)
 
     def stop(self) -> None:
         """Stop; pools that were not handed over are left to their candidates."""
@@ -164,21 +172,31 @@
         arrival: pending_job.Arrival = pending_job.UNKNOWN_ARRIVAL,
     ) -> job.Outcome:
         """Run a job for a caller and block until it has ended."""
+        if self.registrar.is_cancelled(work.id):
+            self.registrar.cancel(work.id)
+            self.cancellations.prolong(work.id)
+            return job.CANCELLED_BY_CALLER
         return self.holder.run(work, disconnected, arrival)
 
-    def cancel(self, job_id: str) -> bool:
-        """Cancel a job for its caller, whoever holds it; return whether it was held here."""
+    def cancel(self, job_id: str, timeout_s: float) -> cancellations.Cancelled:
+        """Cancel a job for a caller, whoever holds it, and block until that is stored."""
         # To all instances even if it is held here: its request may still arrive at another one.
         for instance in self.fleet.instances().values():
             self.holder.send(instance, messages.CancelHeld(job_id))
-        return self._cancel_held(job_id)
+        was_held = self.apply_cancellation(job_id)
+        is_stored = self.cancellations.keep(job_id, timeout_s)
+        return cancellations.Cancelled(was_held, is_stored)
 
-    def _cancel_held(self, job_id):
+    def apply_cancellation(self, job_id: str) -> bool:
+        """Stop a cancelled job here, as its holder and as an owner; return whether it was held."""
         self.registrar.cancel(job_id)
-        return self.holder.cancel(job_id)
+        was_held = self.holder.cancel(job_id)
+        for owned_pool in list(self.owned_pools.values()):
+            owned_pool.requests.cancel_by_caller(job_id)
+        return was_held
 
     def _on_cancel_held(self, sender, message):
-        self._cancel_held(message.job_id)
+        self.apply_cancellation(message.job_id)
 
     def can_reach_owner(self) -> bool:
         """Return whether the owner of any pool is reachable."""
@@ -414,6 +432,10 @@
     def _on_submit(self, sender, message):
         owned_pool = self.owned_pools.get(message.pool)
         transit_s = self.runtime.now() - message.sent_s
+        if owned_pool is not None and self.registrar.is_cancelled(message.work.id):
+            # Its holder may be out of reach of whoever cancelled it.
+            owned_pool.requests.report_cancelled(message)
+            return
         if owned_pool is not None and abs(transit_s) <= self.timing.stale_s:
             owned_pool.requests.submit(message)
             return
@@ -476,6 +498,8 @@
             self._report_lost_claim(message.job_id, former.claimant.instance, former.number)
         elif message.is_renewal and reply.claimant is not None:
             self._report_lost_claim(message.job_id, claimant, message.number)
+        elif message.is_renewal and reply.is_cancelled:
+            self.holder.send(claimant, messages.CancelHeld(message.job_id))
         return reply
 
     def _report_lost_claim(self, job_id, claimant, number):
--- a/rosedyke/rerunnable_jobs/ports.py
+++ b/rosedyke/rerunnable_jobs/ports.py
@@ -203,6 +203,36 @@
         """Close the connections to a server that is no longer listed."""
 
 
+class CancellationsNotStored(fault.RosedykeError):
+    """Cancellations may not have been stored."""
+
+    code = "rerun_cancellations_not_stored"
+
+
+class CancellationStore(Protocol):
+    """Keeps the ids of cancelled jobs when all instances end.
+
+    Attributes
+    ----------
+    batch_size : int
+        Most cancellations in one call of ``write``.
+    """
+
+    batch_size: int
+
+    def write(self, job_ids: tuple[str, ...]) -> None:
+        """Store cancellations for ``cancellations_kept_s`` or longer.
+
+        Raises
+        ------
+        CancellationsNotStored
+            They may not be stored.
+        """
+
+    def subscribe(self, callback: Callable[[frozenset[str]], None]) -> None:
+        """Call ``callback(job_ids)`` with all that are stored, at first and after each change."""
+
+
 class InstanceDirectory(Protocol):
     """The platform's list of entry instances, and a check whether the platform is reachable."""
 
--- a/rosedyke/rerunnable_jobs/settings.py
+++ b/rosedyke/rerunnable_jobs/settings.py
@@ -102,6 +102,15 @@
     queue_shares : mapping of str to QueueShare
         Weights and limits of queues, for those that do not have the defaults.  They take effect
         with ``schedules_by_kind`` only.
+    cancellations_kept_s : float
+        How long a cancelled job is remembered at least, also beyond a restart of all instances.
+        The store keeps nothing for over ten minutes without an instance that renews it.
+    cancellation_writes_per_s : float
+        Rate at which all instances together may write cancellations; half of what the store
+        accepts.
+    cancellations_wait_s : float
+        An instance that can't read the stored cancellations accepts no jobs so long after its
+        start.
     balances_data_centres : bool
         While little of the local capacity is free, jobs with slack accept other data centres, and
         a full pool asks several owners for free capacity at once.
@@ -137,6 +146,9 @@
     # Without hash, because mappings have none.
     queue_shares: Mapping[str, shares.QueueShare] = attrs.field(factory=dict, hash=False)
     balances_data_centres: bool = False
+    cancellations_kept_s: float = 540.0
+    cancellation_writes_per_s: float = 200.0
+    cancellations_wait_s: float = 3.0
 
     @property
     def max_order_s(self) -> float:
--- a/rosedyke/rerunnable_jobs/single_holder.py
+++ b/rosedyke/rerunnable_jobs/single_holder.py
@@ -30,7 +30,6 @@
 OWNERS_QUERY_KEPT_S = 1.0
 # Outcomes that a second run would not improve.
 FINAL_ENDS = frozenset({job.EndState.SUCCEEDED, job.EndState.FAILED})
-CANCELLED_BY_CALLER = job.Outcome(job.EndState.CANCELLED, "the caller cancelled it")
 
 
 @attrs.frozen
@@ -126,7 +125,7 @@
                 self.runtime.sleep(CLAIM_RETRY_S)
                 continue
             if reply.is_cancelled:
-                self.holder.finish(pending, CANCELLED_BY_CALLER)
+                self.holder.finish(pending, job.CANCELLED_BY_CALLER)
                 return False
             claimant = pending.yields_to or reply.claimant
             pending.yields_to = None
--- a/rosedyke/rerunnable_jobs/single_holder_test.py
+++ b/rosedyke/rerunnable_jobs/single_holder_test.py
@@ -224,7 +224,7 @@
 class Cancellations(RegionTest):
     def test_request_that_arrives_after_its_cancellation_is_not_run(self):
         # Guards against a run that nobody can stop any more.
-        self.region.members[self.second].node.cancel("j1")
+        self.region.cancel(self.second, "j1")
         self.region.run(0.1)
         late = self.submit(self.first)
         self.region.run(0.5)
@@ -238,7 +238,7 @@
         submissions.append(self.submit(self.second, duration_s=3.0))
         self.region.run(0.1)
         other = next(name for name in self.region.members if name not in (self.first, self.second))
-        self.region.members[other].node.cancel("j1")
+        self.region.cancel(other, "j1")
         self.region.run(0.3)
         ends = [submission.outcome.end for submission in submissions]
         self.assertEqual(ends, [job.EndState.CANCELLED] * 2)
--- a/rosedyke/standins/explore_holders.py
+++ b/rosedyke/standins/explore_holders.py
@@ -28,6 +28,8 @@
 # Runs go on for at most this long after the last caller has gone: its holder and a holder that
 # joined it are noticed as lost one after the other, and the lease on the runs ends.
 UNWANTED_RUN_S = 2.5
+# How long a caller waits for the acknowledgement of a cancellation.
+ACK_TIMEOUT_S = 4.0
 # After a cancellation no task starts once its messages have been delivered.
 CANCELLED_START_S = 0.5
 # Two holders that could not reach each other, nor a common instance, know of each other this long
@@ -514,7 +516,7 @@
 
         def cancel(pause_state, member):
             pause_state.wait()
-            member.node.cancel(caller.work.id)
+            member.node.cancel(caller.work.id, ACK_TIMEOUT_S)
 
         self.runtime.spawn(cancel, self.region.pause_states[name], self.region.members[name])
 
--- a/rosedyke/standins/rerun_region.py
+++ b/rosedyke/standins/rerun_region.py
@@ -6,7 +6,15 @@
 
 from rosedyke import runtime as runtime_module
 from rosedyke.overload import own_delay
-from rosedyke.rerunnable_jobs import documents, job, messages, node, ports, settings
+from rosedyke.rerunnable_jobs import (
+    cancellations,
+    documents,
+    job,
+    messages,
+    node,
+    ports,
+    settings,
+)
 from rosedyke.scheduling import pool_split
 from rosedyke.standins import leased_servers, virtual
 from rosedyke.wire import peer
@@ -66,6 +74,61 @@
         return self.reachable
 
 
+class FakeCancellationStore:
+    """Implements ``ports.CancellationStore`` for one instance; all share what is stored.
+
+    Attributes
+    ----------
+    reachable : bool
+        Whether this instance can write and read.
+    delay_s : float
+        Time that a write takes.
+    watch_s : float
+        Time after which the other instances read a change.
+    """
+
+    batch_size = 32
+
+    def __init__(self, region: "Region"):
+        self.region = region
+        self.reachable = True
+        self.is_crashed = False
+        self.delay_s = 0.002
+        self.watch_s = 0.02
+        self.callbacks: list[Callable[[frozenset[str]], None]] = []
+
+    def write(self, job_ids: tuple[str, ...]) -> None:
+        """Store cancellations."""
+        self.region.runtime.sleep(self.delay_s)
+        if self.is_crashed:
+            self.region.runtime.signal().wait()
+        if not self.reachable:
+            raise ports.CancellationsNotStored("not reachable")
+        self.region.cancelled |= set(job_ids)
+        self.region.cancellation_writes += 1
+        for member in self.region.members.values():
+            self.region.runtime.spawn(member.cancellation_store.read)
+
+    def crash(self) -> None:
+        """Write and read no more, as the process has ended."""
+        self.is_crashed = True
+
+    def subscribe(self, callback: Callable[[frozenset[str]], None]) -> None:
+        """Call ``callback(job_ids)`` at first and after each change."""
+        self.callbacks.append(callback)
+        self.region.runtime.spawn(self.read)
+
+    def read(self) -> None:
+        """Read what is stored, as soon as that is possible."""
+        self.region.runtime.sleep(self.watch_s)
+        while not self.reachable and not self.is_crashed:
+            self.region.runtime.sleep(self.watch_s)
+        if self.is_crashed:
+            return
+        for callback in self.callbacks:
+            callback(frozenset(self.region.cancelled))
+
+
 @attrs.define(eq=False)
 class Member:
     """One instance of the region."""
@@ -74,6 +137,7 @@
     peers: virtual.VirtualPeers
     listed: FakePlatform
     node: node.Node
+    cancellation_store: FakeCancellationStore
     clock_s: float = 0.0
 
 
@@ -107,6 +171,9 @@
             timing or settings.RerunSettings(), link_bytes_per_s=link_bytes_per_s
         )
         self.members: dict[str, Member] = {}
+        # Outlives all instances.
+        self.cancelled: set[str] = set()
+        self.cancellation_writes = 0
         for data_centre in sizes:
             for number in range(servers):
                 self.add_server(data_centre, number)
@@ -148,6 +215,7 @@
         runtime, peers = self.runtime_and_peers(peer.Peer(name, 1, data_centre, address))
         listed = FakePlatform(self)
         listed.known_splits = splits
+        cancellation_store = FakeCancellationStore(self)
         delay = own_delay.OwnDelay(runtime, self.timing.link_bytes_per_s)
         if delay.is_limited:
             self.network.links[name] = delay
@@ -160,10 +228,11 @@
             listed,
             self.gateway(name, delay),
             documents.Documents(runtime),
+            cancellation_store,
             lambda: WALL_CLOCK_START_S + self.runtime.now() + clock_s,
             delay=delay,
         )
-        self.members[name] = Member(own, peers, listed, rerun_node, clock_s)
+        self.members[name] = Member(own, peers, listed, rerun_node, cancellation_store, clock_s)
         rerun_node.start()
         return self.members[name]
 
@@ -201,8 +270,21 @@
         """Crash an instance."""
         member = self.members.pop(name)
         member.peers.crash()
+        member.cancellation_store.crash()
         member.node.stop()
 
+    def cancel(self, name: str, job_id: str, timeout_s: float = 4.0) -> "Cancellation":
+        """Cancel a job at an instance as a caller does."""
+        cancellation = Cancellation(self.runtime.now())
+        member = self.members[name]
+
+        def cancel_and_record():
+            cancellation.result = member.node.cancel(job_id, timeout_s)
+            cancellation.ended_at = self.runtime.now()
+
+        self.runtime.spawn(cancel_and_record)
+        return cancellation
+
     def partition_instances(self, left: list[str], right: list[str]) -> None:
         """Partition two groups of instances from each other."""
         self.network.partition(left, right)
@@ -245,6 +327,15 @@
         return submission
 
 
+@attrs.define(eq=False)
+class Cancellation:
+    """A caller's cancellation of a job, and its result."""
+
+    submitted_at: float
+    result: cancellations.Cancelled | None = None
+    ended_at: float = 0.0
+
+
 @attrs.define(eq=False)
 class Submission:
     """A caller's submission of a job, and its outcome."""
