Cancellations: an instance that starts without the store learns them from another one

An instance that the store rejects took no jobs for contactMs after its start. It now asks two others for the cancellations that they know, and is ready with their answer.

--- a/rosedyke/rerunnable_jobs/cancellations.py
+++ b/rosedyke/rerunnable_jobs/cancellations.py
@@ -14,7 +14,9 @@
 MAX_WRITE_INTERVAL_S = 0.2
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
-# Instances that are asked to store cancellations if the store rejects this one.
+# How long the store is waited for before other instances are asked, and between two questions.
+LEARN_INTERVAL_S = 0.2
+# Instances that are asked if the store rejects this one.
 HELPERS = 2
 HELP_TIMEOUT_S = 1.0
 # A cancellation is stored again at most this often while its job is submitted again.
@@ -71,6 +73,8 @@
         When this instance has stored a cancellation last, by job id.
     known : frozenset of str or None
         The stored cancellations, as last read; None until the store was read.
+    is_learned : bool
+        Another instance, which knew them, has told them.
     started_at : float
         When this instance began to read them.
     """
@@ -82,6 +86,7 @@
         self.waiting: dict[str, Waiting] = {}
         self.written_at: dict[str, float] = {}
         self.known: frozenset[str] | None = None
+        self.is_learned = False
         self.started_at = self.runtime.now()
         self.is_failing = False
         self.wake = self.runtime.signal()
@@ -90,12 +95,40 @@
     def are_known(self) -> bool:
         """Return whether jobs may be accepted.
 
-        An instance that can't reach the store accepts jobs after a while nevertheless, so that a
-        data centre that is cut off goes on serving; it is in touch with the platform no sooner
-        than with the store.
+        An instance that can't learn them from the store or another instance accepts jobs after a
+        while nevertheless, so that a data centre that is cut off goes on serving; it is in touch
+        with the platform no sooner than with the store.
         """
         waited_s = self.runtime.now() - self.started_at
-        return self.known is not None or waited_s >= self.node.timing.cancellations_wait_s
+        return self._has_list() or waited_s >= self.node.timing.cancellations_wait_s
+
+    def _has_list(self):
+        return self.known is not None or self.is_learned
+
+    def learn(self) -> None:
+        """Ask other instances for the cancellations until they are known."""
+        self.runtime.sleep(LEARN_INTERVAL_S)
+        while not self._has_list():
+            replies = fan_out.request_all(
+                self.runtime,
+                self.node.peers,
+                self._helpers(),
+                messages.FetchCancellations(),
+                HELP_TIMEOUT_S,
+            )
+            for reply in replies:
+                if reply.job_ids is not None:
+                    self.is_learned = True
+                    for job_id in reply.job_ids:
+                        self.node.apply_cancellation(job_id)
+            self.runtime.sleep(LEARN_INTERVAL_S)
+
+    def on_fetch(self) -> messages.KnownCancellations:
+        """Tell another instance what this one knows."""
+        if not self._has_list():
+            return messages.KnownCancellations(None)
+        registrar = self.node.registrar
+        return messages.KnownCancellations(tuple(registrar.stored | registrar.cancelled.keys()))
 
     def keep(self, job_id: str, timeout_s: float) -> bool:
         """Block until a cancellation is stored, and return whether it is.
@@ -163,17 +196,20 @@
 
     def _let_others_write(self, job_ids):
         """Let other instances store cancellations, as the store may reject only this one."""
-        fleet = self.node.fleet
-        helpers = sorted(
-            fleet.instances().values(),
-            key=lambda instance: (not fleet.is_alive(instance.name), self.runtime.random()),
-        )[:HELPERS]
         message = messages.StoreCancellations(job_ids)
         replies = fan_out.request_all(
-            self.runtime, self.node.peers, helpers, message, HELP_TIMEOUT_S
+            self.runtime, self.node.peers, self._helpers(), message, HELP_TIMEOUT_S
         )
         return any(reply.are_stored for reply in replies)
 
+    def _helpers(self):
+        """Return other instances to ask, those with recent contact first."""
+        fleet = self.node.fleet
+        return sorted(
+            fleet.instances().values(),
+            key=lambda instance: (not fleet.is_alive(instance.name), self.runtime.random()),
+        )[:HELPERS]
+
     def on_help(self, message: messages.StoreCancellations) -> messages.CancellationsStored:
         """Store cancellations for an instance that the store rejects."""
         return messages.CancellationsStored(self._write(message.job_ids))
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -593,6 +593,20 @@
     are_stored: bool
 
 
+@codec.message("rerun.fetch_cancellations")
+@attrs.frozen
+class FetchCancellations:
+    """Asks for the cancellations that the receiver knows, because the store doesn't answer."""
+
+
+@codec.message("rerun.known_cancellations")
+@attrs.frozen
+class KnownCancellations:
+    """The reply to ``FetchCancellations``; ``job_ids`` is None if the receiver knows no list."""
+
+    job_ids: tuple[str, ...] | None
+
+
 @codec.message("rerun.query")
 @attrs.frozen
 class ContactAgeQuery:
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -153,11 +153,17 @@
             messages.StoreCancellations,
             lambda sender, message: self.cancellations.on_help(message),
         )
+        self.peers.handle(
+            messages.FetchCancellations,
+            lambda sender, message: self.cancellations.on_fetch(),
+            may_block=False,
+        )
         self.registry.subscribe(self._on_servers)
         self.runtime.spawn_service(self.renewal.run)
         self.runtime.spawn_service(self.takeovers.run)
         self.runtime.spawn_service(self.registrar.run)
         self.runtime.spawn_service(self.cancellations.run)
+        self.runtime.spawn_service(self.cancellations.learn)
 
     def stop(self) -> None:
         """Stop; pools that were not handed over are left to their candidates."""
