Messages: an instance with an odd address or size does not end the loops that contact it

An address that is none made the socket raise ZMQError, which senders don't expect: the loop of renewals failed at each pass. Cores of 0 or 1e308 failed in the ranking of instances. The transport raises PeerNotSent, and the message is refused as malformed. An interrupted system call in the reader of the socket for peers is no reason to end the process.

--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -265,7 +265,7 @@
             self.peers.send(peer.at_address(instance.address), message)
         except peer.PeerError as error:
             event.log(events.MESSAGE_NOT_SENT, to=instance.name, error=error)
-            return not isinstance(error, peer.PeerQueueFull)
+            return not isinstance(error, peer.PeerNotSent)
         return True
 
     def request_reply(self, instance: messages.Instance, message: object, timeout_s: float) -> Any:
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -3,6 +3,7 @@
 import collections
 import zlib
 from collections.abc import Iterable
+from typing import Annotated
 
 import attrs
 import msgspec
@@ -11,6 +12,8 @@
 from rosedyke.scheduling import run_times
 from rosedyke.wire import codec
 
+MAX_CORES = 100_000
+
 # A job's id and the number of one of its parts.
 PartKey = tuple[str, int]
 
@@ -28,7 +31,7 @@
     name: str
     address: str
     data_centre: str
-    cores: float = 1.0
+    cores: Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)] = 1.0
 
     def checksum(self) -> int:
         """Return a checksum of all fields, by which a peer tells that it knows them."""
--- a/rosedyke/wire/peer.py
+++ b/rosedyke/wire/peer.py
@@ -24,7 +24,19 @@
     code = "peer_timeout"
 
 
-class PeerQueueFull(PeerError):
+class PeerNotSent(PeerError):
+    """The message was not sent."""
+
+    code = "peer_not_sent"
+
+
+class PeerAddressInvalid(PeerNotSent):
+    """The peer's address can't be connected to, because it is none."""
+
+    code = "peer_address_invalid"
+
+
+class PeerQueueFull(PeerNotSent):
     """The outgoing queue to the peer is full; the message was not sent."""
 
     code = "peer_queue_full"
--- a/rosedyke/wire/peer_connection.py
+++ b/rosedyke/wire/peer_connection.py
@@ -59,7 +59,11 @@
         self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, int(options.reconnect_limit_s * MS_PER_S))
         self.socket.setsockopt(zmq.CONNECT_TIMEOUT, int(options.connect_timeout_s * MS_PER_S))
         curve_keys.protect_client(self.socket, keys)
-        self.socket.connect(f"tcp://{address}")
+        try:
+            self.socket.connect(f"tcp://{address}")
+        except (zmq.ZMQError, ValueError):
+            self.socket.close(0)
+            raise
         runtime.spawn(self._read)
 
     def send(self, frame: bytes) -> None:
--- a/rosedyke/wire/transport.py
+++ b/rosedyke/wire/transport.py
@@ -273,9 +273,13 @@
     def _connection_to(self, address) -> peer_connection.PeerConnection:
         connection = self.connections.get(address)
         if connection is None:
-            connection = peer_connection.PeerConnection(
-                self.context, self.options, self.keys, self.runtime, address, self._on_response
-            )
+            try:
+                connection = peer_connection.PeerConnection(
+                    self.context, self.options, self.keys, self.runtime, address, self._on_response
+                )
+            except (zmq.ZMQError, ValueError) as error:
+                # Told by a peer, or by another writer of the list of instances.
+                raise peer.PeerAddressInvalid(f"{address!r}: {error}") from error
             self.connections[address] = connection
         return connection
 
@@ -327,6 +331,8 @@
             try:
                 parts = green_socket.receive(self.router)
             except zmq.ZMQError as error:
+                if error.errno == zmq.EINTR:
+                    continue
                 if not self.is_stopped:
                     # Without the socket, this instance would be deaf to its peers for good.
                     self.runtime.end_process(f"socket for peers: {error}")
--- a/rosedyke/wire/transport_test.py
+++ b/rosedyke/wire/transport_test.py
@@ -326,6 +326,12 @@
         self.raw_client.send(self.raw_client.frame(self.b, 2, kind=envelope.Kind.ONE_WAY))
         self.assertTrue(self.called.wait(LONG_S))
 
+    def test_address_that_is_none(self):
+        # Guards against an error that senders don't expect, which would end their loops.
+        for address in ("nowhere", "", "10.0.0.1:x", "a\0b:1", "\u0663:1"):
+            with self.subTest(address=address), self.assertRaises(peer.PeerNotSent):
+                self.b.send(peer.at_address(address), Question("hi"))
+
     def test_replayed_frame_is_handled_once(self):
         frame = self.raw_client.frame(self.b, 1, kind=envelope.Kind.ONE_WAY)
         repeated = CounterIncrease(metrics.DROPPED_REPEATED)
