Cancellations: a record whose lease ends before the next answer of the watch is stored again

Found beside a soak: nine real instances, three cancellations at three of them, and all leases revoked 30 ms later: one of the three records was written again. The watch of the two other writers had not returned their records, so the list never lost them. The writer now compares what it has written with each answer of the store that must contain it.

--- a/rosedyke/rerunnable_jobs/cancellations.py
+++ b/rosedyke/rerunnable_jobs/cancellations.py
@@ -19,6 +19,8 @@
 # Instances that are asked if the store rejects this one.
 HELPERS = 2
 HELP_TIMEOUT_S = 1.0
+# An answer of the store this long after a write contains it.
+SETTLED_S = 5.0
 # A cancellation is stored again at most this often while its job is submitted again.
 PROLONG_INTERVAL_S = 60.0
 
@@ -240,14 +242,14 @@
                 del self.waiting[job_id]
 
     def on_stored(self, job_ids: frozenset[str]) -> None:
-        """Apply the stored cancellations; called with all of them after each change."""
+        """Apply the stored cancellations; called with all of them after each answer."""
         known = self.known or frozenset()
         self.known = self.node.registrar.stored = job_ids
         for job_id in job_ids - known:
             self.node.apply_cancellation(job_id)
         now = self.runtime.now()
         self._forget_written(now)
-        for job_id in known - job_ids:
+        for job_id, written_at in self.written_at.items():
             # Its lease has ended early, as leases may while the store is down.
-            if job_id in self.written_at:
+            if job_id not in job_ids and now - written_at >= SETTLED_S:
                 self._enqueue(job_id)
--- a/rosedyke/rerunnable_jobs/ports.py
+++ b/rosedyke/rerunnable_jobs/ports.py
@@ -230,7 +230,7 @@
         """
 
     def subscribe(self, callback: Callable[[frozenset[str]], None]) -> None:
-        """Call ``callback(job_ids)`` with all that are stored, at first and after each change."""
+        """Call ``callback(job_ids)`` with all that are stored, after each change and regularly."""
 
 
 class InstanceDirectory(Protocol):
