--- a/rosedyke/rerunnable_jobs/server_commands.py
+++ b/rosedyke/rerunnable_jobs/server_commands.py
@@ -12,6 +12,10 @@
 # After this many raises another owner is assumed to hold the higher token.
 MAX_TOKEN_RAISES = 6
 REFUSED_RETRY_DELAY_S = 0.03
+# After this many failed polls in a row, the delay before the next one doubles, up to a maximum.
+# An entry without a server, or whose address another server has, must not keep the owner busy.
+PATIENT_POLLS = 4
+MAX_POLL_DELAY_S, MAX_DOUBLINGS = 0.5, 5
 # A run is overdue this long after its expected end; the reply to a long poll takes 1 to 5 ms.
 OVERDUE_MARGIN_S = 0.03
 # Minimum interval between reads of a server with an overdue run.  Estimates are off by up to 40%,
@@ -228,15 +232,26 @@
             except ports.ServerError as error:
                 self._on_no_response(state, error)
             else:
+                state.failed_polls = 0
                 self.owner.apply_listing(state, listing, now)
 
     def _on_refused_poll(self, state, token_used, error):
         if error.reason is ports.RefusalReason.FENCED and token_used == self.owner.token:
             self._on_fenced(state)
         else:
-            event.log(events.POLL_REFUSED, server=state.server.id, error=error)
+            if not state.failed_polls:
+                event.log(events.POLL_REFUSED, server=state.server.id, error=error)
             state.is_synced = False
-        self.owner.runtime.sleep(REFUSED_RETRY_DELAY_S)
+        self._delay_poll(state, REFUSED_RETRY_DELAY_S)
+
+    def _delay_poll(self, state, delay_s):
+        if state.runs:
+            # The lapse of their lease is noticed between polls.
+            self.owner.runtime.sleep(delay_s)
+            return
+        state.failed_polls += 1
+        doublings = min(max(0, state.failed_polls - PATIENT_POLLS), MAX_DOUBLINGS)
+        self.owner.runtime.sleep(min(delay_s * 2**doublings, MAX_POLL_DELAY_S))
 
     def _on_no_response(self, state, error):
         now = self.owner.runtime.now()
@@ -244,7 +259,7 @@
             event.log(events.SERVER_UNRESPONSIVE, server=state.server.id, error=error)
             state.is_synced = False
         self.check_lease(state, now)
-        self.owner.runtime.sleep(self.owner.timing.order_s / 2)
+        self._delay_poll(state, self.owner.timing.order_s / 2)
 
     def check_lease(self, state, now):
         """Requeue the tasks of a server whose lease is over, since no run can be left there.
--- a/rosedyke/rerunnable_jobs/server_commands_test.py
+++ b/rosedyke/rerunnable_jobs/server_commands_test.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from rosedyke.rerunnable_jobs import job
+from rosedyke.rerunnable_jobs import job, ports, server_commands
 from rosedyke.standins import rerun_region
 
 STARTUP_S = 1.5
@@ -425,6 +425,66 @@
         self.assertEqual(later_servers, {"s-a-1"})
 
 
+class PollsWithoutListing(unittest.TestCase):
+    """Entries without a server of their own, such as those of a former holder of an address."""
+
+    def setUp(self):
+        self.region = started_region()
+        self.polls = {}
+        self.region.backend.fault_injector = self.count
+        self.server = next(iter(self.region.backend.servers.values()))
+
+    def count(self, kind, name, server):
+        if kind == "hold":
+            self.polls[server] = self.polls.get(server, 0) + 1
+
+    def polls_in(self, seconds):
+        self.polls.clear()
+        self.region.run(seconds)
+        return self.polls[self.server.listed.id]
+
+    def refuse_polls(self):
+        def refuse(*arguments):
+            raise ports.CommandRefused(ports.RefusalReason.OTHER_INCARNATION)
+
+        self.server.renew_lease = refuse
+
+    def test_few_polls_reach_an_entry_without_a_server(self):
+        # Guards against an owner that is too busy with such entries to serve the others.
+        for disturb in (self.refuse_polls, lambda: self.server.crash()):
+            self.setUp()
+            disturb()
+            self.region.run(3.0)
+            self.assertLessEqual(self.polls_in(10.0), 21)
+
+    def test_server_whose_entry_changes_is_polled_at_once(self):
+        self.refuse_polls()
+        self.region.run(3.0)
+        del self.server.renew_lease
+        self.server.listed = attrs.evolve(self.server.listed, address="10.0.0.77:1")
+        for member in self.region.members.values():
+            member.listed.changed()
+        self.region.run(0.6)
+        (owner,) = (
+            member.node.owned_pools["a/r1"]
+            for member in self.region.members.values()
+            if "a/r1" in member.node.owned_pools
+        )
+        state = owner.server_states[self.server.listed.id]
+        self.assertEqual((state.is_synced, state.failed_polls), (True, 0))
+
+    def test_server_that_answers_again_is_used_within_the_longest_delay(self):
+        self.server.is_up = False
+        self.region.run(60.0)
+        self.server.is_up = True
+        self.region.run(server_commands.MAX_POLL_DELAY_S + 0.7)
+        starts = len(self.region.backend.starts)
+        self.region.submit("a-1", "j1", count=12, duration_s=0.2)
+        self.region.run(0.1)
+        used = {server for _, _, server in self.region.backend.starts[starts:]}
+        self.assertIn(self.server.listed.id, used)
+
+
 class FailingJob(unittest.TestCase):
     def test_job_fails_after_its_attempts_are_used_up(self):
         region = started_region()
--- a/rosedyke/rerunnable_jobs/server_state.py
+++ b/rosedyke/rerunnable_jobs/server_state.py
@@ -141,6 +141,8 @@
         Until when it is slow after its start; it gets one task at a time.
     failures : int
         Consecutive failed runs.
+    failed_polls : int
+        Consecutive polls without a listing, since the entry last changed.
     """
 
     server: ports.Server
@@ -160,6 +162,7 @@
     is_unlisted: bool = False
     cold_until: float = 0.0
     failures: int = 0
+    failed_polls: int = 0
 
     def allocated(self) -> job.Demand:
         """Return the total demand of all known runs."""
@@ -218,6 +221,7 @@
     def update_entry(self, server: ports.Server, now: float) -> None:
         """Apply a changed entry of the platform."""
         self.server, self.cold_until = server, now + server.cold_s
+        self.failed_polls = 0
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server is still slow after its start."""
