--- a/rosedyke/gateways/deadline.py
+++ b/rosedyke/gateways/deadline.py
@@ -5,6 +5,9 @@
 import eventlet.hubs
 import greenlet
 
+# A deadline that moves to an earlier time is noticed within this.
+CHECK_INTERVAL_S = 0.5
+
 
 class Deadline:
     """Context manager that raises an exception in its green thread at a deadline.
@@ -17,7 +20,7 @@
     now : callable
         Returns the time in seconds.
     expires_at : callable
-        Returns the deadline by the same clock; asked again when it passes, since it may move.
+        Returns the deadline by the same clock; asked again now and then, since it may move.
     error : type of exception
         What is raised.
     """
@@ -44,7 +47,8 @@
 
     def _schedule(self, delay_s):
         hub = eventlet.hubs.get_hub()
-        self.timer = hub.schedule_call_global(max(0.0, delay_s), self._on_timer)
+        delay_s = min(max(0.0, delay_s), CHECK_INTERVAL_S)
+        self.timer = hub.schedule_call_global(delay_s, self._on_timer)
 
     def _on_timer(self):
         remaining_s = self.expires_at() - self.now()
--- a/rosedyke/gateways/deadline_test.py
+++ b/rosedyke/gateways/deadline_test.py
@@ -57,6 +57,15 @@
         self.assertTrue(is_expired)
         self.assertGreaterEqual(after_s, 0.095)
 
+    def test_moves_to_an_earlier_time(self):
+        # Guards against a call that waits on a connection which was found dead meanwhile.
+        started_at = time.monotonic()
+        is_expired, after_s = wait(
+            lambda: started_at + (60.0 if time.monotonic() < started_at + 0.1 else 0.2), 5.0
+        )
+        self.assertTrue(is_expired)
+        self.assertLess(after_s, 2 * deadline.CHECK_INTERVAL_S)
+
     def test_reply_that_arrived_while_the_loop_was_late_counts(self):
         # Guards against time-outs of a sound peer at an instance that stands still.
         reader, writer = self.socket_pair()
