--- a/review/4/case.py
+++ b/review/4/case.py
@@ -78,16 +78,5 @@
     return small_deployment.BROKEN if late else small_deployment.HELD
 
 
-def main() -> int:
-    """Run the case."""
-    record = small_deployment.Record(pathlib.Path(__file__).resolve().parent)
-    try:
-        with small_deployment.Deployment(record, {"a": (3, 2)}) as deployment:
-            return play(deployment)
-    except small_deployment.NotRunnable as error:
-        record.write(f"could not run: {error}")
-        return small_deployment.NOT_RUN
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(small_deployment.run_case(__file__, {"a": (3, 2)}, play))
--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 
 import eventlet
 
@@ -250,6 +251,7 @@
         self.platform = fake_platform.FakePlatform(self.runtime, loopback_address())
         self.platform.configure(3, [ROUTE])
         self.instances: list[Instance] = []
+        self.seeds: list[str] = []
         for zone, (instance_count, worker_count) in zones.items():
             for number in range(worker_count):
                 self.platform.add_server(f"w-{zone}-{number}", zone, SERVICE, rack=f"r-{zone}")
@@ -265,9 +267,9 @@
 
     def start(self) -> None:
         """Start all instances, and return once they take jobs."""
-        seeds = [instance.address(2) for instance in self.instances[:3]]
+        self.seeds = [instance.address(2) for instance in self.instances[:3]]
         for instance in self.instances:
-            instance.write_settings(seeds)
+            instance.write_settings(self.seeds)
             instance.start()
         for instance in self.instances:
             instance.wait_until_ready()
@@ -290,6 +292,19 @@
         backend.on_start, backend.on_end = on_start, on_end
 
 
+def run_case(
+    file: str, zones: dict[str, tuple[int, int]], play: Callable[[Deployment], int]
+) -> int:
+    """Run a case that starts a deployment, and return its exit code."""
+    record = Record(pathlib.Path(file).resolve().parent)
+    try:
+        with Deployment(record, zones) as deployment:
+            return play(deployment)
+    except NotRunnable as error:
+        record.write(f"could not run: {error}")
+        return NOT_RUN
+
+
 def job_body(count: int, estimated_ms: int) -> str:
     """Return the body of a job that need not be stored."""
     step = {"count": count, "cpu": 1000, "memMb": 64, "estimatedMs": estimated_ms}
