--- a/review/5/case.py
+++ b/review/5/case.py
@@ -39,32 +39,31 @@
         instance.start()
 
 
+def stop(deployment, instance) -> None:
+    """Stop an instance as planned work does."""
+    instance.send_signal(signal.SIGTERM)
+    with eventlet.Timeout(small_deployment.STOP_TIMEOUT_S, False):
+        while instance.process.poll() is None:
+            eventlet.sleep(small_deployment.POLL_S)
+    deployment.record.write(f"{instance.name}: stopped with {instance.process.poll()}")
+    if instance.process.poll() != 0:
+        raise small_deployment.NotRunnable("the shutdown is not finished in time")
+
+
 def play(deployment) -> int:
     """Play the case and return its exit code."""
     record = deployment.record
     deployment.start()
     told = deployment.instances[:TOLD]
-    for instance in told:
-        # Planned work: the machines are stopped and started in turn.
-        instance.send_signal(signal.SIGTERM)
-        with eventlet.Timeout(small_deployment.STOP_TIMEOUT_S, False):
-            while instance.process.poll() is None:
-                eventlet.sleep(small_deployment.POLL_S)
-        record.write(f"{instance.name}: stopped with {instance.process.poll()}")
-        if instance.process.poll() != 0:
-            raise small_deployment.NotRunnable("the shutdown is not finished in time")
     ends: dict[str, int] = {}
     for instance in told:
+        stop(deployment, instance)
         instance.start()
-    watchers = [eventlet.spawn(watch, deployment, instance, ends) for instance in told]
-    for watcher in watchers:
-        watcher.wait()
+        watch(deployment, instance, ends)
     for instance in deployment.instances:
         instance.wait_until_ready()
     path = small_deployment.PREFIX + "5c0e7a21d94b36f8"
-    small_deployment.send(
-        deployment, told[0], "POST", path, small_deployment.job_body(2, 100)
-    )
+    small_deployment.send(deployment, told[0], "POST", path, small_deployment.job_body(2, 100))
     broken = [name for name, count in ends.items() if count >= ENDS_OF_ITS_OWN]
     record.write(f"ends of their own: {ends}")
     if len(broken) >= TOLD:
