--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import http.client
+import ipaddress
 import json
 import os
 import pathlib
@@ -17,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 
 import eventlet
@@ -86,6 +88,7 @@
 valueBytes = 1048576
 ttlMinMs = 1000
 """
+STORE = "store"
 SERVICE = "desk"
 HOST = "desk.example"
 PREFIX = "/jobs/"
@@ -149,6 +152,135 @@
         return now
 
 
+class Platform(fake_platform.FakePlatform):
+    """The platform's stand-ins, and cuts between them, the instances and the workers.
+
+    A cut holds back all bytes between the two sides, and they arrive after it, as with TCP.
+
+    Attributes
+    ----------
+    isolated : set of str
+        Names of the instances, and ids of the workers, that are cut off together.
+    orders : dict of str to (float, int)
+        By instance: when a worker last carried out an order of it, and its generation number.
+    """
+
+    def __init__(self, runtime, ip: str):
+        self.instances: list[Instance] = []
+        self.isolated: set[str] = set()
+        self.orders: dict[str, tuple[float, int]] = {}
+        super().__init__(runtime, ip)
+
+    def cut(self, instances: list["Instance"], server_ids: list[str]) -> None:
+        """Cut instances and workers off from all others, and the instances from the store."""
+        self.isolated = {instance.name for instance in instances} | set(server_ids)
+
+    def heal(self) -> None:
+        """End the cut."""
+        self.isolated = set()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Return whether two parties are on different sides of the cut."""
+        return (one in self.isolated) != (other in self.isolated)
+
+    def owner(self, among: "list[Instance] | None" = None) -> "Instance":
+        """Return the instance that last gave an order, out of some or all."""
+        candidates = self.instances if among is None else among
+        known = [instance for instance in candidates if instance.name in self.orders]
+        if not known:
+            raise NotRunnable("no instance gives orders")
+        return max(known, key=lambda instance: self.orders[instance.name])
+
+    def store_address_for(self, instance: "Instance") -> str:
+        """Return the address at which an instance reaches the store."""
+
+        def handle(method, path, query, body):
+            if self.is_cut(instance.name, STORE):
+                raise fake_platform.NoResponse
+            reply = self._handle_store(method, path, query, body)
+            if self.is_cut(instance.name, STORE):
+                raise fake_platform.NoResponse
+            return reply
+
+        return self._listen(handle)
+
+    def _handle_server(self, server_id, method, path, query, body):
+        # The generation number tells who sends an order, by the address.
+        sender = next(
+            (
+                instance.name
+                for instance in self.instances
+                if body["fencingToken"] & 0xFFFFFF == instance.number
+            ),
+            "",
+        )
+        if self.is_cut(sender, server_id):
+            raise fake_platform.NoResponse
+        status, reply = super()._handle_server(server_id, method, path, query, body)
+        if self.is_cut(sender, server_id):
+            raise fake_platform.NoResponse
+        if sender and status == 200:
+            self.orders[sender] = (time.monotonic(), body["fencingToken"])
+        return status, reply
+
+
+class PeerLink:
+    """A proxy before the address at which other instances reach one."""
+
+    def __init__(self, platform: Platform, target: "Instance"):
+        self.platform, self.target = platform, target
+        self.listener = eventlet.listen((target.ip, 0), backlog=100)
+        self.address = f"{target.ip}:{self.listener.getsockname()[1]}"
+        eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            client, address = self.listener.accept()
+            eventlet.spawn(self._serve, client, address[1])
+
+    def _serve(self, client, client_port):
+        source = self._source(client_port)
+        self._wait(source)
+        try:
+            server = eventlet.connect((self.target.ip, self.target.ports[2]))
+        except OSError:
+            client.close()
+            return
+        backward = eventlet.spawn(self._pump, source, server, client)
+        self._pump(source, client, server)
+        backward.wait()
+        for connection in (client, server):
+            connection.close()
+
+    def _source(self, client_port):
+        """Return the name of the instance whose process has opened a connection."""
+        own_port = int(self.address.rpartition(":")[2])
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            ports = [int(field.rpartition(":")[2], 16) for field in fields[1:3]]
+            if ports == [client_port, own_port]:
+                for instance in self.platform.instances:
+                    if instance.process is not None and instance.has_socket(fields[9]):
+                        return instance.name
+        return ""
+
+    def _wait(self, source):
+        while self.platform.is_cut(source, self.target.name):
+            eventlet.sleep(POLL_S)
+
+    def _pump(self, source, reader, writer):
+        try:
+            while data := reader.recv(65536):
+                self._wait(source)
+                writer.sendall(data)
+        except OSError:
+            pass
+        self._wait(source)
+        for connection, way in ((writer, socket.SHUT_WR), (reader, socket.SHUT_RD)):
+            with contextlib.suppress(OSError):
+                connection.shutdown(way)
+
+
 class Instance:
     """One instance: its settings file, and the process that runs at present."""
 
@@ -156,10 +288,22 @@
         self.deployment = deployment
         self.name, self.zone = name, zone
         self.ip = loopback_address()
+        self.number = int(ipaddress.ip_address(self.ip)) & 0xFFFFFF
         self.ports = free_ports(self.ip, 5)
         self.settings_file = deployment.folder / f"{name}.toml"
         self.log = deployment.folder / f"{name}.log"
         self.process: subprocess.Popen | None = None
+        self.store_address = deployment.platform.store_address_for(self)
+        self.peer_link = PeerLink(deployment.platform, self)
+
+    def has_socket(self, inode: str) -> bool:
+        """Return whether the process has a socket open."""
+        folder = pathlib.Path(f"/proc/{self.process.pid}/fd")
+        for descriptor in folder.glob("*"):
+            with contextlib.suppress(OSError):
+                if os.readlink(descriptor) == f"socket:[{inode}]":
+                    return True
+        return False
 
     def address(self, index: int) -> str:
         """Return the address of one of its ports."""
@@ -176,7 +320,7 @@
                 ports=self.ports,
                 seeds=json.dumps(seeds),
                 bounds=bounds,
-                store=self.deployment.platform.store_address,
+                store=self.store_address,
             )
         )
 
@@ -186,7 +330,11 @@
             self.process = subprocess.Popen(
                 self.deployment.command,
                 cwd=ROOT,
-                env={**self.deployment.variables, "ROSEDYKE_BOOT": str(self.settings_file)},
+                env={
+                    **self.deployment.variables,
+                    "ROSEDYKE_BOOT": str(self.settings_file),
+                    "ROSEDYKE_ADVERTISED_PEER_ADDRESS": self.peer_link.address,
+                },
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -248,9 +396,9 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.temporary.name)
         self.runtime = eventlet_runtime.GreenRuntime()
-        self.platform = fake_platform.FakePlatform(self.runtime, loopback_address())
+        self.platform = Platform(self.runtime, loopback_address())
         self.platform.configure(3, [ROUTE])
-        self.instances: list[Instance] = []
+        self.instances = self.platform.instances
         self.seeds: list[str] = []
         for zone, (instance_count, worker_count) in zones.items():
             for number in range(worker_count):
@@ -267,7 +415,7 @@
 
     def start(self) -> None:
         """Start all instances, and return once they take jobs."""
-        self.seeds = [instance.address(2) for instance in self.instances[:3]]
+        self.seeds = [instance.peer_link.address for instance in self.instances[:3]]
         for instance in self.instances:
             instance.write_settings(self.seeds)
             instance.start()
@@ -300,8 +448,8 @@
     try:
         with Deployment(record, zones) as deployment:
             return play(deployment)
-    except NotRunnable as error:
-        record.write(f"could not run: {error}")
+    except Exception:
+        record.write(f"could not run: {traceback.format_exc()}")
         return NOT_RUN
 
 
