--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""An acknowledged cancellation is lost when leases end in an outage of the store."""
+"""A task runs twice after a frozen instance acts on an old offer of a pool."""
 
 import pathlib
 import signal
@@ -9,74 +9,86 @@
 import eventlet  # noqa: E402
 import small_deployment  # noqa: E402
 
+FIRST_JOB_ID = "aaaaaaaaaaaaaaaa"
 JOB_ID = "5c0e7a21d94b36f8"
-PATH = small_deployment.PREFIX + JOB_ID
+# Two racks of two workers; the new one is a quarter more.
+ZONES = {"a": (3, 2)}
+OTHER_RACK = ("w-b-0", "w-b-1")
+# Each worker has four cores, and a task takes one.
+FIRST_JOB_TASKS = 16
+FIRST_RUN_S = 2.05
 RUN_S = 6.0
-# The page of the small site: an outage of the store lasts up to 4.5 s.
-OUTAGE_S = 3.0
-KILLED_AFTER_S = 0.5
-RESTART_S = 0.5
-# ``contactMs``, after which machines without trouble are in touch, and a margin.
-CONTACT_S = 3.0 + 0.5
-# ``cancel_ms``.
-CANCEL_S = 3.0
+TIMEOUT_S = 9.0
+# The second job arrives while the first one fills the workers but the new one.
+STOPPED_AFTER_S = 0.1
+FIRST_JOB_AFTER_S = 0.5
+NEW_WORKER_AFTER_S = 1.2
+JOB_AFTER_S = 0.5
+WAKES_AFTER_S = 0.45
+WATCH_S = 2.5
+# The frozen machine is not always the one that the pool is offered to first, and the others may
+# tell it of the new worker in time.
+MAX_ROUNDS = 11
 
 
-def outage(deployment) -> None:
-    """Let the store be down, with its leases ending, while all processes are killed."""
-    record, store = deployment.record, deployment.platform.store
-    record.write("the store is down")
-    store.is_silent = True
-    eventlet.sleep(KILLED_AFTER_S)
-    for instance in deployment.instances:
-        instance.send_signal(signal.SIGKILL)
-    for lease in list(store.lease_ends):
-        store.revoke_lease(lease)
-    record.write("the leases have ended")
-    eventlet.sleep(RESTART_S)
-    for instance in deployment.instances:
-        instance.end()
-        instance.start()
-    eventlet.sleep(OUTAGE_S - KILLED_AFTER_S - RESTART_S)
-    store.is_silent = False
-    record.write("the store is back")
+def post(deployment, instance, job_id, tasks, run_s):
+    """Submit a job as a client that waits in a green thread."""
+    deployment.platform.backend.durations[job_id] = run_s
+    body = small_deployment.job_body(tasks, int(run_s * 1000))
+    path = small_deployment.PREFIX + job_id
+    eventlet.spawn(small_deployment.send, deployment, instance, "POST", path, body, TIMEOUT_S)
 
 
-def play(deployment) -> int:
-    """Play the case and return its exit code."""
-    record = deployment.record
+def play(deployment, index) -> int:
+    """Play one round and return its exit code."""
+    record, platform = deployment.record, deployment.platform
+    for worker in OTHER_RACK:
+        platform.add_server(worker, "a", small_deployment.SERVICE, rack="r-b")
     deployment.start()
-    first, second, third = deployment.instances
-    deployment.platform.backend.durations[JOB_ID] = RUN_S
-    body = small_deployment.job_body(1, int(RUN_S * 1000))
-    answers = []
-    post = eventlet.spawn(
-        lambda: answers.append(small_deployment.send(deployment, first, "POST", PATH, body))
-    )
-    eventlet.sleep(1.0)
-    status, _ = small_deployment.send(deployment, second, "DELETE", PATH)
-    acknowledged_at = record.now()
-    post.wait()
-    if status not in (200, 410) or answers[0][0] != 200 or not deployment.starts:
-        raise small_deployment.NotRunnable(f"cancelled with {status}, submitted with {answers}")
+    eventlet.sleep(3.0)
+    owner_name = platform.last_senders["w-a-0"]
+    owner = next(one for one in deployment.instances if one.name == owner_name)
+    others = [instance for instance in deployment.instances if instance is not owner]
+    frozen, third = others[index], others[1 - index]
     if small_deployment.is_troubled():
-        outage(deployment)
-    else:
-        eventlet.sleep(OUTAGE_S)
-    for instance in deployment.instances:
-        instance.wait_until_ready()
-    record.write("all instances are ready")
-    eventlet.sleep(CONTACT_S)
-    # The copy of the request that arrives seconds after the 2xx response.
-    small_deployment.send(deployment, third, "POST", PATH, body)
-    late = [at for at, _, _ in deployment.starts if at > acknowledged_at + CANCEL_S]
-    for at in late:
-        record.write(
-            f"UNASKED: a task of {JOB_ID} has started at {at:.3f}, {at - acknowledged_at:.3f} s"
-            " after its cancellation was acknowledged"
+        frozen.send_signal(signal.SIGSTOP)
+    eventlet.sleep(STOPPED_AFTER_S)
+    record.write(f"{owner.name}, which gives the workers their orders, is stopped as planned")
+    owner.send_signal(signal.SIGTERM)
+    eventlet.sleep(FIRST_JOB_AFTER_S)
+    post(deployment, third, FIRST_JOB_ID, FIRST_JOB_TASKS, FIRST_RUN_S)
+    eventlet.sleep(NEW_WORKER_AFTER_S)
+    platform.add_server("w-a-new", "a", small_deployment.SERVICE, rack="r-a")
+    record.write("a worker is added")
+    eventlet.sleep(JOB_AFTER_S)
+    post(deployment, third, JOB_ID, 1, RUN_S)
+    eventlet.sleep(WAKES_AFTER_S)
+    if small_deployment.is_troubled():
+        frozen.send_signal(signal.SIGCONT)
+    eventlet.sleep(WATCH_S)
+    twice = [text for text in platform.backend.violations if " runs on " in text]
+    for text in twice:
+        record.write(f"TWICE: {text}")
+    if not any(task.startswith(JOB_ID) for _, task, _ in deployment.starts):
+        raise small_deployment.NotRunnable("the second job has not run")
+    return small_deployment.BROKEN if twice else small_deployment.HELD
+
+
+def main() -> int:
+    """Play rounds, each with a deployment of its own, until the rule is broken."""
+    record = small_deployment.Record(pathlib.Path(__file__).resolve().parent)
+    code = small_deployment.HELD
+    for number in range(MAX_ROUNDS):
+        record.write(f"round {number + 1}")
+        code = small_deployment.run_round(
+            record,
+            ZONES,
+            lambda deployment, index=(number + 1) % 2: play(deployment, index),
         )
-    return small_deployment.BROKEN if late else small_deployment.HELD
+        if code != small_deployment.HELD:
+            break
+    return code
 
 
 if __name__ == "__main__":
-    sys.exit(small_deployment.run_case(__file__, {"a": (3, 2)}, play))
+    sys.exit(main())
--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -163,12 +163,15 @@
         Names of the instances, and ids of the workers, that are cut off together.
     orders : dict of str to (float, int)
         By instance: when a worker last carried out an order of it, and its generation number.
+    last_senders : dict of str to str
+        By worker: the instance whose order it carried out last.
     """
 
     def __init__(self, runtime, ip: str):
         self.instances: list[Instance] = []
         self.isolated: set[str] = set()
         self.orders: dict[str, tuple[float, int]] = {}
+        self.last_senders: dict[str, str] = {}
         super().__init__(runtime, ip)
 
     def cut(self, instances: list["Instance"], server_ids: list[str]) -> None:
@@ -221,6 +224,7 @@
             raise fake_platform.NoResponse
         if sender and status == 200:
             self.orders[sender] = (time.monotonic(), body["fencingToken"])
+            self.last_senders[server_id] = sender
         return status, reply
 
 
@@ -444,7 +448,13 @@
     file: str, zones: dict[str, tuple[int, int]], play: Callable[[Deployment], int]
 ) -> int:
     """Run a case that starts a deployment, and return its exit code."""
-    record = Record(pathlib.Path(file).resolve().parent)
+    return run_round(Record(pathlib.Path(file).resolve().parent), zones, play)
+
+
+def run_round(
+    record: Record, zones: dict[str, tuple[int, int]], play: Callable[[Deployment], int]
+) -> int:
+    """Run a case, or a round of it, with a record that is open."""
     try:
         with Deployment(record, zones) as deployment:
             return play(deployment)
