--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -30,6 +30,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# All processes that were started, for the case that this one is told to exit.
+PROCESSES: list[subprocess.Popen] = []
 # Figures of the pages for a small site.
 BOUNDS = {
     "seedLagS": 3,
@@ -329,7 +331,9 @@
         )
 
     def start(self) -> None:
-        """Start a process with the command of the deploy file."""
+        """Start a process with the command of the deploy file, unless the case has ended."""
+        if self.deployment.is_ended:
+            return
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
                 self.deployment.command,
@@ -343,6 +347,7 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
+        PROCESSES.append(self.process)
         self.deployment.record.write(f"{self.name}: process {self.process.pid} started")
 
     def send_signal(self, number: int) -> None:
@@ -404,6 +409,7 @@
         self.platform.configure(3, [ROUTE])
         self.instances = self.platform.instances
         self.seeds: list[str] = []
+        self.is_ended = False
         for zone, (instance_count, worker_count) in zones.items():
             for number in range(worker_count):
                 self.platform.add_server(f"w-{zone}-{number}", zone, SERVICE, rack=f"r-{zone}")
@@ -413,6 +419,7 @@
 
     def __exit__(self, *error) -> None:
         """End every process that was started."""
+        self.is_ended = True
         for instance in self.instances:
             instance.end()
         self.temporary.cleanup()
@@ -444,6 +451,14 @@
         backend.on_start, backend.on_end = on_start, on_end
 
 
+def _end_at_once(number, frame):
+    """End all processes and this one, which has run for too long."""
+    for process in PROCESSES:
+        with contextlib.suppress(OSError):
+            process.kill()
+    os._exit(NOT_RUN)
+
+
 def run_case(
     file: str, zones: dict[str, tuple[int, int]], play: Callable[[Deployment], int]
 ) -> int:
@@ -455,6 +470,7 @@
     record: Record, zones: dict[str, tuple[int, int]], play: Callable[[Deployment], int]
 ) -> int:
     """Run a case, or a round of it, with a record that is open."""
+    signal.signal(signal.SIGTERM, _end_at_once)
     try:
         with Deployment(record, zones) as deployment:
             return play(deployment)
