--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -29,7 +29,8 @@
 from rosedyke.daemon import eventlet_runtime  # noqa: E402
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# ``run.sh`` turns them into its own exit codes.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 # All processes that were started, for the case that this one is told to exit.
 PROCESSES: list[subprocess.Popen] = []
 # Figures of the pages for a small site.
