--- a/rosedyke/rerunnable_jobs/events.py
+++ b/rosedyke/rerunnable_jobs/events.py
@@ -297,6 +297,13 @@
     "started its tasks, so those that it does not find wait until the leases have expired. "
     "Expected at the end of a partition.",
 )
+POOL_OFFER_LATE = event.define(
+    8086,
+    "pool_offer_late",
+    logging.INFO,
+    "An offer of a pool arrived too late to be accepted: this process stood still, or a link held "
+    "the message back. Another instance may own the pool by now.",
+)
 REFUSED_AT_SHUTDOWN = event.define(
     8082,
     "rerunnable_job_refused_at_shutdown",
--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -15,8 +15,8 @@
 from rosedyke.scheduling import pool_balance
 from rosedyke.wire import peer
 
-# Time for the handover of all pools, and for one candidate's reply.  A candidate that shuts down
-# as well declines, and one that does not answer is skipped.
+# Time for the handover of all pools, and for each of a candidate's replies.  A candidate that shuts
+# down as well declines, and one that does not answer is skipped.
 HANDOVER_TIMEOUT_S = 0.5
 RESIGN_TIMEOUT_S = 0.1
 # How often an owner of several pools looks for a receiver, and how long an instance takes part in
@@ -173,20 +173,14 @@
     def _move(self, owned_pool, receiver):
         """Hand a pool over for balance; it stays here if the receiver declines or is lost."""
         try:
-            # The reply gives the receiver's clock.
-            if not self.node.renewal.renew(receiver):
+            if not self._learn_clock(receiver):
                 return
             if not owned_pool.is_active or self.node.takeovers.is_suspended:
                 return
             balance = messages.BalanceMove(
-                self.node.runtime.now() + self.node.renewal.clock_offsets[receiver.name],
-                (len(self.node.owned_pools) - 1) / self.node.this_instance.cores,
-            )
-            reply = self.node.peers.request(
-                peer.at_address(receiver.address),
-                owned_pool.reports.resignation(balance),
-                RESIGN_TIMEOUT_S,
+                (len(self.node.owned_pools) - 1) / self.node.this_instance.cores
             )
+            reply = self._offer(owned_pool, receiver, balance)
         except peer.PeerError as error:
             # The receiver may have taken the pool.  Its higher token then ends this ownership.
             self.moved_at = self.node.runtime.now()
@@ -241,18 +235,30 @@
 
     def _hand_pool_over(self, owned_pool, candidates):
         for candidate in candidates:
+            if not self._learn_clock(candidate):
+                continue
             try:
-                reply = self.node.peers.request(
-                    peer.at_address(candidate.address),
-                    owned_pool.reports.resignation(),
-                    RESIGN_TIMEOUT_S,
-                )
+                reply = self._offer(owned_pool, candidate)
             except peer.PeerError as error:
                 event.log(events.MESSAGE_NOT_SENT, to=candidate.name, error=error)
                 continue
             if reply.is_taken or not owned_pool.is_active:
                 return
 
+    def _learn_clock(self, receiver):
+        """Return whether an instance answers; its reply gives its clock."""
+        answers = self.node.renewal.renew(receiver, RESIGN_TIMEOUT_S)
+        return answers and receiver.name in self.node.renewal.clock_offsets
+
+    def _offer(self, owned_pool, receiver, balance=None):
+        """Return an instance's answer to the offer of a pool."""
+        sent_s = self.node.runtime.now() + self.node.renewal.clock_offsets[receiver.name]
+        return self.node.peers.request(
+            peer.at_address(receiver.address),
+            owned_pool.reports.resignation(sent_s, balance),
+            RESIGN_TIMEOUT_S,
+        )
+
     def successors(self, pool: str, include_remote: bool) -> list[messages.Instance]:
         """Return the alive candidates to hand a pool over to, best candidate first."""
         data_centre = ports.data_centre_of(pool)
@@ -268,6 +274,10 @@
         """Take over a pool from an owner that resigns."""
         if self.node.fleet.highest_tokens.get(message.pool, 0) > message.token:
             return messages.ResignAnswer(False)  # delayed: the pool has had another owner since
+        age_s = self.node.runtime.now() - message.sent_s
+        if not abs(age_s) < RESIGN_TIMEOUT_S:
+            event.log(events.POOL_OFFER_LATE, pool=message.pool, age_s=age_s)
+            return messages.ResignAnswer(False)
         if message.balance is not None:
             if not self._accepts(message):
                 return messages.ResignAnswer(False)
@@ -286,14 +296,13 @@
 
     def _accepts(self, message):
         """Return whether this instance gets a pool for balance; its own numbers are current."""
-        this_instance, now = self.node.this_instance, self.node.runtime.now()
+        this_instance = self.node.this_instance
         load = pool_balance.InstanceLoad(
             this_instance.name, this_instance.cores, len(self.node.owned_pools)
         )
         return (
             self.node.timing.balances_pools
             and ports.data_centre_of(message.pool) == this_instance.data_centre
-            and abs(now - message.balance.sent_s) < RESIGN_TIMEOUT_S
-            and self._takes_part(now)
+            and self._takes_part(self.node.runtime.now())
             and pool_balance.may_receive(load, message.balance.pools_per_core)
         )
--- a/rosedyke/rerunnable_jobs/handover_test.py
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -4,7 +4,7 @@
 import attrs
 
 from rosedyke.rerunnable_jobs import job, messages, ports, predecessors
-from rosedyke.standins import rerun_region
+from rosedyke.standins import explore_holders, rerun_region
 
 RACKS = 6
 SUCCEEDED = job.Outcome(job.EndState.SUCCEEDED)
@@ -54,6 +54,27 @@
     )
 
 
+def cut_off(region, name, seconds):
+    """Cut an instance off from all others; messages arrive once the partition has ended."""
+    healed_at = region.runtime.now() + seconds
+    usual_delay = region.network.delay_s
+    listed = region.members[name].listed
+
+    def delay(source, target, message):
+        if name in (source.name, target.name):
+            return max(0.0005, healed_at - region.runtime.now())
+        return usual_delay(source, target, message)
+
+    def heal():
+        region.runtime.sleep(seconds)
+        region.backend.partitioned, listed.reachable = set(), True
+
+    region.network.delay_s = delay
+    region.backend.partitioned = {(name, server) for server in region.backend.servers}
+    listed.reachable = False
+    region.runtime.spawn(heal)
+
+
 class Balance(unittest.TestCase):
     """Some instances own several of six pools when the fleet starts."""
 
@@ -195,6 +216,74 @@
         self.assertGreater(len(node.owned_pools), 1)
 
 
+class LateOffers(unittest.TestCase):
+    """An owner that shuts down offers its pool to a candidate that gets the message much later."""
+
+    def hand_over(self, region, hold_back):
+        """Hand the pool of a region over while its first candidate gets nothing."""
+        region.run(3.0)
+        owner = region.owner("a")
+        node = region.members[owner].node
+        first = node.handover.successors("a/r1", True)[0].name
+        hold_back(first)
+        region.run(0.1)
+        region.runtime.call(node.handover.hand_pools_over, True)
+        region.kill(owner)
+        region.run(0.1)
+        self.assertNotIn(region.owner("a"), ("", first))
+        return first
+
+    def check_owner_stays(self, region, first):
+        """Check that the candidate takes no pool when it gets the messages of the last seconds."""
+        owner = region.owner("a")
+        token = region.members[owner].node.owned_pools["a/r1"].token
+        submission = region.submit(owner, "j1", 4, 3.0, timeout_s=9.0)
+        region.run(5.0)
+        self.assertEqual(region.owner("a"), owner)
+        self.assertEqual(region.members[owner].node.owned_pools["a/r1"].token, token)
+        self.assertEqual(submission.outcome, SUCCEEDED)
+        self.assertEqual(len(region.backend.starts), 4)
+        self.assertNotIn("a/r1", region.members[first].node.owned_pools)
+
+    def test_paused_candidate_does_not_take_the_pool_when_it_continues(self):
+        # Guards against an owner that loses its pool because another instance, which stood still,
+        # acts on an offer that was meant for it seconds ago.
+        for pause_s in (0.3, 0.8, 2.3, 3.0):
+            with self.subTest(pause_s=pause_s):
+                region = explore_holders.PausableRegion({"a": 3})
+                first = self.hand_over(
+                    region,
+                    lambda name, region=region, pause_s=pause_s: region.pause(name, pause_s),
+                )
+                self.check_owner_stays(region, first)
+
+    def test_candidate_does_not_take_the_pool_when_a_link_delivers_the_offer_late(self):
+        # Guards against the same loss after a partition: TCP delivers what was sent during it.
+        for late_s in (0.2, 0.4, 2.0):
+            with self.subTest(late_s=late_s):
+                region = rerun_region.Region({"a": 3})
+                first = self.hand_over(
+                    region,
+                    lambda name, region=region, late_s=late_s: cut_off(region, name, late_s),
+                )
+                self.check_owner_stays(region, first)
+
+    def test_offer_is_accepted_only_for_a_short_time(self):
+        # Guards against an offer whose age is unknown, because the sender knows no clock of the
+        # receiver or another one had its name before.
+        region = rerun_region.Region({"a": 2})
+        region.run(3.0)
+        owner = region.members[region.owner("a")].node
+        other = region.members[region.non_owner("a")].node
+        offer = owner.owned_pools["a/r1"].reports.resignation(region.runtime.now())
+        for age_s in (0.11, 5.0, -0.11, -5.0, float("nan")):
+            late = attrs.evolve(offer, sent_s=offer.sent_s - age_s)
+            answer = region.runtime.call(other.handover.on_resign, None, late)
+            self.assertEqual((answer.is_taken, dict(other.owned_pools)), (False, {}), age_s)
+        recent = attrs.evolve(offer, sent_s=offer.sent_s - 0.05)
+        self.assertTrue(region.runtime.call(other.handover.on_resign, None, recent).is_taken)
+
+
 class EarlierServers(unittest.TestCase):
     """A fresh owner hands its pool over while runs of earlier owners may be left."""
 
@@ -274,7 +363,7 @@
         region, node, pool = self.start_with_unknown_predecessor()
         candidate = region.members[region.non_owner("a")].node
         candidate.takeovers.is_suspended = True
-        answer = candidate.handover.on_resign(None, pool.reports.resignation())
+        answer = candidate.handover.on_resign(None, pool.reports.resignation(region.runtime.now()))
         self.assertFalse(answer.is_taken)
         self.assertEqual(candidate.fleet.claim_of("a/r1").owner.name, node.this_instance.name)
 
@@ -284,9 +373,9 @@
         region, node, pool = self.start_with_unknown_predecessor()
         gone = messages.KnownOwner(pool.token - 1, 1, ("s-gone",))
         pool.predecessors = predecessors.Predecessors([gone])
-        self.assertEqual(pool.reports.resignation().earlier_owners, (gone,))
+        self.assertEqual(pool.reports.resignation(region.runtime.now()).earlier_owners, (gone,))
         region.run(region.timing.holder_lease_end_s + 0.01)
-        resignation = pool.reports.resignation()
+        resignation = pool.reports.resignation(region.runtime.now())
         self.assertEqual((resignation.earlier_owners, len(resignation.servers)), ((), 3))
         region.runtime.call(node.handover.hand_pools_over, True)
         successor = region.members[region.owner("a")].node.owned_pools["a/r1"]
--- a/rosedyke/rerunnable_jobs/learned_state_test.py
+++ b/rosedyke/rerunnable_jobs/learned_state_test.py
@@ -138,7 +138,7 @@
         learn(self.owner)
         reports = self.owner.owned_pools[POOL].reports
         self.assertIs(reports.report().learned, msgspec.UNSET)
-        resignation = reports.resignation()
+        resignation = reports.resignation(self.region.runtime.now())
         self.assertIsNone(resignation.learned)
         learned = messages.LearnedState(1, {}, {"s-a-1": 1500})
         successor = self.region.members[self.region.non_owner("a")].node
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -695,14 +695,10 @@
 
     Attributes
     ----------
-    sent_s : float
-        When the message was sent, by the receiver's clock.  The owner goes on if it gets no reply,
-        so that a delayed message may lack servers that it has added since.
     pools_per_core : float
         Pools per core that the sender owns after the move.
     """
 
-    sent_s: float
     pools_per_core: float
 
 
@@ -713,6 +709,9 @@
 
     Attributes
     ----------
+    sent_s : float
+        When it was sent, by the receiver's clock.  Without a reply the owner goes on or asks
+        another instance, so a delayed message must have no effect.
     servers : dict of str to float
         The sender's servers that may have runs, with their estimated speeds.
     balance : BalanceMove or None
@@ -727,6 +726,7 @@
 
     pool: str
     token: int
+    sent_s: float
     servers: dict[str, float]
     balance: BalanceMove | None = None
     servers_version: int = 0
@@ -739,7 +739,8 @@
 class ResignAnswer:
     """Whether the receiver of ``Resign`` took the pool.
 
-    It declines if it shuts down as well, or if the move would not improve the balance of pools.
+    It declines if it shuts down as well, if the message is late, or if the move would not improve
+    the balance of pools.
     """
 
     is_taken: bool
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -172,7 +172,7 @@
         elapsed_s = self.node.runtime.now() - sent_at
         return elapsed_s >= interval_s - self.period_s / 2
 
-    def renew(self, instance) -> bool:
+    def renew(self, instance, timeout_s=RENEWAL_TIMEOUT_S) -> bool:
         """Renew with one instance and process its reply; return whether it answered."""
         sent_at = self.last_sent[instance.name] = self.node.runtime.now()
         self.unanswered_since.setdefault(instance.name, sent_at)
@@ -188,7 +188,7 @@
         added_s = min(MAX_ADDED_TIMEOUT_S, self.node.delay.allowance_s(sent_at))
         try:
             reply = self.node.peers.request(
-                peer.at_address(instance.address), message, RENEWAL_TIMEOUT_S + added_s
+                peer.at_address(instance.address), message, timeout_s + added_s
             )
         except peer.PeerOutdated as error:
             # The wall clock was behind at the start, so the peer regards this incarnation as an
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -55,12 +55,21 @@
         self.speeds_changed_at = float("-inf")
         self.learned = learned_state.LearnedStateBuilder(owner)
 
-    def resignation(self, balance: messages.BalanceMove | None = None) -> messages.Resign:
-        """Return the message that hands the pool to a successor."""
+    def resignation(
+        self, sent_s: float, balance: messages.BalanceMove | None = None
+    ) -> messages.Resign:
+        """Return the message that hands the pool to a successor.
+
+        Parameters
+        ----------
+        sent_s : float
+            The current time by the successor's clock.
+        """
         servers = self.update_servers()
         return messages.Resign(
             self.owner.name,
             self.owner.token,
+            sent_s,
             servers,
             balance,
             self.servers_version,
