--- a/rosedyke/rerunnable_jobs/handover_test.py
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -284,6 +284,30 @@
         self.assertTrue(region.runtime.call(other.handover.on_resign, None, recent).is_taken)
 
 
+class LateConfirmations(unittest.TestCase):
+    def test_paused_candidate_does_not_act_on_what_others_said_before(self):
+        # Guards against an owner that loses its pool because another instance stood still after it
+        # had asked others, and takes their answers for present ones.
+        for pause_s in (0.6, 1.0, 2.0):
+            with self.subTest(pause_s=pause_s):
+                region = explore_holders.PausableRegion({"a": 3})
+                region.run(3.0)
+                owner = region.owner("a")
+                others = [name for name in region.members if name != owner]
+                takeovers = {name: region.members[name].node.takeovers for name in others}
+                region.partition_instances([owner], others)
+                while not any(each.in_progress for each in takeovers.values()):
+                    region.run(0.0002)
+                (candidate,) = [name for name in others if takeovers[name].in_progress]
+                region.pause(candidate, pause_s)
+                region.network.heal()
+                region.run(pause_s - 0.01)
+                owner = region.owner("a")
+                self.assertNotEqual(owner, candidate)
+                region.run(5.0)
+                self.assertEqual(region.owner("a"), owner)
+
+
 class EarlierServers(unittest.TestCase):
     """A fresh owner hands its pool over while runs of earlier owners may be left."""
 
--- a/rosedyke/rerunnable_jobs/node.py
+++ b/rosedyke/rerunnable_jobs/node.py
@@ -110,6 +110,7 @@
             gateway,
             self.claim_pool,
             lambda name: self.renewal.unanswered_s(name),
+            lambda since: self.renewal.has_stood_still(since),
         )
         self.fleet.claim_callbacks.append(self._on_remote_claim)
         self.fleet.claim_callbacks.append(self._request_first_report)
--- a/rosedyke/rerunnable_jobs/renewal.py
+++ b/rosedyke/rerunnable_jobs/renewal.py
@@ -27,6 +27,8 @@
         Owners that run jobs of this instance.
     loop_ran_at : float
         When the loop last ran.
+    resumed_at : float
+        When the loop last found that the process had stood still.
     unanswered_since : dict of str to float
         When the first renewal was sent to each instance that has not answered since.
     known_claims : dict of str to int
@@ -42,6 +44,7 @@
         self.last_sent: dict[str, float] = {}
         self.owners_with_jobs: set[str] = set()
         self.loop_ran_at = node.runtime.now()
+        self.resumed_at = float("-inf")
         self.unanswered_since: dict[str, float] = {}
         self.known_claims: dict[str, int] = {}
         self.clock_offsets: dict[str, float] = {}
@@ -92,12 +95,23 @@
 
     def _check_pause(self):
         now = self.node.runtime.now()
-        if now - self.loop_ran_at > self.node.timing.pause_s + self.period_s:
+        if self._is_stalled(now):
+            self.resumed_at = now
             self.node.fleet.reset_owner_contacts()
             for owned_pool in list(self.node.owned_pools.values()):
                 owned_pool.step_down("the process was paused")
         self.loop_ran_at = now
 
+    def _is_stalled(self, now):
+        return now - self.loop_ran_at > self.node.timing.pause_s + self.period_s
+
+    def has_stood_still(self, since: float) -> bool:
+        """Return whether the process has stood still since a time.
+
+        What other instances told it before may have changed meanwhile.
+        """
+        return self.resumed_at >= since or self._is_stalled(self.node.runtime.now())
+
     def _due_targets(self):
         """Return the instances with which a renewal is due.
 
--- a/rosedyke/rerunnable_jobs/takeover.py
+++ b/rosedyke/rerunnable_jobs/takeover.py
@@ -72,6 +72,8 @@
     unanswered_s : callable
         ``unanswered_s(name)`` returns for how many seconds an instance has not answered a renewal,
         0 if it has answered the last one.
+    has_stood_still : callable
+        ``has_stood_still(since)`` returns whether this process has stood still since a time.
 
     Attributes
     ----------
@@ -89,7 +91,9 @@
         gateway: ports.ServerGateway,
         claim_pool: Callable[[str, str], None],
         unanswered_s: Callable[[str], float] = lambda name: float("inf"),
+        has_stood_still: Callable[[float], bool] = lambda since: False,
     ):
+        self.has_stood_still = has_stood_still
         self.unanswered_s = unanswered_s
         self.timing = timing
         self.runtime = runtime
@@ -218,8 +222,10 @@
         return self._is_local(pool) and self.rank(pool, claim) < LOCAL_WATCHERS
 
     def _attempt(self, pool, claim):
+        began_at = self.runtime.now()
         try:
-            if self._is_owner_lost(pool, claim) and not self.is_suspended:
+            is_lost = self._is_owner_lost(pool, claim) and not self.has_stood_still(began_at)
+            if is_lost and not self.is_suspended:
                 reason = "its owner is unresponsive" if claim else "it has no owner"
                 if self.fleet.claim_of(pool) == claim:
                     self.claim_pool(pool, reason)
--- a/rosedyke/standins/pausable_node.py
+++ b/rosedyke/standins/pausable_node.py
@@ -45,6 +45,21 @@
         return done or self.done
 
 
+class NodeTask:
+    """A task of an instance; whoever waits for it blocks while the instance is paused."""
+
+    def __init__(self, task: virtual.VirtualTask, pause_state: PauseState):
+        self.task = task
+        self.pause_state = pause_state
+        self.cancel = task.cancel
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Block until the end or the timeout expires, then while the instance is paused."""
+        done = self.task.wait(timeout_s)
+        self.pause_state.wait()
+        return done
+
+
 class NodeRuntime:
     """Implements ``runtime.Runtime`` for one instance."""
 
@@ -63,14 +78,14 @@
         """Return a new signal."""
         return NodeSignal(self.clock, self.pause_state)
 
-    def spawn(self, function, *arguments) -> virtual.VirtualTask:
+    def spawn(self, function, *arguments) -> NodeTask:
         """Run a function as a task that starts once the instance is not paused."""
 
         def body():
             self.pause_state.wait()
             function(*arguments)
 
-        return self.clock.spawn(body)
+        return NodeTask(self.clock.spawn(body), self.pause_state)
 
     spawn_service = spawn
 
