--- a/rosedyke/gateways/http_client_test.py
+++ b/rosedyke/gateways/http_client_test.py
@@ -174,6 +174,21 @@
         self.assertEqual(client.backoff.failures, {self.address: 1})
 
 
+class Addresses(unittest.TestCase):
+    def test_odd_address_is_not_connected(self):
+        # Guards against errors that callers of the client do not expect, which end their threads.
+        client = http_client.HttpClient(
+            http_client.HttpClientSettings(), eventlet_runtime.GreenRuntime()
+        )
+        ports = ("99999", "-1", "0", str(10**20), "x", "")
+        hosts = ("", "a\0b", "\ud800", "x" * 300, "a..b")
+        for address in [f"127.0.0.1:{port}" for port in ports] + [f"{host}:1" for host in hosts]:
+            with self.subTest(address=address), self.assertRaises(http_client.NotConnected):
+                client.request(address, "GET", "/", None, 0.5)
+        with self.assertRaises(http_client.NotConnected):
+            client.request("127.0.0.1", "GET", "/", None, 0.5)
+
+
 class OpenConnections(unittest.TestCase):
     """Connections stay registered with the event loop between requests."""
 
--- a/rosedyke/gateways/http_connection.py
+++ b/rosedyke/gateways/http_connection.py
@@ -34,7 +34,11 @@
     """The request is not valid HTTP, or the response is invalid or incomplete."""
 
 
-TRANSPORT_ERRORS = (OSError, BadExchange)
+class BadAddress(Exception):
+    """The address of a server is not ``host:port``."""
+
+
+TRANSPORT_ERRORS = (OSError, BadExchange, BadAddress)
 
 
 @attrs.define(eq=False)
@@ -256,8 +260,11 @@
     delay: own_delay.OwnDelay | None = None,
 ) -> Connection:
     """Open a connection; raises one of ``TRANSPORT_ERRORS``."""
-    host, port = address.rsplit(":", 1)
-    sock = eventlet.green.socket.create_connection((host, int(port)))
+    try:
+        host, port = address.rsplit(":", 1)
+        sock = eventlet.green.socket.create_connection((host, int(port)))
+    except (ValueError, OverflowError) as error:
+        raise BadAddress(f"{address!r}: expected host:port: {error}") from error
     for option in socket_options(dead_peer_timeout_s):
         sock.setsockopt(*option)
     return Connection(sock, address, now, delay)
