--- a/rosedyke/daemon/signals.py
+++ b/rosedyke/daemon/signals.py
@@ -2,7 +2,7 @@
 
 import os
 import signal
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import eventlet.hubs
 
@@ -10,7 +10,9 @@
 
 
 def watch(
-    actions: Mapping[int, Callable[[], None]], on_arrival: Callable[[int], None] = lambda _: None
+    actions: Mapping[int, Callable[[], None]],
+    on_arrival: Callable[[int], None] = lambda _: None,
+    early: Sequence[int] = (),
 ) -> None:
     """Call the action of each signal that arrives; does not return.
 
@@ -22,13 +24,18 @@
     ----------
     on_arrival : callable
         Called with the signal's number by its handler, also while the event loop is busy.
+    early : sequence of int
+        Signals that arrived before this call, to a handler that adds to it.
     """
     read_fd, write_fd = os.pipe()
     os.set_blocking(read_fd, False)
     os.set_blocking(write_fd, False)
+    # Before the handlers are replaced, so that no signal is missed in between.
+    signal.set_wakeup_fd(write_fd)
     for signal_number in actions:
         signal.signal(signal_number, lambda received, frame: on_arrival(received))
-    signal.set_wakeup_fd(write_fd)
+    for signal_number in set(early) & set(actions):
+        _act(actions[signal_number])
     while True:
         eventlet.hubs.trampoline(read_fd, read=True)
         for signal_number in os.read(read_fd, 16):
--- a/rosedyke/daemon/signals_test.py
+++ b/rosedyke/daemon/signals_test.py
@@ -44,6 +44,18 @@
         self.assertLess(arrived_at, sent_at + LOOP_BUSY_S)
         self.assertGreaterEqual(self.calls[0], sent_at + LOOP_BUSY_S)
 
+    def test_early_signal_is_acted_on(self):
+        # Guards against a SIGHUP without effect because it arrived while the process started.
+        calls = []
+        watching = eventlet.spawn(
+            signals.watch,
+            {signal.SIGUSR1: lambda: calls.append("USR1")},
+            early=[signal.SIGUSR1, signal.SIGUSR1, signal.SIGUSR2],
+        )
+        self.addCleanup(watching.kill)
+        eventlet.sleep(0)
+        self.assertEqual(calls, ["USR1"])
+
     def test_failed_action_does_not_disable_later_signals(self):
         # Guards against a SIGTERM without effect after a SIGHUP whose reload has failed.
         self.fails = True
