--- a/rosedyke/rerunnable_jobs/fleet_view.py
+++ b/rosedyke/rerunnable_jobs/fleet_view.py
@@ -114,7 +114,8 @@
         known_versions = (self.servers_version, self.speeds_version)
         if report.servers is not None and (self.servers is None or versions > known_versions):
             self.servers, (self.servers_version, self.speeds_version) = report.servers, versions
-            self.earlier_owners = report.earlier_owners
+            reported = report.earlier_owners
+            self.earlier_owners = () if reported is msgspec.UNSET else reported
         if self.servers is not None and version == self.servers_version:
             self.servers_confirmed_at = now
         learned = report.learned
--- a/rosedyke/rerunnable_jobs/handover.py
+++ b/rosedyke/rerunnable_jobs/handover.py
@@ -276,6 +276,7 @@
             return messages.ResignAnswer(False)  # delayed: the pool has had another owner since
         age_s = self.node.runtime.now() - message.sent_s
         if not abs(age_s) < RESIGN_TIMEOUT_S:
+            metric.count(metrics.POOL_OFFERS_LATE)
             event.log(events.POOL_OFFER_LATE, pool=message.pool, age_s=age_s)
             return messages.ResignAnswer(False)
         if message.balance is not None:
--- a/rosedyke/rerunnable_jobs/handover_test.py
+++ b/rosedyke/rerunnable_jobs/handover_test.py
@@ -2,6 +2,7 @@
 import unittest
 
 import attrs
+import msgspec
 
 from rosedyke.rerunnable_jobs import job, messages, ports, predecessors
 from rosedyke.standins import explore_holders, rerun_region
@@ -344,7 +345,7 @@
         pool.owned_since, pool.predecessors = region.runtime.now(), predecessors.Predecessors()
         return region, node, pool
 
-    def submit_with_former_owners(self, region, pool, *former_owners):
+    def submit_with_former_owners(self, region, pool, former_owners):
         """Return whether a job with earlier owners starts at once at the owner of a pool."""
         job_id = f"j{len(pool.jobs)}"
         step = job.Step(1, job.Demand(1000, 64), 5.0)
@@ -368,7 +369,7 @@
         last = messages.FormerOwner(pool.token, version)
         unknown = messages.FormerOwner(pool.token - 1, 1, 0.2)
         for former_owners, starts in (
-            ((), False),
+            (msgspec.UNSET, False),
             ((unknown,), False),
             ((last, unknown), False),
             ((attrs.evolve(last, servers_version=version + 1),), False),
@@ -376,7 +377,7 @@
             ((last, attrs.evolve(unknown, age_s=region.timing.holder_lease_end_s + 0.1)), True),
         ):
             with self.subTest(former_owners=former_owners):
-                starts_at_once = self.submit_with_former_owners(region, successor, *former_owners)
+                starts_at_once = self.submit_with_former_owners(region, successor, former_owners)
                 self.assertEqual(starts_at_once, starts)
         self.assertEqual(
             {owner.token for owner in successor.reports.report().earlier_owners}, {pool.token}
@@ -405,4 +406,4 @@
         successor = region.members[region.owner("a")].node.owned_pools["a/r1"]
         region.run(0.3)
         last = messages.FormerOwner(pool.token, pool.reports.servers_version)
-        self.assertTrue(self.submit_with_former_owners(region, successor, last))
+        self.assertTrue(self.submit_with_former_owners(region, successor, (last,)))
--- a/rosedyke/rerunnable_jobs/holder.py
+++ b/rosedyke/rerunnable_jobs/holder.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import attrs
+import msgspec
 
 from rosedyke import runtime as runtime_module
 from rosedyke.observe import event, metric
@@ -482,7 +483,8 @@
             tuple(
                 messages.FormerOwner(former.token, former.servers_version, now - former.left_at)
                 for former in former_owners
-            ),
+            )
+            or msgspec.UNSET,
         )
         pending.parts[part.number] = part
         self.fleet.record_submission(claim.pool, pending.work.millicores_of(part.tasks))
--- a/rosedyke/rerunnable_jobs/holder_requests.py
+++ b/rosedyke/rerunnable_jobs/holder_requests.py
@@ -1,7 +1,7 @@
 """Handles the requests of job holders to a pool's owner: submit, renew, cancel and withdraw."""
 
-from rosedyke.observe import event
-from rosedyke.rerunnable_jobs import events, job, messages, owned_job, server_state
+from rosedyke.observe import event, metric
+from rosedyke.rerunnable_jobs import events, job, messages, metrics, owned_job, server_state
 
 
 class HolderRequests:
@@ -37,15 +37,7 @@
             # A refusal would let the caller submit the job again while the runs of its earlier
             # submission are still on servers, as orphans or because they are being stopped.
             owned.has_started = owned.has_started_elsewhere = True
-        for former in owned.former_owners:
-            if former.token != self.owner.token and not self.owner.predecessors.know(former):
-                event.log(
-                    events.EARLIER_OWNER_UNKNOWN,
-                    job=owned.work.id,
-                    pool=self.owner.name,
-                    token=former.token,
-                    wait_ms=self._lease_end_ms(former, now),
-                )
+        self._log_unknown_owners(owned, now)
         self.owner.add_job(owned)
         self.owner.resubmissions.record_accepted()
         if message.may_have_run:
@@ -54,10 +46,21 @@
         self.owner.refusals.on_arrival(owned)
         self.owner.wake_scheduler()
 
-    def _lease_end_ms(self, former, now):
-        """Return in how many milliseconds the runs of a former owner are over."""
-        lease_end_s = former.left_at + self.owner.timing.holder_lease_end_s - now
-        return round(max(0.0, lease_end_s) * 1000)
+    def _log_unknown_owners(self, owned, now):
+        """Log the earlier owners of a job for whose leases its tasks have to wait."""
+        for former in owned.former_owners:
+            lease_end_s = former.left_at + self.owner.timing.holder_lease_end_s - now
+            is_known = former.token == self.owner.token or self.owner.predecessors.know(former)
+            if is_known or lease_end_s <= 0:
+                continue
+            metric.count(metrics.EARLIER_OWNERS_UNKNOWN)
+            event.log(
+                events.EARLIER_OWNER_UNKNOWN,
+                job=owned.work.id,
+                pool=self.owner.name,
+                token=former.token,
+                wait_ms=round(lease_end_s * 1000),
+            )
 
     def _has_runs(self, owned):
         """Return whether a server may be running a task of a job that has just arrived."""
--- a/rosedyke/rerunnable_jobs/messages.py
+++ b/rosedyke/rerunnable_jobs/messages.py
@@ -114,8 +114,9 @@
     learned : LearnedState or UNSET
         What the owner has learned.  UNSET, which is not encoded, if the receiver knows this
         version, in a message that must be small, or if there is nothing.
-    earlier_owners : tuple of KnownOwner
-        Earlier owners whose servers the owner knows.  Sent together with ``servers`` only.
+    earlier_owners : tuple of KnownOwner, or UNSET
+        Earlier owners whose servers the owner knows, together with ``servers`` only.  UNSET, which
+        is not encoded, if there are none.
     """
 
     pool: str
@@ -130,7 +131,7 @@
     link_bytes_per_s: float = 0.0
     speeds_version: int = 0
     learned: LearnedState | msgspec.UnsetType = msgspec.UNSET
-    earlier_owners: tuple[KnownOwner, ...] = ()
+    earlier_owners: tuple[KnownOwner, ...] | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def rooms(self) -> tuple[tuple[int, float], ...]:
@@ -149,7 +150,7 @@
 
     def without_servers(self) -> "PoolReport":
         """Return this report without ``servers``, ``earlier_owners`` and ``learned``."""
-        return attrs.evolve(self, servers=None, earlier_owners=(), learned=msgspec.UNSET)
+        return attrs.evolve(self, servers=None, earlier_owners=msgspec.UNSET, learned=msgspec.UNSET)
 
 
 def group_rooms(rooms: Iterable[tuple[int, float]]) -> dict[int, tuple[int, ...]]:
@@ -303,9 +304,9 @@
         Some task of the job may have started, so the job can no longer be refused.
     moves : int
         How often these tasks were released by pools.
-    former_owners : tuple of FormerOwner
-        The earlier owners whose runs may not be over; empty if none is known although
-        ``may_have_run`` is true.
+    former_owners : tuple of FormerOwner, or UNSET
+        The earlier owners whose runs may not be over; UNSET, which is not encoded, if none is
+        known.
     """
 
     pool: str
@@ -318,7 +319,7 @@
     may_have_run: bool
     has_started: bool
     moves: int = 0
-    former_owners: tuple[FormerOwner, ...] = ()
+    former_owners: tuple[FormerOwner, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 @codec.message("rerun.ended")
--- a/rosedyke/rerunnable_jobs/metrics.py
+++ b/rosedyke/rerunnable_jobs/metrics.py
@@ -116,3 +116,13 @@
     "counter",
     "Owners that these requests were sent to.",
 )
+EARLIER_OWNERS_UNKNOWN = metric.define(
+    "rerun.earlier_owners_unknown",
+    "counter",
+    "Earlier owners of jobs whose servers this owner did not know, so that tasks wait for leases.",
+)
+POOL_OFFERS_LATE = metric.define(
+    "rerun.pool_offers_late",
+    "counter",
+    "Offers of a pool that arrived too late to be accepted.",
+)
--- a/rosedyke/rerunnable_jobs/predecessors.py
+++ b/rosedyke/rerunnable_jobs/predecessors.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 import attrs
+import msgspec
 
 from rosedyke.rerunnable_jobs import messages
 
@@ -43,8 +44,9 @@
 def from_message(message: messages.Submit, now: float) -> tuple[FormerOwner, ...]:
     """Return the earlier owners of a submitted part, empty if it had none."""
     sent_at = min(now, message.sent_s)
-    if message.may_have_run and not message.former_owners:
-        return (FormerOwner(UNKNOWN_TOKEN, EVERY_VERSION, sent_at),)
+    if message.former_owners is msgspec.UNSET:
+        unknown = FormerOwner(UNKNOWN_TOKEN, EVERY_VERSION, sent_at)
+        return (unknown,) if message.may_have_run else ()
     return tuple(
         FormerOwner(former.token, former.servers_version, sent_at - former.age_s)
         for former in message.former_owners
--- a/rosedyke/rerunnable_jobs/predecessors_test.py
+++ b/rosedyke/rerunnable_jobs/predecessors_test.py
@@ -1,7 +1,10 @@
 import unittest
 
+import msgspec
+
 from rosedyke.rerunnable_jobs import messages, predecessors
 from rosedyke.standins import rerun_region
+from rosedyke.wire import codec
 
 OWNERS = (messages.KnownOwner(20, 3, ("s-1", "s-2")), messages.KnownOwner(10, 1))
 
@@ -57,6 +60,19 @@
         self.assertEqual(sorted(known.versions), list(range(3, count)))
 
 
+class Messages(unittest.TestCase):
+    def test_nothing_is_added_to_messages_of_a_calm_day(self):
+        # Guards against more bytes in each of hundreds of reports and submissions a second.
+        region = rerun_region.Region({"a": 3})
+        region.run(2.0)
+        region.submit(region.non_owner("a"), "j1")
+        region.run(2.0)
+        for *_, message in region.network.log:
+            body = codec.encode(message)
+            for field in (b"earlier_owners", b"former_owners"):
+                self.assertNotIn(field, body)
+
+
 class Holders(unittest.TestCase):
     """What a job's holder tells a new owner of the owners before it."""
 
@@ -72,7 +88,7 @@
         region.run(2.0)
         region.submit(region.non_owner("a"), "j1")
         region.run(0.05)
-        self.assertEqual(self.former_owners(region), ())
+        self.assertIs(self.former_owners(region), msgspec.UNSET)
 
     def test_each_owner_is_named_until_its_runs_are_over(self):
         # Guards against a task that runs twice after two takeovers in a row, and against tasks that
--- a/rosedyke/rerunnable_jobs/report_builder.py
+++ b/rosedyke/rerunnable_jobs/report_builder.py
@@ -109,7 +109,7 @@
             delay.outgoing.bytes_per_s,
             self.speeds_version,
             self.learned.reported(),
-            self.earlier_owners,
+            self.earlier_owners or msgspec.UNSET,
         )
 
     def recent_report(self) -> messages.PoolReport:
@@ -155,7 +155,7 @@
         if knows_servers and knows_learned:
             return self.last_without_servers
         if knows_servers:
-            return attrs.evolve(report, servers=None, earlier_owners=())
+            return attrs.evolve(report, servers=None, earlier_owners=msgspec.UNSET)
         return attrs.evolve(report, learned=msgspec.UNSET) if knows_learned else report
 
     def update_servers(self) -> dict[str, float]:
