--- a/rosedyke/rerunnable_jobs/renewal_test.py
+++ b/rosedyke/rerunnable_jobs/renewal_test.py
@@ -189,7 +189,7 @@
     for pool in owner.owned_pools.values():
         report = attrs.asdict(pool.reports.recent_report())
         del report["speeds_by_free"], report["servers_version"], report["speeds_version"]
-        del report["learned"]
+        del report["learned"], report["earlier_owners"]
         rooms = tuple(
             (state.free_millicores(), owner.speeds.speed_of(state.server.id))
             for state in pool.server_states.values()
