--- a/rosedyke/standins/explore_handovers.py
+++ b/rosedyke/standins/explore_handovers.py
@@ -3,7 +3,7 @@
 The first owner goes on with the server that is cut off with it.  The others take the pool over, and
 lose that owner as well, before or after the end of the partition.  A trial fixes the order of these
 steps, so that all of them can be tried.
-``python -m rosedyke.standins.explore_handovers`` prints a table.
+``python -m rosedyke.standins.explore_handovers`` prints the orders that break a rule.
 """
 
 import itertools
