--- a/review/stage.py
+++ b/review/stage.py
@@ -46,6 +46,8 @@
 POLL_INTERVAL_S = 0.02
 MEASURED_DELAY_S = 0.005
 MAX_DELAY_S = 0.25
+# Shortest time between two readings of the table of connections.
+CLIENTS_READ_S = 0.25
 # The bounds of the pages' example of a settings file.
 SETTINGS = """
 nodeName = "{name}"
@@ -154,7 +156,6 @@
         self.store_link.holds = lambda port: stage.is_platform_cut(name, "store")
         self.peers_link = stage.link(f"{self.ip}:{self.ports[2]}")
         self.peers_link.holds = lambda port: stage.is_peer_cut(self, port)
-        self.callers_by_port: dict[int, str] = {}
         self.process: subprocess.Popen | None = None
         self.seeds: list[str] = []
 
@@ -213,15 +214,15 @@
         reply = request(f"{self.ip}:{self.ports[1]}", "GET", "/rosedyke/ready", timeout_s=0.5)
         return reply.status == 200
 
-    def has_socket(self, inode: str) -> bool:
-        """Return whether the process has a socket open."""
-        if self.process is None:
-            return False
+    def sockets(self) -> list[str]:
+        """Return the inodes of the sockets of the process."""
+        inodes = []
         for descriptor in pathlib.Path(f"/proc/{self.process.pid}/fd").glob("*"):
             with contextlib.suppress(OSError):
-                if os.readlink(descriptor) == f"socket:[{inode}]":
-                    return True
-        return False
+                target = os.readlink(descriptor)
+                if target.startswith("socket:["):
+                    inodes.append(target.removeprefix("socket:[").removesuffix("]"))
+        return inodes
 
     def log_entries(self) -> list[dict]:
         """Return the complete lines of the log."""
@@ -257,6 +258,9 @@
         self.backend = self.platform.backend
         self.groups: list[set[str]] = []
         self.cuts_instances_only = False
+        # The instance that opened each connection, by its port and the other end's.
+        self.clients: dict[tuple[int, int], str] = {}
+        self.clients_read_at = float("-inf")
         self.runs: list[RecordedRun] = []
         self._record_runs()
         self.links: list[proxy.Proxy] = []
@@ -335,6 +339,7 @@
         between_instances_only : bool
             All instances still reach the store and the servers.
         """
+        self._read_clients()
         self.groups, self.cuts_instances_only = list(groups), between_instances_only
         self.record.write(f"cut: {[sorted(group) for group in groups] or 'over'}")
 
@@ -352,21 +357,24 @@
     def is_peer_cut(self, target: Instance, port: int) -> bool:
         """Return whether the connection from a port to an instance is cut."""
         if not self.groups:
-            target.callers_by_port.clear()
             return False
-        if port not in target.callers_by_port:
-            target.callers_by_port[port] = self._client_of(target.peers_link, port)
-        return self.is_cut(target.callers_by_port[port], target.name)
-
-    def _client_of(self, link, port):
-        own_port = int(link.address.rpartition(":")[2])
+        own_port = int(target.peers_link.address.rpartition(":")[2])
+        key = (port, own_port)
+        if key not in self.clients and time.monotonic() - self.clients_read_at > CLIENTS_READ_S:
+            self._read_clients()
+        # One that has just been opened waits until its client is known.
+        return key not in self.clients or self.is_cut(self.clients[key], target.name)
+
+    def _read_clients(self):
+        """Find out which instance has opened each connection."""
+        names = {inode: name for name, one in self.instances.items() for inode in one.sockets()}
+        self.clients = {}
         for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
-            if [int(end.rpartition(":")[2], 16) for end in fields[1:3]] == [port, own_port]:
-                return next(
-                    (name for name, one in self.instances.items() if one.has_socket(fields[9])), ""
-                )
-        return ""
+            if fields[9] in names:
+                ports = [int(end.rpartition(":")[2], 16) for end in fields[1:3]]
+                self.clients[ports[0], ports[1]] = names[fields[9]]
+        self.clients_read_at = time.monotonic()
 
     def _is_reachable(self, token, server_id):
         number = token & ((1 << fencing_token.INSTANCE_BITS) - 1)
