--- a/review/stage.py
+++ b/review/stage.py
@@ -25,6 +25,7 @@
 sys.path[:0] = [str(ROOT / "platform"), str(ROOT), str(ROOT / "tools")]
 
 import processes  # noqa: E402
+
 from adapter import fake_platform  # noqa: E402
 from rosedyke.daemon import eventlet_runtime  # noqa: E402
 from rosedyke.rerunnable_jobs import fencing_token, job  # noqa: E402
@@ -42,6 +43,7 @@
     "latencyFactor": 1.6,
     "targetLatencyMs": 500,
 }
+SEEDS = 3
 START_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.02
 MEASURED_DELAY_S = 0.005
@@ -113,7 +115,7 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to ``record.txt``, with the seconds since the start."""
+    """Writes what was sent, answered and run to ``record.txt``, with the time of each line."""
 
     def __init__(self, folder: pathlib.Path):
         self.file = (folder / "record.txt").open("w")
@@ -224,11 +226,6 @@
                     inodes.append(target.removeprefix("socket:[").removesuffix("]"))
         return inodes
 
-    def log_entries(self) -> list[dict]:
-        """Return the complete lines of the log."""
-        lines = self.log.read_text(errors="replace").rpartition("\n")[0].splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
-
 
 class Stage(contextlib.AbstractContextManager):
     """The deployment; ends all processes at the end of the block.
@@ -275,6 +272,9 @@
             for number in range(instances):
                 name = f"{zone}-{number}"
                 self.instances[name] = Instance(self, name, zone)
+        seeds = [one.peers_link.address for one in self.instances.values()][:SEEDS]
+        for instance in self.instances.values():
+            instance.seeds = seeds
 
     def _measure_delay(self):
         while True:
